--- /dev/null
+++ b/src/include/bluebell/core/control_message.h
@@ -0,0 +1,245 @@
+/// \file
+/// Messages that carry membership, configuration, grants and orders between nodes and control.
+#pragma once
+
+#include <bluebell/core/config.h>
+#include <bluebell/core/work_message.h>
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace bluebell::core
+{
+
+enum class node_role : std::uint8_t { router, agent, control };
+[[nodiscard]] std::string_view to_string(node_role r);
+
+/// Where a node is and how it is reached.
+struct node_info {
+    node_id id;
+    node_role role = node_role::router;
+    std::string address; ///< tcp://IP:PORT of its peer socket
+    region_id region;
+    zone_id zone;
+    incarnation life = 0;
+
+    friend bool operator==(const node_info&, const node_info&) = default;
+};
+
+/// What an agent serves.
+struct agent_offer {
+    std::vector<model_id> models;     ///< models and adapters its engine holds
+    std::vector<service_id> services; ///< plain services behind it
+    std::uint32_t slots = 0;
+    bool engine_up = false;
+
+    friend bool operator==(const agent_offer&, const agent_offer&) = default;
+};
+
+/// Sent once a second to the parent in the dissemination tree: liveness, load, confirmed state.
+struct heartbeat {
+    node_info from;
+    revision config = 0;           ///< newest configuration in force at the sender
+    std::uint64_t digest = 0;      ///< newest fleet digest at the sender
+    agent_offer offer;             ///< agents only
+    load_report load;              ///< agents only
+    std::uint64_t lease_round = 0; ///< echoed in config_push, so that the lease counts from sending
+
+    friend bool operator==(const heartbeat&, const heartbeat&) = default;
+};
+
+/// One agent in a fleet digest.
+struct agent_entry {
+    node_info node;
+    agent_offer offer;
+    load_report load;
+
+    friend bool operator==(const agent_entry&, const agent_entry&) = default;
+};
+
+/// What all nodes are told of the fleet: what changed since the receiver's digest, or all of it.
+struct fleet_digest {
+    std::uint64_t sequence = 0;
+    std::uint64_t base = 0; ///< the digest that the changes are relative to; 0: whole
+    std::vector<agent_entry> changed;
+    std::vector<node_id> gone;
+    std::vector<body_digest> quarantined; ///< bodies refused fleet-wide
+
+    friend bool operator==(const fleet_digest&, const fleet_digest&) = default;
+};
+
+/// A confirmed revision, and the configuration where the receiver's is older.
+struct config_push {
+    revision config = 0;
+    std::optional<config_document> document; ///< absent when the receiver has this revision
+    std::uint64_t lease_round = 0;           ///< 0: not an answer to a heartbeat, renews no lease
+    microseconds lease{0};                   ///< counts from the sending of the echoed heartbeat
+
+    friend bool operator==(const config_push&, const config_push&) = default;
+};
+
+/// The configuration is in force at the sender.
+struct config_ack {
+    revision config = 0;
+
+    friend bool operator==(const config_ack&, const config_ack&) = default;
+};
+
+/// A body that crashed an engine; enough reports quarantine it fleet-wide.
+struct crash_report {
+    body_digest digest;
+    bool alone = false; ///< it was the only call in the engine
+    node_id agent;
+
+    friend bool operator==(const crash_report&, const crash_report&) = default;
+};
+
+/// A router could not reach an agent. One report removes nobody.
+struct suspicion {
+    node_id about;
+    bool reachable = false;
+
+    friend bool operator==(const suspicion&, const suspicion&) = default;
+};
+
+// At most once.
+
+/// Scope and name of one idempotency key.
+struct grant_key {
+    workspace_id workspace;
+    idempotency_key key;
+
+    friend auto operator<=>(const grant_key&, const grant_key&) = default;
+};
+
+/// Asks control for the sole right to run a non-idempotent call.
+struct grant_request {
+    grant_key key;
+    body_digest digest;
+    attempt_id attempt;
+    node_id agent;
+    incarnation life = 0;
+
+    friend bool operator==(const grant_request&, const grant_request&) = default;
+};
+
+/// A finished call's answer as kept for resends.
+struct stored_answer {
+    std::uint16_t status = 0;
+    std::string content_type;
+    bytes body;
+
+    friend bool operator==(const stored_answer&, const stored_answer&) = default;
+};
+
+struct grant_given {
+    friend bool operator==(const grant_given&, const grant_given&) = default;
+};
+struct grant_running {
+    node_id owner;
+    friend bool operator==(const grant_running&, const grant_running&) = default;
+};
+struct grant_done {
+    stored_answer answer;
+    friend bool operator==(const grant_done&, const grant_done&) = default;
+};
+struct grant_unknown {
+    friend bool operator==(const grant_unknown&, const grant_unknown&) = default;
+};
+struct grant_conflict {
+    friend bool operator==(const grant_conflict&, const grant_conflict&) = default;
+};
+/// Control can't decide now (no leader, or its log is failing); nothing was granted.
+struct grant_unavailable {
+    friend bool operator==(const grant_unavailable&, const grant_unavailable&) = default;
+};
+using grant_verdict = std::variant<grant_given, grant_running, grant_done, grant_unknown,
+                                   grant_conflict, grant_unavailable>;
+
+struct grant_reply {
+    grant_key key;
+    attempt_id attempt;
+    grant_verdict verdict;
+
+    friend bool operator==(const grant_reply&, const grant_reply&) = default;
+};
+
+/// The granted call has ended, with this answer.
+struct grant_result {
+    grant_key key;
+    attempt_id attempt;
+    stored_answer answer;
+
+    friend bool operator==(const grant_result&, const grant_result&) = default;
+};
+
+/// The result is durable.
+struct grant_result_kept {
+    grant_key key;
+    attempt_id attempt;
+
+    friend bool operator==(const grant_result_kept&, const grant_result_kept&) = default;
+};
+
+// Orders to engines.
+
+struct load_model {
+    model_id model;
+    std::string version;
+    friend bool operator==(const load_model&, const load_model&) = default;
+};
+struct unload_model {
+    model_id model;
+    friend bool operator==(const unload_model&, const unload_model&) = default;
+};
+struct load_adapter {
+    model_id model;
+    model_id adapter;
+    friend bool operator==(const load_adapter&, const load_adapter&) = default;
+};
+struct change_role {
+    std::string role; ///< "serve" or "standby"
+    friend bool operator==(const change_role&, const change_role&) = default;
+};
+using order = std::variant<load_model, unload_model, load_adapter, change_role>;
+
+/// An order to the engine behind an agent. Lower fences than the highest seen are refused.
+struct engine_order {
+    std::uint64_t fence = 0; ///< from the log; rises with every order to this engine
+    order what;
+
+    friend bool operator==(const engine_order&, const engine_order&) = default;
+};
+
+struct engine_order_reply {
+    std::uint64_t fence = 0;
+    bool done = false;
+    error why; ///< meaningful only when not done
+
+    friend bool operator==(const engine_order_reply&, const engine_order_reply&) = default;
+};
+
+/// A restarted agent asks every replica for the highest fence given for its engine.
+struct fence_query {
+    node_id agent;
+    friend bool operator==(const fence_query&, const fence_query&) = default;
+};
+struct fence_answer {
+    node_id agent;
+    std::uint64_t fence = 0;
+    friend bool operator==(const fence_answer&, const fence_answer&) = default;
+};
+
+/// The receiver is not the leader; leader is empty when it knows none.
+struct not_leader {
+    node_id leader;
+    friend bool operator==(const not_leader&, const not_leader&) = default;
+};
+
+using control_message =
+    std::variant<heartbeat, fleet_digest, config_push, config_ack, crash_report, suspicion,
+                 grant_request, grant_reply, grant_result, grant_result_kept, engine_order,
+                 engine_order_reply, fence_query, fence_answer, not_leader>;
+
+} // namespace bluebell::core
--- /dev/null
+++ b/src/include/bluebell/core/effect.h
@@ -0,0 +1,163 @@
+/// \file
+/// Everything a node does, as data. The runtime carries effects out in their order.
+#pragma once
+
+#include <bluebell/core/event.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bluebell::core
+{
+
+// To peers.
+
+struct send_message {
+    node_id to;
+    message what;
+    friend bool operator==(const send_message&, const send_message&) = default;
+};
+/// Learns or changes how a peer is reached.
+struct connect_peer {
+    node_id peer;
+    std::string address;
+    friend bool operator==(const connect_peer&, const connect_peer&) = default;
+};
+struct disconnect_peer {
+    node_id peer;
+    friend bool operator==(const disconnect_peer&, const disconnect_peer&) = default;
+};
+
+// To callers.
+
+struct reply_head {
+    request_id request;
+    std::uint16_t status = 200;
+    std::string content_type;
+    bool streamed = false;
+    friend bool operator==(const reply_head&, const reply_head&) = default;
+};
+struct reply_chunk {
+    request_id request;
+    std::uint64_t event = 0;
+    bytes data;
+    friend bool operator==(const reply_chunk&, const reply_chunk&) = default;
+};
+struct reply_end {
+    request_id request;
+    friend bool operator==(const reply_end&, const reply_end&) = default;
+};
+/// An error, before the head as a JSON reply, after it as an error event that ends the stream.
+struct reply_error {
+    request_id request;
+    error why;
+    run_outcome outcome = run_outcome::unknown;
+    microseconds retry_after{0};
+    friend bool operator==(const reply_error&, const reply_error&) = default;
+};
+
+// To the backend server.
+
+struct engine_run {
+    attempt_id attempt;
+    call what;
+    std::int32_t priority = 0; ///< the engine's own scale: lower runs first
+    friend bool operator==(const engine_run&, const engine_run&) = default;
+};
+struct engine_cancel {
+    attempt_id attempt;
+    friend bool operator==(const engine_cancel&, const engine_cancel&) = default;
+};
+/// Stops or resumes reading the engine's stream of one attempt.
+struct engine_pause {
+    attempt_id attempt;
+    bool paused = false;
+    friend bool operator==(const engine_pause&, const engine_pause&) = default;
+};
+struct engine_order_run {
+    engine_order what;
+    friend bool operator==(const engine_order_run&, const engine_order_run&) = default;
+};
+
+// To the disk. Each write has a ticket; disk_synced names the newest that is durable.
+
+struct disk_vote {
+    std::uint64_t ticket = 0;
+    term current_term = 0;
+    node_id voted_for;
+    friend bool operator==(const disk_vote&, const disk_vote&) = default;
+};
+/// Appends entries; those at and after the first entry's index are dropped before.
+struct disk_append {
+    std::uint64_t ticket = 0;
+    std::vector<log_entry> entries;
+    friend bool operator==(const disk_append&, const disk_append&) = default;
+};
+/// Replaces the log up to the index by a snapshot.
+struct disk_snapshot {
+    std::uint64_t ticket = 0;
+    log_index index = 0;
+    term at_term = 0;
+    bytes data;
+    friend bool operator==(const disk_snapshot&, const disk_snapshot&) = default;
+};
+
+// To operators.
+
+struct operator_reply {
+    std::string operation;
+    result<revision> outcome;
+    friend bool operator==(const operator_reply& a, const operator_reply& b)
+    {
+        return a.operation == b.operation && a.outcome == b.outcome;
+    }
+};
+
+// To the process.
+
+/// A tick is wanted at this time at the latest.
+struct wake_at {
+    instant at{};
+    friend bool operator==(const wake_at&, const wake_at&) = default;
+};
+enum class log_level : std::uint8_t { info, warning, error };
+/// One named value of a log line.
+struct log_field {
+    std::string name;
+    std::string value;
+    friend bool operator==(const log_field&, const log_field&) = default;
+};
+/// One log line, which also feeds the trace that explains a request.
+struct log_line {
+    log_level level = log_level::info;
+    std::string part;   ///< prefix: the part that decided
+    std::string text;   ///< one short sentence
+    request_id request; ///< empty: not about one request
+    std::vector<log_field> fields;
+    friend bool operator==(const log_line&, const log_line&) = default;
+};
+/// Adds a sample to a metric.
+struct observe {
+    std::string metric;
+    double value = 1;
+    rank priority = rank::normal;
+    friend bool operator==(const observe&, const observe&) = default;
+};
+/// Readiness as the balancer sees it.
+struct set_ready {
+    bool ready = false;
+    friend bool operator==(const set_ready&, const set_ready&) = default;
+};
+/// All work has ended after a drain: the process may exit.
+struct drained {
+    friend bool operator==(const drained&, const drained&) = default;
+};
+
+using effect = std::variant<send_message, connect_peer, disconnect_peer, reply_head, reply_chunk,
+                            reply_end, reply_error, engine_run, engine_cancel, engine_pause,
+                            engine_order_run, disk_vote, disk_append, disk_snapshot, operator_reply,
+                            wake_at, log_line, observe, set_ready, drained>;
+using effects = std::vector<effect>;
+
+} // namespace bluebell::core
--- /dev/null
+++ b/src/include/bluebell/core/event.h
@@ -0,0 +1,190 @@
+/// \file
+/// Everything that can happen to a node. Time and random numbers come in here and nowhere else.
+#pragma once
+
+#include <bluebell/core/message.h>
+
+#include <map>
+#include <variant>
+#include <vector>
+
+namespace bluebell::core
+{
+
+// From callers (router).
+
+/// A caller's request, read and checked in full.
+struct request_arrived {
+    call what;
+    bool streamed = true;
+    friend bool operator==(const request_arrived&, const request_arrived&) = default;
+};
+/// A caller comes back for the rest of an answer.
+struct resume_arrived {
+    request_id request;
+    workspace_id workspace;
+    std::uint64_t last_event = 0;
+    friend bool operator==(const resume_arrived&, const resume_arrived&) = default;
+};
+/// The caller closed its connection before the end.
+struct caller_gone {
+    request_id request;
+    friend bool operator==(const caller_gone&, const caller_gone&) = default;
+};
+/// The caller's connection took so many bytes.
+struct caller_drained {
+    request_id request;
+    std::uint32_t bytes = 0;
+    friend bool operator==(const caller_drained&, const caller_drained&) = default;
+};
+using caller_event = std::variant<request_arrived, resume_arrived, caller_gone, caller_drained>;
+
+// From peers.
+
+struct message_received {
+    node_id from;
+    message what;
+    friend bool operator==(const message_received&, const message_received&) = default;
+};
+/// No connection to the peer could be made or kept.
+struct peer_unreachable {
+    node_id peer;
+    friend bool operator==(const peer_unreachable&, const peer_unreachable&) = default;
+};
+using peer_event = std::variant<message_received, peer_unreachable>;
+
+// From the backend server (agent).
+
+struct engine_head {
+    attempt_id attempt;
+    std::uint16_t status = 0;
+    std::string content_type;
+    bool streamed = false;
+    friend bool operator==(const engine_head&, const engine_head&) = default;
+};
+struct engine_chunk {
+    attempt_id attempt;
+    bytes data;
+    friend bool operator==(const engine_chunk&, const engine_chunk&) = default;
+};
+struct engine_end {
+    attempt_id attempt;
+    std::uint32_t cached_tokens = 0;
+    std::uint32_t generated_tokens = 0;
+    friend bool operator==(const engine_end&, const engine_end&) = default;
+};
+/// The call ended without its end mark. The connection tells whether it can have begun.
+struct engine_failed {
+    attempt_id attempt;
+    bool sent = true; ///< false: not one byte of the call left this process
+    error why;
+    friend bool operator==(const engine_failed&, const engine_failed&) = default;
+};
+/// The engine's own periodic report.
+struct engine_report {
+    agent_offer offer;
+    incarnation life = 0; ///< changes when the engine restarted
+    std::uint32_t running = 0;
+    std::vector<hash64> cached;  ///< cache events: prefix blocks now held
+    std::vector<hash64> evicted; ///< prefix blocks dropped
+    friend bool operator==(const engine_report&, const engine_report&) = default;
+};
+/// The engine's process is gone: its connections broke and its health page doesn't answer.
+struct engine_down {
+    error why;
+    friend bool operator==(const engine_down&, const engine_down&) = default;
+};
+struct engine_order_done {
+    std::uint64_t fence = 0;
+    bool done = false;
+    error why;
+    friend bool operator==(const engine_order_done&, const engine_order_done&) = default;
+};
+using engine_event = std::variant<engine_head, engine_chunk, engine_end, engine_failed,
+                                  engine_report, engine_down, engine_order_done>;
+
+// From the disk (control).
+
+/// All log and state writes up to this ticket are durable.
+struct disk_synced {
+    std::uint64_t ticket = 0;
+    friend bool operator==(const disk_synced&, const disk_synced&) = default;
+};
+struct disk_failed {
+    std::uint64_t ticket = 0;
+    error why;
+    friend bool operator==(const disk_failed&, const disk_failed&) = default;
+};
+/// What was found at the start.
+struct disk_loaded {
+    bool fresh =
+        false; ///< the data folder was empty: this replica must not vote before it caught up
+    term current_term = 0;
+    node_id voted_for;
+    log_index snapshot_index = 0;
+    term snapshot_term = 0;
+    bytes snapshot;
+    std::vector<log_entry> entries;
+    friend bool operator==(const disk_loaded&, const disk_loaded&) = default;
+};
+using disk_event = std::variant<disk_synced, disk_failed, disk_loaded>;
+
+// From operators and the platform.
+
+/// A change of configuration, made from a revision.
+struct config_change {
+    std::string operation; ///< the operator's request id: a resend finds the first result
+    operator_id who;
+    revision made_from = 0;
+    config_document document;
+    std::string why;
+    friend bool operator==(const config_change&, const config_change&) = default;
+};
+/// An order to an engine by hand.
+struct order_wanted {
+    std::string operation;
+    operator_id who;
+    node_id agent;
+    order what;
+    friend bool operator==(const order_wanted&, const order_wanted&) = default;
+};
+/// Control membership: adds or removes one replica.
+struct replicas_change {
+    std::string operation;
+    operator_id who;
+    std::vector<node_info> replicas;
+    friend bool operator==(const replicas_change&, const replicas_change&) = default;
+};
+/// This process shall drain (operator or SIGTERM).
+struct drain_wanted {
+    friend bool operator==(const drain_wanted&, const drain_wanted&) = default;
+};
+/// The platform's list of VMs. It lags.
+struct platform_list {
+    std::vector<node_id> live;
+    std::vector<node_id> leaving;
+    friend bool operator==(const platform_list&, const platform_list&) = default;
+};
+using operator_event =
+    std::variant<config_change, order_wanted, replicas_change, drain_wanted, platform_list>;
+
+// From the clock.
+
+/// Time has passed. The runtime sends one when the earliest wake_at effect is due.
+struct tick {
+    friend bool operator==(const tick&, const tick&) = default;
+};
+using clock_event = std::variant<tick>;
+
+using event_body =
+    std::variant<caller_event, peer_event, engine_event, disk_event, operator_event, clock_event>;
+
+/// One event: when it was seen, a random number for the decision, and what happened.
+struct event {
+    instant at{};
+    std::uint64_t random = 0;
+    event_body body;
+    friend bool operator==(const event&, const event&) = default;
+};
+
+} // namespace bluebell::core
--- /dev/null
+++ b/src/include/bluebell/core/ids.h
@@ -0,0 +1,157 @@
+/// \file
+/// Identifiers as distinct immutable types, so that a chat is never passed where a workspace is
+/// meant.
+#pragma once
+
+#include <bluebell/core/error.h>
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace bluebell::core
+{
+
+/// Longest identifier accepted from outside, in bytes.
+inline constexpr std::size_t max_identifier_length = 128;
+
+/// Returns true if text is 1 to max_identifier_length visible ASCII characters.
+[[nodiscard]] bool is_identifier(std::string_view text);
+
+/// A name of one kind of thing. Empty means "none". There are no mutators.
+template <class Tag>
+class identifier
+{
+public:
+    identifier() = default;
+
+    /// Checks text from outside; fails with invalid_argument at step `parse Tag::name`.
+    [[nodiscard]] static result<identifier> make(std::string_view text)
+    {
+        if (!is_identifier(text))
+            return fail(error_code::invalid_argument, std::string("parse ") + Tag::name, "",
+                        "must be 1 to 128 visible ASCII characters");
+        return identifier(std::string(text));
+    }
+
+    /// Wraps text that this program made itself or has already checked.
+    [[nodiscard]] static identifier from_trusted(std::string text)
+    {
+        return identifier(std::move(text));
+    }
+
+    [[nodiscard]] const std::string& str() const { return text_; }
+    [[nodiscard]] bool empty() const { return text_.empty(); }
+
+    friend auto operator<=>(const identifier&, const identifier&) = default;
+
+private:
+    explicit identifier(std::string text) : text_(std::move(text)) {}
+
+    std::string text_;
+};
+
+struct node_tag {
+    static constexpr const char* name = "node";
+};
+struct request_tag {
+    static constexpr const char* name = "request";
+};
+struct workspace_tag {
+    static constexpr const char* name = "workspace";
+};
+struct chat_tag {
+    static constexpr const char* name = "chat";
+};
+struct model_tag {
+    static constexpr const char* name = "model";
+};
+struct service_tag {
+    static constexpr const char* name = "service";
+};
+struct key_tag {
+    static constexpr const char* name = "idempotency key";
+};
+struct region_tag {
+    static constexpr const char* name = "region";
+};
+struct zone_tag {
+    static constexpr const char* name = "availability zone";
+};
+struct operator_tag {
+    static constexpr const char* name = "operator";
+};
+
+using node_id = identifier<node_tag>;           ///< one process of the system
+using request_id = identifier<request_tag>;     ///< one caller's request, through all processes
+using workspace_id = identifier<workspace_tag>; ///< one small caller behind a reseller
+using chat_id = identifier<chat_tag>;           ///< one returning chat of a workspace
+using model_id = identifier<model_tag>;         ///< a model or an adapter
+using service_id = identifier<service_tag>;     ///< a pool of plain services
+using idempotency_key = identifier<key_tag>;    ///< the caller's key of a non-idempotent call
+using region_id = identifier<region_tag>;
+using zone_id = identifier<zone_tag>;
+using operator_id = identifier<operator_tag>;
+
+/// One try of a request at one agent. The nonce keeps tries of different routers apart.
+struct attempt_id {
+    request_id request;
+    std::uint64_t nonce = 0;
+
+    friend auto operator<=>(const attempt_id&, const attempt_id&) = default;
+};
+
+/// A process's life: larger after each restart, so that messages of an earlier life are known.
+using incarnation = std::uint64_t;
+
+/// A position in the replicated log of configuration.
+using revision = std::uint64_t;
+
+/// A 64-bit hash of a cumulative prefix of a prompt, a chat or a name (xxh3).
+using hash64 = std::uint64_t;
+
+/// Returns the xxh3 hash of text.
+[[nodiscard]] hash64 hash_of(std::string_view text, hash64 seed = 0);
+
+/// A 128-bit digest of a request's body (xxh3); names a request whatever id its caller gives it.
+struct body_digest {
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    [[nodiscard]] static body_digest of(std::string_view body);
+    friend auto operator<=>(const body_digest&, const body_digest&) = default;
+};
+
+/// Returns 32 hexadecimal digits.
+[[nodiscard]] std::string to_string(const body_digest& d);
+
+} // namespace bluebell::core
+
+template <class Tag>
+struct std::hash<bluebell::core::identifier<Tag>> {
+    std::size_t operator()(const bluebell::core::identifier<Tag>& id) const noexcept
+    {
+        return std::hash<std::string>{}(id.str());
+    }
+};
+
+template <>
+struct std::hash<bluebell::core::attempt_id> {
+    std::size_t operator()(const bluebell::core::attempt_id& id) const noexcept
+    {
+        return std::hash<bluebell::core::request_id>{}(id.request) ^
+               (id.nonce * 0x9e3779b97f4a7c15ULL);
+    }
+};
+
+template <>
+struct std::hash<bluebell::core::body_digest> {
+    std::size_t operator()(const bluebell::core::body_digest& d) const noexcept
+    {
+        return d.high ^ (d.low * 0x9e3779b97f4a7c15ULL);
+    }
+};
--- /dev/null
+++ b/src/include/bluebell/core/message.h
@@ -0,0 +1,16 @@
+/// \file
+/// All messages between the system's processes. Their encoding is bluebell::wire's matter.
+#pragma once
+
+#include <bluebell/core/control_message.h>
+#include <bluebell/core/replication_message.h>
+#include <bluebell/core/work_message.h>
+
+#include <variant>
+
+namespace bluebell::core
+{
+
+using message = std::variant<work_message, control_message, replication_message>;
+
+} // namespace bluebell::core
--- /dev/null
+++ b/src/libcore/config.cpp
@@ -0,0 +1,147 @@
+// Checks an operators' document and makes the typed configuration of it.
+
+#include <bluebell/core/config.h>
+
+#include <array>
+#include <charconv>
+#include <functional>
+#include <string_view>
+
+namespace bluebell::core
+{
+
+namespace
+{
+
+/// A numeric default: its key, the allowed range, and how it enters the configuration.
+struct number_rule {
+    std::string key;
+    std::uint64_t lowest;
+    std::uint64_t highest;
+    std::function<void(fleet_config&, std::uint64_t)> put;
+};
+
+microseconds from_ms(std::uint64_t ms)
+{
+    return milliseconds(static_cast<std::int64_t>(ms));
+}
+
+void add_rank_rules(std::vector<number_rule>& rules, rank r)
+{
+    const auto i = static_cast<std::size_t>(r);
+    const std::string prefix = "rank." + std::string(to_string(r)) + ".";
+    rules.push_back({prefix + "first_token_ms", 1, 3'600'000,
+                     [i](auto& c, auto v) { c.ranks[i].first_token_target = from_ms(v); }});
+    rules.push_back({prefix + "token_gap_ms", 1, 60'000,
+                     [i](auto& c, auto v) { c.ranks[i].token_gap_target = from_ms(v); }});
+    rules.push_back({prefix + "max_wait_ms", 1, 3'600'000,
+                     [i](auto& c, auto v) { c.ranks[i].max_wait = from_ms(v); }});
+    rules.push_back({prefix + "weight", 1, 1000,
+                     [i](auto& c, auto v) { c.ranks[i].weight = static_cast<std::uint32_t>(v); }});
+    rules.push_back({prefix + "min_share_permille", 0, 900, [i](auto& c, auto v) {
+                         c.ranks[i].min_share_permille = static_cast<std::uint32_t>(v);
+                     }});
+}
+
+std::vector<number_rule> make_rules()
+{
+    std::vector<number_rule> rules;
+    for (const rank r : {rank::urgent, rank::normal, rank::bulk})
+        add_rank_rules(rules, r);
+    rules.push_back({"load_bound_permille", 1000, 10'000, [](auto& c, auto v) {
+                         c.load_bound_permille = static_cast<std::uint32_t>(v);
+                     }});
+    rules.push_back({"retry_budget_permille", 0, 1000, [](auto& c, auto v) {
+                         c.retry_budget_permille = static_cast<std::uint32_t>(v);
+                     }});
+    rules.push_back({"quarantine_ms", 1000, 86'400'000,
+                     [](auto& c, auto v) { c.quarantine_time = from_ms(v); }});
+    rules.push_back(
+        {"config_lease_ms", 500, 4000, [](auto& c, auto v) { c.config_lease = from_ms(v); }});
+    rules.push_back({"answer_keep_ms", 1000, 3'600'000,
+                     [](auto& c, auto v) { c.answer_keep_time = from_ms(v); }});
+    rules.push_back({"grant_keep_ms", 60'000, 31'536'000'000,
+                     [](auto& c, auto v) { c.grant_keep_time = from_ms(v); }});
+    return rules;
+}
+
+result<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec != std::errc() || end != text.data() + text.size())
+        return fail(error_code::invalid_argument, "parse number", "", "not a whole number");
+    return n;
+}
+
+std::string check_default(fleet_config& conf, const std::vector<number_rule>& rules,
+                          const std::string& key, const std::string& value)
+{
+    for (const auto& rule : rules) {
+        if (rule.key != key)
+            continue;
+        const auto n = parse_number(value);
+        if (!n || *n < rule.lowest || *n > rule.highest)
+            return key + " = " + value + ": allowed " + std::to_string(rule.lowest) + " to " +
+                   std::to_string(rule.highest) + "\n";
+        rule.put(conf, *n);
+        return {};
+    }
+    return key + " = " + value + ": unknown key\n";
+}
+
+std::string check_exception(fleet_config& conf, const config_exception& ex)
+{
+    if (ex.reason.empty())
+        return "exception " + ex.name + ": a written reason is required\n";
+    const auto colon = ex.scope.find(':');
+    const std::string kind = ex.scope.substr(0, colon);
+    const std::string name = colon == std::string::npos ? "" : ex.scope.substr(colon + 1);
+    const auto n = parse_number(ex.value);
+    if (kind == "workspace" && ex.key == "weight" && !name.empty() && n && *n >= 1 && *n <= 1000) {
+        conf.workspace_weights[name] = static_cast<std::uint32_t>(*n);
+        return {};
+    }
+    if (kind == "model" && ex.key == "min_engines" && !name.empty() && n && *n <= 10'000) {
+        conf.model_min_engines[name] = static_cast<std::uint32_t>(*n);
+        return {};
+    }
+    if (kind == "service" && ex.key == "idempotent" && !name.empty() &&
+        (ex.value == "yes" || ex.value == "no")) {
+        conf.service_idempotent[name] = ex.value == "yes";
+        return {};
+    }
+    return "exception " + ex.name + ": " + ex.scope + " " + ex.key + " = " + ex.value +
+           ": allowed workspace:NAME weight 1 to 1000, model:NAME min_engines 0 to 10000, "
+           "service:NAME idempotent yes or no\n";
+}
+
+std::string check_whole(const fleet_config& conf)
+{
+    std::uint32_t shares = 0;
+    for (const auto& r : conf.ranks)
+        shares += r.min_share_permille;
+    if (shares > 1000)
+        return "min_share_permille of all ranks: sum " + std::to_string(shares) +
+               ", allowed 1000 at most\n";
+    return {};
+}
+
+} // namespace
+
+result<fleet_config> make_fleet_config(const config_document& doc)
+{
+    static const std::vector<number_rule> rules = make_rules();
+    fleet_config conf;
+    std::string errors;
+    for (const auto& [key, value] : doc.defaults)
+        errors += check_default(conf, rules, key, value);
+    for (const auto& [name, ex] : doc.exceptions)
+        errors += check_exception(conf, ex);
+    errors += check_whole(conf);
+    if (!errors.empty())
+        return fail(error_code::invalid_argument, "check configuration", "", errors);
+    return conf;
+}
+
+} // namespace bluebell::core
