Add the envelope codec and the callers' HTTP API as values

Cause: decisions stay apart from encodings. Change: protobuf lite messages with generated code committed, a versioned envelope, chat-completions parsing, server-sent events.

--- /dev/null
+++ b/src/libwire/chat_http.cpp
@@ -0,0 +1,258 @@
+// The callers' HTTP API to values and back.
+
+#include <bluebell/wire/chat_http.h>
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace bluebell::wire
+{
+
+using namespace core;
+using nlohmann::json;
+
+namespace
+{
+
+/// Bytes of text taken for one token where no tokenizer is at hand.
+constexpr std::size_t bytes_per_token = 4;
+constexpr std::uint32_t default_max_tokens = 256;
+
+std::string header(const http_request& request, std::string_view name)
+{
+    const auto it = request.headers.find(std::string(name));
+    return it == request.headers.end() ? std::string() : it->second;
+}
+
+/// Reads an optional identifier header.
+template <class Id>
+result<Id> optional_id(const http_request& request, std::string_view name)
+{
+    const std::string text = header(request, name);
+    if (text.empty())
+        return Id();
+    return Id::make(text);
+}
+
+result<microseconds> deadline_of(const http_request& request)
+{
+    const std::string text = header(request, header_deadline);
+    if (text.empty())
+        return microseconds{0};
+    std::uint32_t ms = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
+    if (ec != std::errc() || end != text.data() + text.size() || ms == 0)
+        return fail(error_code::invalid_argument, "parse deadline", "",
+                    std::string(header_deadline) + " must be a whole number of milliseconds");
+    return microseconds(milliseconds(ms));
+}
+
+/// Reads the headers that chats and service calls share.
+result<call> common_call(const http_request& request, const request_id& fallback)
+{
+    call c;
+    auto workspace = workspace_id::make(header(request, header_workspace));
+    if (!workspace)
+        return fail(error_code::invalid_argument, "parse workspace", "",
+                    std::string(header_workspace) + " is required");
+    auto id = optional_id<request_id>(request, header_request);
+    auto key = optional_id<idempotency_key>(request, header_key);
+    auto budget = deadline_of(request);
+    const std::string rank_name = header(request, header_rank);
+    auto r = rank_name.empty() ? result<rank>(rank::normal) : rank_from(rank_name);
+    if (!id)
+        return tl::unexpected(id.error());
+    if (!key)
+        return tl::unexpected(key.error());
+    if (!budget)
+        return tl::unexpected(budget.error());
+    if (!r)
+        return tl::unexpected(r.error());
+    c.workspace = std::move(*workspace);
+    c.id = id->empty() ? fallback : *id;
+    c.key = std::move(*key);
+    c.budget = *budget;
+    c.priority = *r;
+    c.digest = body_digest::of(request.body);
+    c.body = bytes::from(request.body);
+    return c;
+}
+
+/// Joins the messages as an engine would see them, so that equal prefixes hash equally.
+std::string prompt_text(const json& messages)
+{
+    std::string text;
+    for (const auto& m : messages) {
+        text += m.value("role", "");
+        text += '\n';
+        if (m.contains("content") && m["content"].is_string())
+            text += m["content"].get_ref<const std::string&>();
+        text += '\n';
+    }
+    return text;
+}
+
+std::vector<hash64> prefix_hashes(std::string_view text)
+{
+    constexpr std::size_t block = prefix_block_tokens * bytes_per_token;
+    std::vector<hash64> hashes;
+    hash64 seed = 0;
+    for (std::size_t at = 0; at + block <= text.size(); at += block) {
+        seed = hash_of(text.substr(at, block), seed);
+        hashes.push_back(seed);
+    }
+    return hashes;
+}
+
+result<chat_target> chat_of(const json& doc)
+{
+    constexpr std::string_view step = "parse chat request";
+    if (!doc.contains("model") || !doc["model"].is_string())
+        return fail(error_code::invalid_argument, step, "", "model is required");
+    if (!doc.contains("messages") || !doc["messages"].is_array() || doc["messages"].empty())
+        return fail(error_code::invalid_argument, step, "", "messages are required");
+    for (const auto& m : doc["messages"]) {
+        if (!m.is_object() || !m.contains("role") || !m["role"].is_string())
+            return fail(error_code::invalid_argument, step, "", "a message needs a role");
+    }
+    chat_target t;
+    auto model = model_id::make(doc["model"].get<std::string>());
+    if (!model)
+        return tl::unexpected(model.error());
+    t.model = std::move(*model);
+    if (doc.contains("adapter") && doc["adapter"].is_string())
+        t.adapter = model_id::make(doc["adapter"].get<std::string>()).value_or(model_id());
+    const std::string text = prompt_text(doc["messages"]);
+    t.prompt_tokens = static_cast<std::uint32_t>(text.size() / bytes_per_token + 1);
+    t.max_tokens = default_max_tokens;
+    if (doc.contains("max_tokens")) {
+        if (!doc["max_tokens"].is_number_unsigned() || doc["max_tokens"] > 1'000'000)
+            return fail(error_code::invalid_argument, step, "", "max_tokens is out of range");
+        t.max_tokens = doc["max_tokens"].get<std::uint32_t>();
+    }
+    t.prefix = prefix_hashes(text);
+    return t;
+}
+
+} // namespace
+
+result<parsed_call> parse_chat_call(const http_request& request, const request_id& fallback)
+{
+    auto c = common_call(request, fallback);
+    if (!c)
+        return tl::unexpected(c.error());
+    const json doc = json::parse(request.body, nullptr, false);
+    if (!doc.is_object())
+        return fail(error_code::invalid_argument, "parse chat request", "", "not a JSON object");
+    auto target = chat_of(doc);
+    if (!target)
+        return tl::unexpected(target.error());
+    auto chat = optional_id<chat_id>(request, header_chat);
+    if (!chat)
+        return tl::unexpected(chat.error());
+    target->chat = std::move(*chat);
+    c->target = std::move(*target);
+    c->idempotent = c->key.empty();
+    const bool streamed = doc.contains("stream") && doc["stream"].is_boolean() && doc["stream"];
+    return parsed_call{std::move(*c), streamed};
+}
+
+result<parsed_call> parse_service_call(const http_request& request, const request_id& fallback)
+{
+    constexpr std::string_view root = "/v1/services/";
+    constexpr std::string_view step = "parse service call";
+    if (!request.path.starts_with(root))
+        return fail(error_code::not_found, step, "", "no such page");
+    auto c = common_call(request, fallback);
+    if (!c)
+        return tl::unexpected(c.error());
+    const std::string rest = request.path.substr(root.size());
+    const auto slash = rest.find('/');
+    auto service = service_id::make(rest.substr(0, slash));
+    if (!service)
+        return fail(error_code::invalid_argument, step, "", "a service name is required");
+    service_target target;
+    target.service = std::move(*service);
+    target.method = request.method;
+    target.path = slash == std::string::npos ? "/" : rest.substr(slash);
+    target.content_type = header(request, "content-type");
+    c->target = std::move(target);
+    c->idempotent = request.method != "POST" && request.method != "PATCH";
+    return parsed_call{std::move(*c), false};
+}
+
+std::string sse_event(std::uint64_t id, std::string_view data)
+{
+    std::string text = "id: " + std::to_string(id) + "\ndata: ";
+    text += data;
+    text += "\n\n";
+    return text;
+}
+
+std::string error_json(const error& why, run_outcome outcome, const request_id& request)
+{
+    const json doc{{"error",
+                    {{"code", std::string(to_string(why.code))},
+                     {"step", why.step},
+                     {"peer", why.peer},
+                     {"message", why.text},
+                     {"request_id", request.str()},
+                     {"outcome", std::string(to_string(outcome))}}}};
+    return doc.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+int http_status(error_code code)
+{
+    switch (code) {
+    case error_code::invalid_argument:
+    case error_code::unsupported_version:
+        return 400;
+    case error_code::unauthenticated:
+        return 401;
+    case error_code::not_found:
+        return 404;
+    case error_code::conflict:
+    case error_code::stale:
+        return 409;
+    case error_code::too_large:
+        return 413;
+    case error_code::quarantined:
+        return 422;
+    case error_code::overloaded:
+        return 429;
+    case error_code::cancelled:
+        return 499;
+    case error_code::engine_crashed:
+        return 502;
+    case error_code::unavailable:
+    case error_code::draining:
+        return 503;
+    case error_code::deadline_exceeded:
+        return 504;
+    case error_code::io_failure:
+    case error_code::corrupt:
+        break;
+    }
+    return 500;
+}
+
+result<std::vector<std::string>> sse_parser::feed(std::string_view piece)
+{
+    rest_ += piece;
+    std::vector<std::string> payloads;
+    std::size_t begin = 0;
+    for (auto end = rest_.find("\n\n"); end != std::string::npos; end = rest_.find("\n\n", begin)) {
+        const std::string_view block(rest_.data() + begin, end - begin);
+        const auto data = block.find("data: ");
+        if (data != std::string_view::npos)
+            payloads.emplace_back(block.substr(data + 6));
+        begin = end + 2;
+    }
+    rest_.erase(0, begin);
+    if (rest_.size() > max_event_size)
+        return fail(error_code::too_large, "parse event stream", "", "an event is too large");
+    return payloads;
+}
+
+} // namespace bluebell::wire
--- /dev/null
+++ b/src/libwire/codec_pvt.h
@@ -0,0 +1,45 @@
+/// \file
+/// Conversions between core values and generated protobuf messages, one pair per group.
+#pragma once
+
+#include "generated/envelope.pb.h"
+
+#include <bluebell/core/message.h>
+
+namespace bluebell::wire
+{
+
+void put(const core::work_message& from, pb::WorkMessage& to);
+void put(const core::control_message& from, pb::ControlMessage& to);
+void put(const core::replication_message& from, pb::ReplicationMessage& to);
+
+/// Each fails with invalid_argument when no alternative is set or a value is impossible.
+[[nodiscard]] core::result<core::work_message> get(const pb::WorkMessage& from);
+[[nodiscard]] core::result<core::control_message> get(const pb::ControlMessage& from);
+[[nodiscard]] core::result<core::replication_message> get(const pb::ReplicationMessage& from);
+
+// Values that several groups share.
+void put(const core::attempt_id& from, pb::AttemptId& to);
+void put(const core::body_digest& from, pb::Digest& to);
+void put(const core::load_report& from, pb::LoadReport& to);
+void put(const core::error& from, pb::Error& to);
+[[nodiscard]] core::attempt_id get(const pb::AttemptId& from);
+[[nodiscard]] core::body_digest get(const pb::Digest& from);
+[[nodiscard]] core::load_report get(const pb::LoadReport& from);
+[[nodiscard]] core::error get(const pb::Error& from);
+
+/// The error of a message that can't be.
+[[nodiscard]] inline tl::unexpected<core::error> impossible(std::string_view what)
+{
+    return core::fail(core::error_code::invalid_argument, "decode envelope", "", what);
+}
+
+/// Reads an identifier that may be empty; longer or odd text gives an empty one.
+template <class Id>
+[[nodiscard]] Id get_id(const std::string& text)
+{
+    auto id = Id::make(text);
+    return id ? *id : Id();
+}
+
+} // namespace bluebell::wire
