--- /dev/null
+++ b/src/include/bluebell/runtime/node_runner.h
@@ -0,0 +1,60 @@
+/// \file
+/// Runs one node: feeds events to the reducer and carries its effects out, on the event loop.
+#pragma once
+
+#include <bluebell/core/reducer.h>
+#include <bluebell/runtime/caller_server.h>
+#include <bluebell/runtime/engine_client.h>
+#include <bluebell/runtime/event_loop.h>
+#include <bluebell/runtime/peer_bus.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+namespace bluebell::runtime
+{
+
+/// The adapters that a role uses; the others are null.
+struct node_ports {
+    std::shared_ptr<peer_bus> peers;
+    std::shared_ptr<caller_server> callers; ///< routers
+    std::shared_ptr<engine_client> engine;  ///< agents
+};
+
+/// Owns the node's state. dispatch() may be called from inside an effect: events queue up.
+class node_runner : public std::enable_shared_from_this<node_runner>
+{
+public:
+    [[nodiscard]] static core::result<std::shared_ptr<node_runner>>
+    make(std::shared_ptr<event_loop> loop, core::node_state initial);
+
+    node_runner(const node_runner&) = delete;
+    node_runner& operator=(const node_runner&) = delete;
+
+    /// Sets the adapters and sends the first tick.
+    void start(node_ports ports);
+
+    /// Takes one event in.
+    void dispatch(core::event_body body);
+
+    [[nodiscard]] const core::node_state& state() const { return state_; }
+
+private:
+    node_runner(std::shared_ptr<event_loop> loop, core::node_state initial);
+    void carry_out(const core::effects& out);
+    void wake(core::instant at);
+
+    friend struct effect_runner;
+
+    std::shared_ptr<event_loop> loop_;
+    core::node_state state_;
+    node_ports ports_;
+    std::deque<core::event_body> queue_; ///< events not yet reduced, oldest first
+    bool running_ = false;               ///< an event is being reduced or its effects carried out
+    std::mt19937_64 random_;
+    std::unique_ptr<watcher> timer_;
+    core::instant next_wake_ = core::instant::max(); ///< earliest wake-up that is armed
+};
+
+} // namespace bluebell::runtime
--- /dev/null
+++ b/src/libruntime/node_runner.cpp
@@ -0,0 +1,134 @@
+// The loop around the reducer: events in, effects carried out by visitors.
+
+#include <bluebell/runtime/node_runner.h>
+
+#include <glog/logging.h>
+
+namespace bluebell::runtime
+{
+
+using namespace core;
+
+namespace
+{
+
+std::string format(const log_line& line)
+{
+    std::string text = line.part + ": " + line.text;
+    if (!line.request.empty())
+        text += " request=" + line.request.str();
+    for (const auto& f : line.fields)
+        text += " " + f.name + "=" + f.value;
+    return text;
+}
+
+} // namespace
+
+/// Carries out one effect; one overload per kind.
+struct effect_runner {
+    node_runner& node;
+
+    void operator()(const send_message& e) const
+    {
+        const auto sent = node.ports_.peers->send(e.to, e.what);
+        if (!sent) {
+            LOG(WARNING) << "peers: " << to_string(sent.error());
+            node.dispatch(peer_event(peer_unreachable{e.to}));
+        }
+    }
+    void operator()(const connect_peer& e) const { node.ports_.peers->connect(e.peer, e.address); }
+    void operator()(const disconnect_peer& e) const { node.ports_.peers->disconnect(e.peer); }
+    void operator()(const reply_head& e) const { node.ports_.callers->run(e); }
+    void operator()(const reply_chunk& e) const { node.ports_.callers->run(e); }
+    void operator()(const reply_end& e) const { node.ports_.callers->run(e); }
+    void operator()(const reply_error& e) const { node.ports_.callers->run(e); }
+    void operator()(const engine_run& e) const { node.ports_.engine->run(e); }
+    void operator()(const engine_cancel& e) const { node.ports_.engine->run(e); }
+    void operator()(const engine_pause&) const {}
+    void operator()(const engine_order_run&) const {}
+    void operator()(const disk_vote&) const {}
+    void operator()(const disk_append&) const {}
+    void operator()(const disk_snapshot&) const {}
+    void operator()(const operator_reply&) const {}
+    void operator()(const wake_at& e) const { node.wake(e.at); }
+    void operator()(const log_line& e) const
+    {
+        switch (e.level) {
+        case log_level::info:
+            LOG(INFO) << format(e);
+            break;
+        case log_level::warning:
+            LOG(WARNING) << format(e);
+            break;
+        case log_level::error:
+            LOG(ERROR) << format(e);
+            break;
+        }
+    }
+    void operator()(const observe&) const {}
+    void operator()(const set_ready& e) const
+    {
+        if (node.ports_.callers)
+            node.ports_.callers->set_ready(e.ready);
+    }
+    void operator()(const drained&) const { node.loop_->stop(); }
+};
+
+result<std::shared_ptr<node_runner>> node_runner::make(std::shared_ptr<event_loop> loop,
+                                                       node_state initial)
+{
+    if (initial.self.id.empty())
+        return fail(error_code::invalid_argument, "create node", "", "the node has no id");
+    return std::shared_ptr<node_runner>(new node_runner(std::move(loop), std::move(initial)));
+}
+
+node_runner::node_runner(std::shared_ptr<event_loop> loop, node_state initial)
+    : loop_(std::move(loop)), state_(std::move(initial)), random_(std::random_device{}())
+{
+    timer_ = watcher::timer(*loop_, [this] {
+        next_wake_ = instant::max();
+        dispatch(clock_event(tick{}));
+    });
+}
+
+void node_runner::start(node_ports ports)
+{
+    ports_ = std::move(ports);
+    for (const auto& control : state_.fleet.controls) {
+        if (control.id != state_.self.id)
+            ports_.peers->connect(control.id, control.address);
+    }
+    dispatch(clock_event(tick{}));
+}
+
+void node_runner::dispatch(event_body body)
+{
+    queue_.push_back(std::move(body));
+    if (running_)
+        return;
+    running_ = true;
+    while (!queue_.empty()) {
+        const core::event ev{loop_->now(), random_(), std::move(queue_.front())};
+        queue_.pop_front();
+        step done = reduce(std::move(state_), ev);
+        state_ = std::move(done.next);
+        carry_out(done.out);
+    }
+    running_ = false;
+}
+
+void node_runner::carry_out(const effects& out)
+{
+    for (const auto& e : out)
+        std::visit(effect_runner{*this}, e);
+}
+
+void node_runner::wake(instant at)
+{
+    if (at >= next_wake_)
+        return;
+    next_wake_ = at;
+    timer_->arm(at - loop_->now());
+}
+
+} // namespace bluebell::runtime
