Carry typed commands in the replicated log

Cause: opaque commands would have put an encoding into the decisions. Test runs take their own ports.

--- a/src/bluebell/main.cpp
+++ b/src/bluebell/main.cpp
@@ -12,8 +12,7 @@
 
 using namespace bluebell;
 
-namespace
-{
+namespace {
 
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cannot_start = 3;
--- a/src/bluebellctl/main.cpp
+++ b/src/bluebellctl/main.cpp
@@ -6,8 +6,7 @@
 
 #include <iostream>
 
-namespace
-{
+namespace {
 
 constexpr int exit_bad_usage = 2;
 
--- a/src/include/bluebell/core/agent.h
+++ b/src/include/bluebell/core/agent.h
@@ -8,8 +8,7 @@
 #include <map>
 #include <unordered_map>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// A call inside the backend server.
 struct running_call {
--- a/src/include/bluebell/core/bytes.h
+++ b/src/include/bluebell/core/bytes.h
@@ -7,12 +7,10 @@
 #include <string_view>
 #include <utility>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// Shared immutable bytes; equal when their contents are.
-class bytes
-{
+class bytes {
 public:
     bytes() = default;
 
--- a/src/include/bluebell/core/call.h
+++ b/src/include/bluebell/core/call.h
@@ -15,8 +15,7 @@
 #include <variant>
 #include <vector>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// The three ranks of work, most urgent first.
 enum class rank : std::uint8_t { urgent, normal, bulk };
--- a/src/include/bluebell/core/config.h
+++ b/src/include/bluebell/core/config.h
@@ -12,8 +12,7 @@
 #include <variant>
 #include <vector>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// One exception to the defaults. The reason is required and kept in the history.
 struct config_exception {
--- a/src/include/bluebell/core/context.h
+++ b/src/include/bluebell/core/context.h
@@ -6,8 +6,7 @@
 #include <bluebell/core/effect.h>
 #include <bluebell/core/follower.h>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// Read-only surroundings of one decision. Lives no longer than the call it is passed to.
 struct context {
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -6,8 +6,7 @@
 
 #include <map>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// A node as control last heard of it.
 struct member {
--- a/src/include/bluebell/core/control_message.h
+++ b/src/include/bluebell/core/control_message.h
@@ -9,8 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 enum class node_role : std::uint8_t { router, agent, control };
 [[nodiscard]] std::string_view to_string(node_role r);
--- a/src/include/bluebell/core/effect.h
+++ b/src/include/bluebell/core/effect.h
@@ -8,8 +8,7 @@
 #include <variant>
 #include <vector>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 // To peers.
 
@@ -94,12 +93,11 @@
     std::vector<log_entry> entries;
     friend bool operator==(const disk_append&, const disk_append&) = default;
 };
-/// Replaces the log up to the index by a snapshot.
+/// Saves the machine as of the index and drops the log up to it.
 struct disk_snapshot {
     std::uint64_t ticket = 0;
     log_index index = 0;
     term at_term = 0;
-    bytes data;
     friend bool operator==(const disk_snapshot&, const disk_snapshot&) = default;
 };
 
--- a/src/include/bluebell/core/error.h
+++ b/src/include/bluebell/core/error.h
@@ -8,8 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// What went wrong, in terms a caller or an operator can act on.
 enum class error_code {
--- a/src/include/bluebell/core/event.h
+++ b/src/include/bluebell/core/event.h
@@ -2,14 +2,14 @@
 /// Everything that can happen to a node. Time and random numbers come in here and nowhere else.
 #pragma once
 
+#include <bluebell/core/machine.h>
 #include <bluebell/core/message.h>
 
 #include <map>
 #include <variant>
 #include <vector>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 // From callers (router).
 
@@ -121,9 +121,9 @@
         false; ///< the data folder was empty: this replica must not vote before it caught up
     term current_term = 0;
     node_id voted_for;
-    log_index snapshot_index = 0;
+    log_index snapshot_index = 0; ///< 0: no snapshot
     term snapshot_term = 0;
-    bytes snapshot;
+    machine_state snapshot;
     std::vector<log_entry> entries;
     friend bool operator==(const disk_loaded&, const disk_loaded&) = default;
 };
--- a/src/include/bluebell/core/follower.h
+++ b/src/include/bluebell/core/follower.h
@@ -8,8 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// Time between two heartbeats to control.
 inline constexpr microseconds heartbeat_interval{1'000'000};
--- a/src/include/bluebell/core/ids.h
+++ b/src/include/bluebell/core/ids.h
@@ -13,8 +13,7 @@
 #include <string_view>
 #include <utility>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// Longest identifier accepted from outside, in bytes.
 inline constexpr std::size_t max_identifier_length = 128;
@@ -24,8 +23,7 @@
 
 /// A name of one kind of thing. Empty means "none". There are no mutators.
 template <class Tag>
-class identifier
-{
+class identifier {
 public:
     identifier() = default;
 
--- a/src/include/bluebell/core/message.h
+++ b/src/include/bluebell/core/message.h
@@ -8,8 +8,7 @@
 
 #include <variant>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 using message = std::variant<work_message, control_message, replication_message>;
 
--- a/src/include/bluebell/core/reducer.h
+++ b/src/include/bluebell/core/reducer.h
@@ -10,8 +10,7 @@
 
 #include <variant>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// The whole state of one process, whatever its role.
 struct node_state {
--- a/src/include/bluebell/core/replication_message.h
+++ b/src/include/bluebell/core/replication_message.h
@@ -3,23 +3,23 @@
 #pragma once
 
 #include <bluebell/core/bytes.h>
+#include <bluebell/core/command.h>
 #include <bluebell/core/ids.h>
 
 #include <cstdint>
 #include <variant>
 #include <vector>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 using term = std::uint64_t;
 using log_index = std::uint64_t;
 
-/// One entry of the replicated log. The command is opaque to replication.
+/// One entry of the replicated log.
 struct log_entry {
     log_index index = 0;
     term at_term = 0;
-    bytes command;
+    command what;
 
     friend bool operator==(const log_entry&, const log_entry&) = default;
 };
--- a/src/include/bluebell/core/router.h
+++ b/src/include/bluebell/core/router.h
@@ -9,8 +9,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// What a router knows of one agent.
 struct agent_view {
--- a/src/include/bluebell/core/time.h
+++ b/src/include/bluebell/core/time.h
@@ -5,8 +5,7 @@
 #include <chrono>
 #include <cstdint>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 using microseconds = std::chrono::microseconds;
 using std::chrono::milliseconds;
--- a/src/include/bluebell/core/visit.h
+++ b/src/include/bluebell/core/visit.h
@@ -5,8 +5,7 @@
 #include <utility>
 #include <variant>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// A visitor made of lambdas, one per alternative.
 template <class... Lambdas>
--- a/src/include/bluebell/core/work_message.h
+++ b/src/include/bluebell/core/work_message.h
@@ -7,8 +7,7 @@
 #include <optional>
 #include <variant>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// An agent's own word on its load. It travels on every message that ends or refuses an attempt.
 struct load_report {
--- a/src/include/bluebell/runtime/caller_server.h
+++ b/src/include/bluebell/runtime/caller_server.h
@@ -14,8 +14,7 @@
 struct evhttp;
 struct evhttp_request;
 
-namespace bluebell::runtime
-{
+namespace bluebell::runtime {
 
 class caller_session;
 
@@ -31,8 +30,7 @@
 };
 
 /// Takes requests in as events and carries reply effects out.
-class caller_server : public std::enable_shared_from_this<caller_server>
-{
+class caller_server : public std::enable_shared_from_this<caller_server> {
 public:
     using sink = std::function<void(core::event_body)>;
 
--- a/src/include/bluebell/runtime/engine_client.h
+++ b/src/include/bluebell/runtime/engine_client.h
@@ -13,8 +13,7 @@
 
 struct evhttp_connection;
 
-namespace bluebell::runtime
-{
+namespace bluebell::runtime {
 
 class engine_session;
 
@@ -29,8 +28,7 @@
 };
 
 /// Runs engine effects and reports what comes of them as events.
-class engine_client : public std::enable_shared_from_this<engine_client>
-{
+class engine_client : public std::enable_shared_from_this<engine_client> {
 public:
     using sink = std::function<void(core::event_body)>;
 
--- a/src/include/bluebell/runtime/event_loop.h
+++ b/src/include/bluebell/runtime/event_loop.h
@@ -11,12 +11,10 @@
 struct event_base;
 struct event;
 
-namespace bluebell::runtime
-{
+namespace bluebell::runtime {
 
 /// Owns an event base. Not copyable; lives as long as everything that waits on it.
-class event_loop
-{
+class event_loop {
 public:
     /// Fails with unavailable at step `create event loop`.
     [[nodiscard]] static core::result<std::shared_ptr<event_loop>> make();
@@ -41,8 +39,7 @@
 };
 
 /// Calls back on the loop: at a time, on a signal, or when a descriptor can be read.
-class watcher
-{
+class watcher {
 public:
     using callback = std::function<void()>;
 
--- a/src/include/bluebell/runtime/node_runner.h
+++ b/src/include/bluebell/runtime/node_runner.h
@@ -12,8 +12,7 @@
 #include <memory>
 #include <random>
 
-namespace bluebell::runtime
-{
+namespace bluebell::runtime {
 
 /// The adapters that a role uses; the others are null.
 struct node_ports {
@@ -23,8 +22,7 @@
 };
 
 /// Owns the node's state. dispatch() may be called from inside an effect: events queue up.
-class node_runner : public std::enable_shared_from_this<node_runner>
-{
+class node_runner : public std::enable_shared_from_this<node_runner> {
 public:
     [[nodiscard]] static core::result<std::shared_ptr<node_runner>>
     make(std::shared_ptr<event_loop> loop, core::node_state initial);
--- a/src/include/bluebell/runtime/peer_bus.h
+++ b/src/include/bluebell/runtime/peer_bus.h
@@ -12,8 +12,7 @@
 #include <memory>
 #include <string>
 
-namespace bluebell::runtime
-{
+namespace bluebell::runtime {
 
 /// How the bus is set up.
 struct peer_bus_options {
@@ -27,8 +26,7 @@
 };
 
 /// Owns the sockets. Callbacks run on the loop, never inside a send.
-class peer_bus
-{
+class peer_bus {
 public:
     struct callbacks {
         std::function<void(const core::node_id& from, core::message what)> message;
--- a/src/include/bluebell/settings/settings.h
+++ b/src/include/bluebell/settings/settings.h
@@ -8,8 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace bluebell::settings
-{
+namespace bluebell::settings {
 
 /// One thing wrong in a settings file.
 struct problem {
--- a/src/include/bluebell/wire/chat_http.h
+++ b/src/include/bluebell/wire/chat_http.h
@@ -10,8 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace bluebell::wire
-{
+namespace bluebell::wire {
 
 /// Header names of the callers' API, lower case. docs/PROTOCOL.md describes them.
 inline constexpr std::string_view header_workspace = "x-bluebell-workspace";
@@ -64,8 +63,7 @@
 [[nodiscard]] int http_status(core::error_code code);
 
 /// Splits a stream of server-sent events into the payloads of its data lines.
-class sse_parser
-{
+class sse_parser {
 public:
     /// Largest event accepted, in bytes.
     static constexpr std::size_t max_event_size = std::size_t{1024} * 1024;
--- a/src/include/bluebell/wire/envelope.h
+++ b/src/include/bluebell/wire/envelope.h
@@ -8,8 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace bluebell::wire
-{
+namespace bluebell::wire {
 
 /// Version of the envelope and all its messages. Another version is refused.
 inline constexpr unsigned protocol_version = 1;
--- a/src/libcore/agent.cpp
+++ b/src/libcore/agent.cpp
@@ -3,11 +3,9 @@
 #include <bluebell/core/agent.h>
 #include <bluebell/core/visit.h>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
-namespace
-{
+namespace {
 
 constexpr std::string_view part = "admission";
 
--- a/src/libcore/config.cpp
+++ b/src/libcore/config.cpp
@@ -7,11 +7,9 @@
 #include <functional>
 #include <string_view>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
-namespace
-{
+namespace {
 
 /// A numeric default: its key, the allowed range, and how it enters the configuration.
 struct number_rule {
--- a/src/libcore/control.cpp
+++ b/src/libcore/control.cpp
@@ -2,11 +2,9 @@
 
 #include <bluebell/core/control.h>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
-namespace
-{
+namespace {
 
 /// A node not heard for this long is dropped from the directory.
 constexpr microseconds member_timeout = seconds(5);
--- a/src/libcore/follower.cpp
+++ b/src/libcore/follower.cpp
@@ -4,8 +4,7 @@
 
 #include <algorithm>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 follower_step follow(follower_state current, instant now, const node_info& self,
                      const agent_offer& offer, const load_report& load)
--- a/src/libcore/reducer.cpp
+++ b/src/libcore/reducer.cpp
@@ -5,11 +5,9 @@
 
 #include <iterator>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
-namespace
-{
+namespace {
 
 /// Has the role a transition for this group of events?
 template <class State, class Events>
--- a/src/libcore/reducer_test.cpp
+++ b/src/libcore/reducer_test.cpp
@@ -6,8 +6,7 @@
 
 using namespace bluebell::core;
 
-namespace
-{
+namespace {
 
 template <class T>
 const T* first_effect(const effects& out)
--- a/src/libcore/router.cpp
+++ b/src/libcore/router.cpp
@@ -7,11 +7,9 @@
 
 #include <limits>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
-namespace
-{
+namespace {
 
 constexpr std::string_view part = "routing";
 
--- a/src/libcore/routing.cpp
+++ b/src/libcore/routing.cpp
@@ -6,11 +6,9 @@
 
 #include <algorithm>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
-namespace
-{
+namespace {
 
 bool serves(const agent_view& view, const call_target& target)
 {
--- a/src/libcore/routing_pvt.h
+++ b/src/libcore/routing_pvt.h
@@ -7,8 +7,7 @@
 #include <map>
 #include <set>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
 /// The chosen agent and how many could have served.
 struct agent_choice {
--- a/src/libcore/values.cpp
+++ b/src/libcore/values.cpp
@@ -9,11 +9,9 @@
 #include <array>
 #include <cstdio>
 
-namespace bluebell::core
-{
+namespace bluebell::core {
 
-namespace
-{
+namespace {
 
 constexpr std::array<std::string_view, 16> error_names{
     "invalid_argument", "too_large",   "unauthenticated",     "not_found",
--- a/src/libruntime/caller_server.cpp
+++ b/src/libruntime/caller_server.cpp
@@ -12,13 +12,11 @@
 #include <algorithm>
 #include <random>
 
-namespace bluebell::runtime
-{
+namespace bluebell::runtime {
 
 using namespace core;
 
-namespace
-{
+namespace {
 
 std::string lower(std::string text)
 {
@@ -78,8 +76,7 @@
 
 /// One caller's request. evhttp may report the caller's close inside a send, so the session is
 /// shared: the server's table and each running call own it.
-class caller_session : public std::enable_shared_from_this<caller_session>
-{
+class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
     static std::shared_ptr<caller_session> make(std::weak_ptr<caller_server> server,
                                                 evhttp_request* request, request_id id)
--- a/src/libruntime/engine_client.cpp
+++ b/src/libruntime/engine_client.cpp
@@ -9,13 +9,11 @@
 #include <event2/http.h>
 #include <nlohmann/json.hpp>
 
-namespace bluebell::runtime
-{
+namespace bluebell::runtime {
 
 using namespace core;
 
-namespace
-{
+namespace {
 
 constexpr std::size_t max_idle_connections = 64;
 constexpr int connection_timeout_seconds = 600;
@@ -45,8 +43,7 @@
 } // namespace
 
 /// One call in the backend server. Owns itself through the client's table; callbacks hold it.
-class engine_session : public std::enable_shared_from_this<engine_session>
-{
+class engine_session : public std::enable_shared_from_this<engine_session> {
 public:
     static std::shared_ptr<engine_session> make(std::shared_ptr<engine_client> client,
                                                 attempt_id attempt)
@@ -191,8 +188,7 @@
 };
 
 /// One read of the backend server's load report.
-class report_session : public std::enable_shared_from_this<report_session>
-{
+class report_session : public std::enable_shared_from_this<report_session> {
 public:
     static void start(const std::shared_ptr<engine_client>& client)
     {
--- a/src/libruntime/event_loop.cpp
+++ b/src/libruntime/event_loop.cpp
@@ -6,8 +6,7 @@
 
 #include <chrono>
 
-namespace bluebell::runtime
-{
+namespace bluebell::runtime {
 
 core::result<std::shared_ptr<event_loop>> event_loop::make()
 {
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -4,13 +4,11 @@
 
 #include <glog/logging.h>
 
-namespace bluebell::runtime
-{
+namespace bluebell::runtime {
 
 using namespace core;
 
-namespace
-{
+namespace {
 
 std::string format(const log_line& line)
 {
--- a/src/libruntime/peer_bus.cpp
+++ b/src/libruntime/peer_bus.cpp
@@ -6,14 +6,12 @@
 
 #include <zmq.hpp>
 
-namespace bluebell::runtime
-{
+namespace bluebell::runtime {
 
 using core::error_code;
 using core::node_id;
 
-namespace
-{
+namespace {
 
 constexpr int linger_ms = 500;
 
--- a/src/libsettings/settings.cpp
+++ b/src/libsettings/settings.cpp
@@ -12,13 +12,11 @@
 #include <memory>
 #include <sstream>
 
-namespace bluebell::settings
-{
+namespace bluebell::settings {
 
 using namespace core;
 
-namespace
-{
+namespace {
 
 /// One key as found.
 struct entry {
--- a/src/libwire/chat_http.cpp
+++ b/src/libwire/chat_http.cpp
@@ -6,14 +6,12 @@
 
 #include <charconv>
 
-namespace bluebell::wire
-{
+namespace bluebell::wire {
 
 using namespace core;
 using nlohmann::json;
 
-namespace
-{
+namespace {
 
 /// Bytes of text taken for one token where no tokenizer is at hand.
 constexpr std::size_t bytes_per_token = 4;
--- a/src/libwire/chat_http_test.cpp
+++ b/src/libwire/chat_http_test.cpp
@@ -7,8 +7,7 @@
 using namespace bluebell;
 using namespace bluebell::core;
 
-namespace
-{
+namespace {
 
 const request_id fallback = request_id::from_trusted("r-made");
 
--- a/src/libwire/codec_pvt.h
+++ b/src/libwire/codec_pvt.h
@@ -6,8 +6,7 @@
 
 #include <bluebell/core/message.h>
 
-namespace bluebell::wire
-{
+namespace bluebell::wire {
 
 void put(const core::work_message& from, pb::WorkMessage& to);
 void put(const core::control_message& from, pb::ControlMessage& to);
@@ -23,10 +22,14 @@
 void put(const core::body_digest& from, pb::Digest& to);
 void put(const core::load_report& from, pb::LoadReport& to);
 void put(const core::error& from, pb::Error& to);
+void put(const core::node_info& from, pb::NodeInfo& to);
+void put(const core::config_document& from, pb::ConfigDocument& to);
 [[nodiscard]] core::attempt_id get(const pb::AttemptId& from);
 [[nodiscard]] core::body_digest get(const pb::Digest& from);
 [[nodiscard]] core::load_report get(const pb::LoadReport& from);
 [[nodiscard]] core::error get(const pb::Error& from);
+[[nodiscard]] core::result<core::node_info> get(const pb::NodeInfo& from);
+[[nodiscard]] core::config_document get(const pb::ConfigDocument& from);
 
 /// The error of a message that can't be.
 [[nodiscard]] inline tl::unexpected<core::error> impossible(std::string_view what)
--- a/src/libwire/control_codec.cpp
+++ b/src/libwire/control_codec.cpp
@@ -4,14 +4,10 @@
 
 #include <bluebell/core/visit.h>
 
-namespace bluebell::wire
-{
+namespace bluebell::wire {
 
 using namespace core;
 
-namespace
-{
-
 void put(const node_info& from, pb::NodeInfo& to)
 {
     to.set_id(from.id.str());
@@ -38,28 +34,6 @@
     return n;
 }
 
-void put(const agent_offer& from, pb::AgentOffer& to)
-{
-    for (const auto& m : from.models)
-        to.add_models(m.str());
-    for (const auto& s : from.services)
-        to.add_services(s.str());
-    to.set_slots(from.slots);
-    to.set_engine_up(from.engine_up);
-}
-
-agent_offer get(const pb::AgentOffer& from)
-{
-    agent_offer o;
-    for (const auto& m : from.models())
-        o.models.push_back(get_id<model_id>(m));
-    for (const auto& s : from.services())
-        o.services.push_back(get_id<service_id>(s));
-    o.slots = from.slots();
-    o.engine_up = from.engine_up();
-    return o;
-}
-
 void put(const config_document& from, pb::ConfigDocument& to)
 {
     for (const auto& [key, value] : from.defaults)
@@ -85,6 +59,30 @@
     return doc;
 }
 
+namespace {
+
+void put(const agent_offer& from, pb::AgentOffer& to)
+{
+    for (const auto& m : from.models)
+        to.add_models(m.str());
+    for (const auto& s : from.services)
+        to.add_services(s.str());
+    to.set_slots(from.slots);
+    to.set_engine_up(from.engine_up);
+}
+
+agent_offer get(const pb::AgentOffer& from)
+{
+    agent_offer o;
+    for (const auto& m : from.models())
+        o.models.push_back(get_id<model_id>(m));
+    for (const auto& s : from.services())
+        o.services.push_back(get_id<service_id>(s));
+    o.slots = from.slots();
+    o.engine_up = from.engine_up();
+    return o;
+}
+
 void put(const grant_key& from, pb::GrantKey& to)
 {
     to.set_workspace(from.workspace.str());
@@ -184,7 +182,7 @@
     void operator()(const heartbeat& m) const
     {
         auto& b = *to.mutable_heartbeat();
-        put(m.from, *b.mutable_from());
+        wire::put(m.from, *b.mutable_from());
         b.set_config(m.config);
         b.set_digest(m.digest);
         put(m.offer, *b.mutable_offer());
@@ -198,7 +196,7 @@
         b.set_base(m.base);
         for (const auto& entry : m.changed) {
             auto& e = *b.add_changed();
-            put(entry.node, *e.mutable_node());
+            wire::put(entry.node, *e.mutable_node());
             put(entry.offer, *e.mutable_offer());
             wire::put(entry.load, *e.mutable_load());
         }
@@ -212,7 +210,7 @@
         auto& b = *to.mutable_config_push();
         b.set_config(m.config);
         if (m.document)
-            put(*m.document, *b.mutable_document());
+            wire::put(*m.document, *b.mutable_document());
         b.set_lease_round(m.lease_round);
         b.set_lease_us(m.lease.count());
     }
@@ -287,7 +285,7 @@
 
 result<control_message> get(const pb::Heartbeat& b)
 {
-    auto from = get(b.from());
+    auto from = wire::get(b.from());
     if (!from)
         return tl::unexpected(from.error());
     return heartbeat{std::move(*from), b.config(),          b.digest(),
@@ -300,7 +298,7 @@
     m.sequence = b.sequence();
     m.base = b.base();
     for (const auto& e : b.changed()) {
-        auto node = get(e.node());
+        auto node = wire::get(e.node());
         if (!node)
             return tl::unexpected(node.error());
         m.changed.push_back({std::move(*node), get(e.offer()), wire::get(e.load())});
@@ -317,7 +315,7 @@
     config_push m;
     m.config = b.config();
     if (b.has_document())
-        m.document = get(b.document());
+        m.document = wire::get(b.document());
     m.lease_round = b.lease_round();
     m.lease = microseconds(b.lease_us());
     return m;
--- a/src/libwire/envelope.cpp
+++ b/src/libwire/envelope.cpp
@@ -5,13 +5,11 @@
 #include <bluebell/core/visit.h>
 #include <bluebell/wire/envelope.h>
 
-namespace bluebell::wire
-{
+namespace bluebell::wire {
 
 using namespace core;
 
-namespace
-{
+namespace {
 
 constexpr std::string_view step = "decode envelope";
 
--- a/src/libwire/envelope_test.cpp
+++ b/src/libwire/envelope_test.cpp
@@ -7,8 +7,7 @@
 using namespace bluebell;
 using namespace bluebell::core;
 
-namespace
-{
+namespace {
 
 const node_id sender = node_id::from_trusted("router-1");
 
@@ -82,7 +81,7 @@
 
 BOOST_AUTO_TEST_CASE(replication_messages_survive)
 {
-    append_request msg{3, 2, 1, 2, 8, {{3, 3, bytes::from("cmd")}}};
+    append_request msg{3, 2, 1, 2, 8, {{3, 3, no_operation{}}}};
     survives(replication_message(msg));
     survives(replication_message(snapshot_request{1, 2, 3, 4, true, bytes::from("p")}));
 }
--- a/src/libwire/work_codec.cpp
+++ b/src/libwire/work_codec.cpp
@@ -4,8 +4,7 @@
 
 #include <bluebell/core/visit.h>
 
-namespace bluebell::wire
-{
+namespace bluebell::wire {
 
 using namespace core;
 
@@ -73,8 +72,7 @@
     return {code, from.step(), from.peer(), from.text()};
 }
 
-namespace
-{
+namespace {
 
 void put(const chat_target& from, pb::ChatTarget& to)
 {
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -7,9 +7,25 @@
         [ -n "$pid" ] && kill -9 "$pid" 2>/dev/null || true
     done
     rm -rf "$work"
+    [ -z "${port_lock:-}" ] || rmdir "$port_lock"
 }
 trap stop_all EXIT
 
+# reserve_ports: sets $port to the first of 50 ports that no other run uses.
+reserve_ports() {
+    local n lock
+    for n in $(shuf -i 200-620); do
+        lock=/tmp/bluebell-ports-$n
+        if mkdir "$lock" 2>/dev/null; then
+            port=$((n * 50))
+            port_lock=$lock
+            return 0
+        fi
+    done
+    echo "no free ports" >&2
+    return 1
+}
+
 # start NAME COMMAND...: runs it in the background, its output in $work/NAME.log.
 start() {
     local name=$1
--- a/testsuite/path/run.sh
+++ b/testsuite/path/run.sh
@@ -2,11 +2,12 @@
 # One chat from a caller through router and agent to an engine and back, as separate processes.
 . "$(dirname "$0")/../lib.sh"
 here=$(cd "$(dirname "$0")" && pwd)
-controls="control-1=127.0.0.1:17101"
-node_settings control control-1 17101 ''
-node_settings agent agent-1 17102 '[engine]\naddress = 127.0.0.1:17104\nmodels = m1\nslots = 4\n'
-node_settings router router-1 17103 '[http]\nlisten = 127.0.0.1:17105\n'
-start engine "$STANDINS_BIN/standin_engine" --port 17104 --seconds 60
+reserve_ports
+controls="control-1=127.0.0.1:$((port + 1))"
+node_settings control control-1 $((port + 1)) ''
+node_settings agent agent-1 $((port + 2)) "[engine]\naddress = 127.0.0.1:$((port + 4))\nmodels = m1\nslots = 4\n"
+node_settings router router-1 $((port + 3)) "[http]\nlisten = 127.0.0.1:$((port + 5))\n"
+start engine "$STANDINS_BIN/standin_engine" --port $((port + 4)) --seconds 60
 for id in control-1 agent-1 router-1; do
     start "$id" "$BLUEBELL_BIN/bluebell" --settings "$work/$id.ini"
 done
@@ -15,7 +16,7 @@
     curl -sS -N --max-time 10 --fail-with-body \
         -H 'X-Bluebell-Workspace: lenas' -H 'X-Request-Id: path-1' \
         -d '{"model":"m1","stream":true,"max_tokens":3,"messages":[{"role":"user","content":"hola"}]}' \
-        http://127.0.0.1:17105/v1/chat/completions
+        "http://127.0.0.1:$((port + 5))/v1/chat/completions"
 }
 wait_for chat
 chat >"$work/answer"
--- a/testsuite/standins/engine.cpp
+++ b/testsuite/standins/engine.cpp
@@ -11,8 +11,7 @@
 #include <memory>
 #include <string>
 
-namespace
-{
+namespace {
 
 using nlohmann::json;
 
@@ -32,8 +31,7 @@
 }
 
 /// One streamed answer, owned by its timer's callback and the connection's close callback.
-class stream : public std::enable_shared_from_this<stream>
-{
+class stream : public std::enable_shared_from_this<stream> {
 public:
     static void start(engine& eng, evhttp_request* request, int tokens)
     {
