Tell agents the load of their pools in the digest

Cause: an agent enforces the load bound and needs its pool's mean. Change: fleet_digest carries pool_load rows.

--- a/src/include/bluebell/core/control_message.h
+++ b/src/include/bluebell/core/control_message.h
@@ -57,6 +57,17 @@
     friend bool operator==(const agent_entry&, const agent_entry&) = default;
 };
 
+/// Load of one pool (a model, an adapter or a plain service) in one region.
+struct pool_load {
+    std::string pool;
+    std::uint32_t engines = 0; ///< engines that serve it and take new work
+    std::uint32_t active = 0;  ///< admitted calls that have not ended, summed over those engines
+    std::uint32_t queued = 0;
+    std::uint32_t slots = 0;
+
+    friend bool operator==(const pool_load&, const pool_load&) = default;
+};
+
 /// What all nodes are told of the fleet: what changed since the receiver's digest, or all of it.
 struct fleet_digest {
     std::uint64_t sequence = 0;
@@ -64,6 +75,7 @@
     std::vector<agent_entry> changed;
     std::vector<node_id> gone;
     std::vector<body_digest> quarantined; ///< bodies refused fleet-wide
+    std::vector<pool_load> pools; ///< the pools that concern the receiver; agents get only these
 
     friend bool operator==(const fleet_digest&, const fleet_digest&) = default;
 };
--- a/src/libwire/control_codec.cpp
+++ b/src/libwire/control_codec.cpp
@@ -204,6 +204,14 @@
             b.add_gone(id.str());
         for (const auto& d : m.quarantined)
             wire::put(d, *b.add_quarantined());
+        for (const auto& p : m.pools) {
+            auto& to_pool = *b.add_pools();
+            to_pool.set_pool(p.pool);
+            to_pool.set_engines(p.engines);
+            to_pool.set_active(p.active);
+            to_pool.set_queued(p.queued);
+            to_pool.set_slots(p.slots);
+        }
     }
     void operator()(const config_push& m) const
     {
@@ -307,6 +315,8 @@
         m.gone.push_back(get_id<node_id>(id));
     for (const auto& d : b.quarantined())
         m.quarantined.push_back(wire::get(d));
+    for (const auto& p : b.pools())
+        m.pools.push_back({p.pool(), p.engines(), p.active(), p.queued(), p.slots()});
     return m;
 }
 
