Carry pool sight, moved chats, suspects and released grants between nodes

Cause: the agent's decisions need what its peers alone know: a fresher sight of a pool's load, where a chat ran, which bodies are suspected elsewhere; and control must learn that a granted attempt will never run. Change: additive fields and messages with their codec; every one survives the envelope's test.

--- a/src/include/bluebell/core/control_message.h
+++ b/src/include/bluebell/core/control_message.h
@@ -68,6 +68,14 @@
     friend bool operator==(const pool_load&, const pool_load&) = default;
 };
 
+/// A body suspected of a crash, and the agent that alone may run it until it is judged.
+struct suspect_entry {
+    body_digest digest;
+    node_id holder;
+
+    friend bool operator==(const suspect_entry&, const suspect_entry&) = default;
+};
+
 /// What all nodes are told of the fleet: what changed since the receiver's digest, or all of it.
 struct fleet_digest {
     std::uint64_t sequence = 0;
@@ -76,6 +84,7 @@
     std::vector<node_id> gone;
     std::vector<body_digest> quarantined; ///< bodies refused fleet-wide
     std::vector<pool_load> pools; ///< the pools that concern the receiver; agents get only these
+    std::vector<suspect_entry> suspects; ///< every body now suspected, from agents' crash reports
 
     friend bool operator==(const fleet_digest&, const fleet_digest&) = default;
 };
@@ -97,11 +106,13 @@
     friend bool operator==(const config_ack&, const config_ack&) = default;
 };
 
-/// A body that crashed an engine; enough reports quarantine it fleet-wide.
+/// A body that was in an engine that crashed. One that was alone in it is quarantined fleet-wide;
+/// others are suspects, held by the reporting agent until they are cleared or quarantined.
 struct crash_report {
     body_digest digest;
     bool alone = false; ///< it was the only call in the engine
     node_id agent;
+    bool cleared = false; ///< it ran undisturbed and alone: it is no suspect any more
 
     friend bool operator==(const crash_report&, const crash_report&) = default;
 };
@@ -193,6 +204,15 @@
     friend bool operator==(const grant_result_kept&, const grant_result_kept&) = default;
 };
 
+/// The granted or asked attempt was not run and never will be: the key is free for another
+/// attempt. Sent only by the agent that got or asked for the grant, in the same life.
+struct grant_release {
+    grant_key key;
+    attempt_id attempt;
+
+    friend bool operator==(const grant_release&, const grant_release&) = default;
+};
+
 // Orders to engines.
 
 struct load_model {
@@ -251,6 +271,6 @@
 using control_message =
     std::variant<heartbeat, fleet_digest, config_push, config_ack, crash_report, suspicion,
                  grant_request, grant_reply, grant_result, grant_result_kept, engine_order,
-                 engine_order_reply, fence_query, fence_answer, not_leader>;
+                 engine_order_reply, fence_query, fence_answer, not_leader, grant_release>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/work_message.h
+++ b/src/include/bluebell/core/work_message.h
@@ -23,6 +23,15 @@
     friend bool operator==(const load_report&, const load_report&) = default;
 };
 
+/// A router's belief of the load of the call's pool, from the reports it got with replies.
+struct pool_sight {
+    std::uint32_t engines = 0; ///< engines that serve the pool and take new work; 0: not known
+    std::uint32_t active = 0;  ///< admitted calls that have not ended, summed over them
+    microseconds age{0};       ///< age of the oldest report in the sum
+
+    friend bool operator==(const pool_sight&, const pool_sight&) = default;
+};
+
 // Router to agent.
 
 /// Asks the agent to run the call once.
@@ -33,6 +42,7 @@
     node_id warm;            ///< agent believed to hold the chat's cache; empty: not known
     bool redirected = false; ///< a pointer has been followed: answer without another redirect
     bool retry = false;      ///< counts against the retry budget
+    pool_sight sight;        ///< lets an agent whose own sight is older judge the load bound
 
     friend bool operator==(const run_call&, const run_call&) = default;
 };
@@ -61,6 +71,16 @@
     friend bool operator==(const resume_call&, const resume_call&) = default;
 };
 
+/// Tells the agent at a chat's home that the chat was served elsewhere and its cache is there.
+/// Sent once when an answer that ran away from home has ended.
+struct chat_moved {
+    workspace_id workspace;
+    chat_id chat;
+    node_id agent; ///< where it last ran; the receiver itself: the pointer is dropped
+
+    friend bool operator==(const chat_moved&, const chat_moved&) = default;
+};
+
 // Agent to router.
 
 enum class refusal : std::uint8_t {
@@ -68,11 +88,12 @@
     too_late,        ///< its target can't be met any more here
     leaving,         ///< the agent takes no new work
     not_served,      ///< the engine doesn't hold the model or adapter
-    quarantined,     ///< the body crashed engines
+    quarantined,     ///< the body crashed engines: not to be tried at another agent
     stale_config,    ///< the router's configuration is older than the agent's
     no_lease,        ///< the agent can't confirm its configuration
     redirect,        ///< the chat's cache is at another agent
-    suspect,         ///< suspected of a crash: must run alone elsewhere
+    suspect,         ///< suspected of a crash: not to be tried at another agent, but again
+                     ///< after retry_after at `elsewhere`, or at the same agent if that is empty
     unknown_request, ///< nothing to resume here
     key_conflict,    ///< the idempotency key belongs to another body
     engine_down,     ///< the backend server doesn't answer
@@ -140,6 +161,6 @@
 
 using work_message =
     std::variant<run_call, cancel_call, answer_credit, resume_call, call_refused, call_admitted,
-                 answer_head, answer_chunk, answer_end, answer_failed>;
+                 answer_head, answer_chunk, answer_end, answer_failed, chat_moved>;
 
 } // namespace bluebell::core
--- a/src/libwire/control_codec.cpp
+++ b/src/libwire/control_codec.cpp
@@ -212,6 +212,11 @@
             to_pool.set_queued(p.queued);
             to_pool.set_slots(p.slots);
         }
+        for (const auto& s : m.suspects) {
+            auto& to_suspect = *b.add_suspects();
+            wire::put(s.digest, *to_suspect.mutable_digest());
+            to_suspect.set_holder(s.holder.str());
+        }
     }
     void operator()(const config_push& m) const
     {
@@ -228,6 +233,7 @@
         auto& b = *to.mutable_crash_report();
         wire::put(m.digest, *b.mutable_digest());
         b.set_alone(m.alone);
+        b.set_cleared(m.cleared);
         b.set_agent(m.agent.str());
     }
     void operator()(const suspicion& m) const
@@ -289,6 +295,12 @@
     {
         to.mutable_not_leader()->set_leader(m.leader.str());
     }
+    void operator()(const grant_release& m) const
+    {
+        auto& b = *to.mutable_grant_release();
+        put(m.key, *b.mutable_key());
+        wire::put(m.attempt, *b.mutable_attempt());
+    }
 };
 
 result<control_message> get(const pb::Heartbeat& b)
@@ -317,6 +329,8 @@
         m.quarantined.push_back(wire::get(d));
     for (const auto& p : b.pools())
         m.pools.push_back({p.pool(), p.engines(), p.active(), p.queued(), p.slots()});
+    for (const auto& s : b.suspects())
+        m.suspects.push_back({wire::get(s.digest()), get_id<node_id>(s.holder())});
     return m;
 }
 
@@ -359,7 +373,8 @@
         return config_ack{from.config_ack().config()};
     case pb::ControlMessage::kCrashReport:
         return crash_report{get(from.crash_report().digest()), from.crash_report().alone(),
-                            get_id<node_id>(from.crash_report().agent())};
+                            get_id<node_id>(from.crash_report().agent()),
+                            from.crash_report().cleared()};
     case pb::ControlMessage::kSuspicion:
         return suspicion{get_id<node_id>(from.suspicion().about()), from.suspicion().reachable()};
     case pb::ControlMessage::kGrantRequest: {
@@ -392,6 +407,8 @@
                             from.fence_answer().fence()};
     case pb::ControlMessage::kNotLeader:
         return not_leader{get_id<node_id>(from.not_leader().leader())};
+    case pb::ControlMessage::kGrantRelease:
+        return grant_release{get(from.grant_release().key()), get(from.grant_release().attempt())};
     case pb::ControlMessage::BODY_NOT_SET:
         break;
     }
--- a/src/libwire/envelope_test.cpp
+++ b/src/libwire/envelope_test.cpp
@@ -38,9 +38,11 @@
     c.target = chat_target{
         model_id::from_trusted("m"), model_id(), chat_id::from_trusted("c"), 7, 8, {1, 2, 3}};
     c.body = bytes::from("{}");
-    survives(work_message(run_call{attempt(), c, 3, node_id(), true, true}));
+    survives(
+        work_message(run_call{attempt(), c, 3, node_id(), true, true, {4, 5, microseconds(6)}}));
     c.target = service_target{service_id::from_trusted("s"), "POST", "/claims", "text/plain"};
-    survives(work_message(run_call{attempt(), c, 3, sender, false, false}));
+    survives(work_message(run_call{attempt(), c, 3, sender, false, false, {}}));
+    survives(work_message(chat_moved{c.workspace, chat_id::from_trusted("c"), sender}));
     survives(work_message(call_refused{attempt(), refusal::redirect, microseconds(9), sender, {}}));
     survives(work_message(answer_head{attempt(), 200, "text/event-stream", true}));
     survives(work_message(answer_chunk{attempt(), 4, bytes::from("x")}));
@@ -76,6 +78,13 @@
           grant_verdict(grant_unknown{}), grant_verdict(grant_conflict{}),
           grant_verdict(grant_unavailable{})})
         survives(control_message(grant_reply{key, attempt(), v}));
+    survives(control_message(grant_release{key, attempt()}));
+    survives(control_message(crash_report{{1, 2}, true, sender, true}));
+    fleet_digest digest;
+    digest.sequence = 7;
+    digest.pools = {{"m", 1, 2, 3, 4}};
+    digest.suspects = {{{1, 2}, sender}};
+    survives(control_message(digest));
     survives(control_message(engine_order{5, load_model{model_id::from_trusted("m"), "v2"}}));
 }
 
--- a/src/libwire/work_codec.cpp
+++ b/src/libwire/work_codec.cpp
@@ -160,6 +160,9 @@
         b.set_warm(m.warm.str());
         b.set_redirected(m.redirected);
         b.set_retry(m.retry);
+        b.mutable_sight()->set_engines(m.sight.engines);
+        b.mutable_sight()->set_active(m.sight.active);
+        b.mutable_sight()->set_age_us(m.sight.age.count());
     }
     void operator()(const cancel_call& m) const
     {
@@ -225,6 +228,13 @@
         wire::put(m.why, *b.mutable_why());
         wire::put(m.load, *b.mutable_load());
     }
+    void operator()(const chat_moved& m) const
+    {
+        auto& b = *to.mutable_chat_moved();
+        b.set_workspace(m.workspace.str());
+        b.set_chat(m.chat.str());
+        b.set_agent(m.agent.str());
+    }
 };
 
 result<work_message> get(const pb::RunCall& b)
@@ -239,6 +249,7 @@
     m.warm = get_id<node_id>(b.warm());
     m.redirected = b.redirected();
     m.retry = b.retry();
+    m.sight = {b.sight().engines(), b.sight().active(), microseconds(b.sight().age_us())};
     return m;
 }
 
@@ -301,6 +312,10 @@
                           from.answer_end().cached_tokens(), get(from.answer_end().load())};
     case pb::WorkMessage::kAnswerFailed:
         return get(from.answer_failed());
+    case pb::WorkMessage::kChatMoved:
+        return chat_moved{get_id<workspace_id>(from.chat_moved().workspace()),
+                          get_id<chat_id>(from.chat_moved().chat()),
+                          get_id<node_id>(from.chat_moved().agent())};
     case pb::WorkMessage::BODY_NOT_SET:
         break;
     }
