Tell control whether a released grant can have run

Cause: an agent whose engine failed in mid-call can't say that the call was not run. Change: grant_release carries the outcome: not run frees the key, unknown keeps it taken for good.

--- a/src/include/bluebell/core/control_message.h
+++ b/src/include/bluebell/core/control_message.h
@@ -204,11 +204,13 @@
     friend bool operator==(const grant_result_kept&, const grant_result_kept&) = default;
 };
 
-/// The granted or asked attempt was not run and never will be: the key is free for another
-/// attempt. Sent only by the agent that got or asked for the grant, in the same life.
+/// The granted or asked attempt has ended without an answer. Not run: it never will be, and the
+/// key is free for another attempt. Unknown: it may have run, so the key never runs again. Sent
+/// only by the agent that asked for the grant, in the same life.
 struct grant_release {
     grant_key key;
     attempt_id attempt;
+    run_outcome outcome = run_outcome::unknown;
 
     friend bool operator==(const grant_release&, const grant_release&) = default;
 };
--- a/src/libwire/control_codec.cpp
+++ b/src/libwire/control_codec.cpp
@@ -300,6 +300,7 @@
         auto& b = *to.mutable_grant_release();
         put(m.key, *b.mutable_key());
         wire::put(m.attempt, *b.mutable_attempt());
+        b.set_outcome(static_cast<std::uint32_t>(m.outcome));
     }
 };
 
@@ -345,6 +346,14 @@
     return m;
 }
 
+result<control_message> get(const pb::GrantRelease& b)
+{
+    if (b.outcome() > static_cast<std::uint32_t>(run_outcome::unknown))
+        return impossible("unknown outcome");
+    return grant_release{get(b.key()), wire::get(b.attempt()),
+                         static_cast<run_outcome>(b.outcome())};
+}
+
 result<control_message> get(const pb::EngineOrder& b)
 {
     auto what = get(b.what());
@@ -408,7 +417,7 @@
     case pb::ControlMessage::kNotLeader:
         return not_leader{get_id<node_id>(from.not_leader().leader())};
     case pb::ControlMessage::kGrantRelease:
-        return grant_release{get(from.grant_release().key()), get(from.grant_release().attempt())};
+        return get(from.grant_release());
     case pb::ControlMessage::BODY_NOT_SET:
         break;
     }
--- a/src/libwire/envelope_test.cpp
+++ b/src/libwire/envelope_test.cpp
@@ -78,7 +78,7 @@
           grant_verdict(grant_unknown{}), grant_verdict(grant_conflict{}),
           grant_verdict(grant_unavailable{})})
         survives(control_message(grant_reply{key, attempt(), v}));
-    survives(control_message(grant_release{key, attempt()}));
+    survives(control_message(grant_release{key, attempt(), run_outcome::not_run}));
     survives(control_message(crash_report{{1, 2}, true, sender, true}));
     fleet_digest digest;
     digest.sequence = 7;
