--- a/src/include/bluebell/core/command.h
+++ b/src/include/bluebell/core/command.h
@@ -27,6 +27,7 @@
 struct set_config {
     std::string operation; ///< the operator's request id
     operator_id who;
+    wall_time when{0};
     revision made_from = 0;
     config_document document;
     std::string why;
@@ -34,6 +35,82 @@
     friend bool operator==(const set_config&, const set_config&) = default;
 };
 
-using command = std::variant<no_operation, set_replicas, set_config>;
+/// Moves the log's own clock. The leader counts it on its monotonic clock since the last one, so
+/// the log's clock never runs ahead of time; what expires does so here, alike on every replica.
+struct advance_time {
+    microseconds by{0};
+
+    friend bool operator==(const advance_time&, const advance_time&) = default;
+};
+
+/// Nodes that started: each gets a handle. A newer incarnation ends the grants of older ones.
+struct register_nodes {
+    std::vector<node_info> nodes;
+
+    friend bool operator==(const register_nodes&, const register_nodes&) = default;
+};
+
+/// Nodes not heard of for node_give_up_time: the grants they hold are lost.
+struct give_up_nodes {
+    std::vector<node_id> nodes;
+
+    friend bool operator==(const give_up_nodes&, const give_up_nodes&) = default;
+};
+
+/// Asks for grants; each is judged in turn.
+struct give_grants {
+    std::vector<grant_request> requests;
+
+    friend bool operator==(const give_grants&, const give_grants&) = default;
+};
+
+/// Ends grants: with their answers, or without.
+struct end_grants {
+    std::vector<grant_result> results;
+    std::vector<grant_release> releases;
+
+    friend bool operator==(const end_grants&, const end_grants&) = default;
+};
+
+/// An order to an engine. The entry's index in the log is its fencing number.
+struct give_order {
+    std::string operation; ///< empty: control's own placement
+    operator_id who;
+    node_id agent;
+    order what;
+    std::string why;
+
+    friend bool operator==(const give_order&, const give_order&) = default;
+};
+
+/// What an order came to at its engine.
+struct end_order {
+    node_id agent;
+    engine_order_reply reply;
+
+    friend bool operator==(const end_order&, const end_order&) = default;
+};
+
+/// Sets whether a node takes new work.
+struct set_drain {
+    std::string operation;
+    operator_id who;
+    node_id node;
+    bool draining = false;
+    std::string why;
+
+    friend bool operator==(const set_drain&, const set_drain&) = default;
+};
+
+/// A report on a body that was in an engine when it crashed.
+struct note_crash {
+    crash_report report;
+
+    friend bool operator==(const note_crash&, const note_crash&) = default;
+};
+
+using command =
+    std::variant<no_operation, set_replicas, set_config, advance_time, register_nodes, give_up_nodes,
+                 give_grants, end_grants, give_order, end_order, set_drain, note_crash>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/config.h
+++ b/src/include/bluebell/core/config.h
@@ -17,10 +17,11 @@
 /// One exception to the defaults. The reason is required and kept in the history.
 struct config_exception {
     std::string name;  ///< unique among exceptions
-    std::string scope; ///< "workspace:NAME", "model:NAME", "service:NAME" or "engine:NAME"
+    std::string scope; ///< "workspace:NAME", "model:NAME", "adapter:NAME" or "service:NAME"
     std::string key;   ///< the default it overrides
     std::string value;
-    std::string reason; ///< written by an operator, never empty
+    std::string reason;       ///< written by an operator, never empty
+    microseconds lifetime{0}; ///< removed so long after it was accepted; 0: stays
 
     friend auto operator<=>(const config_exception&, const config_exception&) = default;
 };
@@ -44,6 +45,12 @@
     friend bool operator==(const rank_policy&, const rank_policy&) = default;
 };
 
+/// What a node without a valid lease does with new work.
+enum class lease_loss : std::uint8_t {
+    refuse, ///< refuses it with a definite not-run, so that no older revision is ever in force
+    serve,  ///< goes on by its last revision, except calls that may run only once
+};
+
 /// Bounds and budgets of the decisions, fleet-wide.
 struct fleet_config {
     std::array<rank_policy, rank_count> ranks{
@@ -57,11 +64,19 @@
     std::uint32_t workspace_weight_default = 1;   ///< weight in fair queueing
     microseconds quarantine_time{600'000'000};    ///< how long a crashing body stays refused
     microseconds config_lease{3'000'000};         ///< a node without confirmation stops after this
+    lease_loss on_lease_lost = lease_loss::refuse;
     microseconds answer_keep_time{60'000'000};    ///< how long an agent keeps an ended answer
     microseconds grant_keep_time{86'400'000'000}; ///< how long an idempotency key is remembered
     std::map<std::string, std::uint32_t> workspace_weights; ///< exceptions by workspace
     std::map<std::string, bool> service_idempotent;         ///< by "service METHOD /path-prefix"
     std::map<std::string, std::uint32_t> model_min_engines; ///< placement floor by model
+    std::map<std::string, std::string> model_versions;      ///< version to load, by model
+    std::map<std::string, std::string> adapter_models;      ///< base model by adapter
+    bool placement_enabled = false;                ///< control orders loads by demand
+    std::uint32_t placement_loads_per_region = 2;  ///< loads from the weight store side by side
+    std::uint32_t placement_grow_permille = 800;   ///< a pool busier than this gets an engine
+    std::uint32_t placement_shrink_permille = 300; ///< a pool less busy than this may lose one
+    microseconds placement_hold{120'000'000};      ///< between two changes of one model
 
     friend bool operator==(const fleet_config&, const fleet_config&) = default;
 };
--- a/src/include/bluebell/core/effect.h
+++ b/src/include/bluebell/core/effect.h
@@ -103,9 +103,11 @@
 
 // To operators.
 
+/// Answers the operator event with this operation id, once. A config_change that was accepted is
+/// answered when it is in force; unavailable at step `find leader` names the leader as peer.
 struct operator_reply {
     std::string operation;
-    result<revision> outcome;
+    result<operator_result> outcome;
     friend bool operator==(const operator_reply& a, const operator_reply& b)
     {
         return a.operation == b.operation && a.outcome == b.outcome;
--- a/src/include/bluebell/core/event.h
+++ b/src/include/bluebell/core/event.h
@@ -6,6 +6,7 @@
 #include <bluebell/core/message.h>
 
 #include <map>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -135,17 +136,30 @@
 struct config_change {
     std::string operation; ///< the operator's request id: a resend finds the first result
     operator_id who;
+    wall_time when{0};
     revision made_from = 0;
     config_document document;
     std::string why;
     friend bool operator==(const config_change&, const config_change&) = default;
 };
+/// Adds, replaces or removes one exception and leaves the rest of the document as it is.
+struct exception_change {
+    std::string operation;
+    operator_id who;
+    wall_time when{0};
+    revision made_from = 0;
+    std::string name;
+    std::optional<config_exception> wanted; ///< none: the exception is removed
+    std::string why;
+    friend bool operator==(const exception_change&, const exception_change&) = default;
+};
 /// An order to an engine by hand.
 struct order_wanted {
     std::string operation;
     operator_id who;
     node_id agent;
     order what;
+    std::string why;
     friend bool operator==(const order_wanted&, const order_wanted&) = default;
 };
 /// Control membership: adds or removes one replica.
@@ -155,6 +169,15 @@
     std::vector<node_info> replicas;
     friend bool operator==(const replicas_change&, const replicas_change&) = default;
 };
+/// A node shall take no new work, or take it again.
+struct node_drain {
+    std::string operation;
+    operator_id who;
+    node_id node;
+    bool draining = true;
+    std::string why;
+    friend bool operator==(const node_drain&, const node_drain&) = default;
+};
 /// This process shall drain (operator or SIGTERM).
 struct drain_wanted {
     friend bool operator==(const drain_wanted&, const drain_wanted&) = default;
@@ -166,7 +189,8 @@
     friend bool operator==(const platform_list&, const platform_list&) = default;
 };
 using operator_event =
-    std::variant<config_change, order_wanted, replicas_change, drain_wanted, platform_list>;
+    std::variant<config_change, order_wanted, replicas_change, drain_wanted, platform_list,
+                 exception_change, node_drain>;
 
 // From the clock.
 
--- a/src/include/bluebell/core/time.h
+++ b/src/include/bluebell/core/time.h
@@ -23,4 +23,7 @@
 /// A reading of one VM's monotonic clock, in microseconds. Readings of two VMs don't compare.
 using instant = monotonic_clock::time_point;
 
+/// Microseconds since 1970-01-01 UTC. Only shown to people: no decision compares it.
+using wall_time = microseconds;
+
 } // namespace bluebell::core
--- a/src/libcore/config.cpp
+++ b/src/libcore/config.cpp
@@ -41,6 +41,21 @@
                      }});
 }
 
+void add_placement_rules(std::vector<number_rule>& rules)
+{
+    rules.push_back({"placement.loads_per_region", 1, 100, [](auto& c, auto v) {
+                         c.placement_loads_per_region = static_cast<std::uint32_t>(v);
+                     }});
+    rules.push_back({"placement.grow_permille", 1, 1000, [](auto& c, auto v) {
+                         c.placement_grow_permille = static_cast<std::uint32_t>(v);
+                     }});
+    rules.push_back({"placement.shrink_permille", 0, 999, [](auto& c, auto v) {
+                         c.placement_shrink_permille = static_cast<std::uint32_t>(v);
+                     }});
+    rules.push_back({"placement.hold_ms", 1000, 86'400'000,
+                     [](auto& c, auto v) { c.placement_hold = from_ms(v); }});
+}
+
 std::vector<number_rule> make_rules()
 {
     std::vector<number_rule> rules;
@@ -55,11 +70,15 @@
     rules.push_back({"quarantine_ms", 1000, 86'400'000,
                      [](auto& c, auto v) { c.quarantine_time = from_ms(v); }});
     rules.push_back(
-        {"config_lease_ms", 500, 4000, [](auto& c, auto v) { c.config_lease = from_ms(v); }});
+        {"config_lease_ms", 500, 3000, [](auto& c, auto v) { c.config_lease = from_ms(v); }});
     rules.push_back({"answer_keep_ms", 1000, 3'600'000,
                      [](auto& c, auto v) { c.answer_keep_time = from_ms(v); }});
     rules.push_back({"grant_keep_ms", 60'000, 31'536'000'000,
                      [](auto& c, auto v) { c.grant_keep_time = from_ms(v); }});
+    rules.push_back({"workspace_weight", 1, 1000, [](auto& c, auto v) {
+                         c.workspace_weight_default = static_cast<std::uint32_t>(v);
+                     }});
+    add_placement_rules(rules);
     return rules;
 }
 
@@ -72,6 +91,23 @@
     return n;
 }
 
+/// Defaults whose value is a word.
+std::string check_word(fleet_config& conf, const std::string& key, const std::string& value)
+{
+    if (key == "lease_lost") {
+        conf.on_lease_lost = value == "serve" ? lease_loss::serve : lease_loss::refuse;
+        return value == "refuse" || value == "serve"
+                   ? ""
+                   : key + " = " + value + ": allowed refuse or serve\n";
+    }
+    if (key == "placement.enabled") {
+        conf.placement_enabled = value == "yes";
+        return value == "yes" || value == "no" ? ""
+                                               : key + " = " + value + ": allowed yes or no\n";
+    }
+    return key + " = " + value + ": unknown key\n";
+}
+
 std::string check_default(fleet_config& conf, const std::vector<number_rule>& rules,
                           const std::string& key, const std::string& value)
 {
@@ -85,32 +121,43 @@
         rule.put(conf, *n);
         return {};
     }
-    return key + " = " + value + ": unknown key\n";
+    return check_word(conf, key, value);
+}
+
+/// Puts one exception into the configuration; false when it isn't allowed.
+bool put_exception(fleet_config& conf, const std::string& kind, const std::string& name,
+                   const config_exception& ex)
+{
+    const auto n = parse_number(ex.value);
+    if (kind == "workspace" && ex.key == "weight" && n && *n >= 1 && *n <= 1000)
+        conf.workspace_weights[name] = static_cast<std::uint32_t>(*n);
+    else if (kind == "model" && ex.key == "min_engines" && n && *n <= 10'000)
+        conf.model_min_engines[name] = static_cast<std::uint32_t>(*n);
+    else if (kind == "model" && ex.key == "version" && is_identifier(ex.value))
+        conf.model_versions[name] = ex.value;
+    else if (kind == "adapter" && ex.key == "model" && is_identifier(ex.value))
+        conf.adapter_models[name] = ex.value;
+    else if (kind == "service" && ex.key == "idempotent" && (ex.value == "yes" || ex.value == "no"))
+        conf.service_idempotent[name] = ex.value == "yes";
+    else
+        return false;
+    return true;
 }
 
 std::string check_exception(fleet_config& conf, const config_exception& ex)
 {
     if (ex.reason.empty())
         return "exception " + ex.name + ": a written reason is required\n";
+    if (ex.lifetime < microseconds{0})
+        return "exception " + ex.name + ": its lifetime can't be negative\n";
     const auto colon = ex.scope.find(':');
     const std::string kind = ex.scope.substr(0, colon);
     const std::string name = colon == std::string::npos ? "" : ex.scope.substr(colon + 1);
-    const auto n = parse_number(ex.value);
-    if (kind == "workspace" && ex.key == "weight" && !name.empty() && n && *n >= 1 && *n <= 1000) {
-        conf.workspace_weights[name] = static_cast<std::uint32_t>(*n);
+    if (!name.empty() && put_exception(conf, kind, name, ex))
         return {};
-    }
-    if (kind == "model" && ex.key == "min_engines" && !name.empty() && n && *n <= 10'000) {
-        conf.model_min_engines[name] = static_cast<std::uint32_t>(*n);
-        return {};
-    }
-    if (kind == "service" && ex.key == "idempotent" && !name.empty() &&
-        (ex.value == "yes" || ex.value == "no")) {
-        conf.service_idempotent[name] = ex.value == "yes";
-        return {};
-    }
     return "exception " + ex.name + ": " + ex.scope + " " + ex.key + " = " + ex.value +
            ": allowed workspace:NAME weight 1 to 1000, model:NAME min_engines 0 to 10000, "
+           "model:NAME version WORD, adapter:NAME model WORD, "
            "service:NAME idempotent yes or no\n";
 }
 
@@ -122,6 +169,8 @@
     if (shares > 1000)
         return "min_share_permille of all ranks: sum " + std::to_string(shares) +
                ", allowed 1000 at most\n";
+    if (conf.placement_shrink_permille >= conf.placement_grow_permille)
+        return "placement.shrink_permille: allowed below placement.grow_permille\n";
     return {};
 }
 
--- a/src/libcore/machine.cpp
+++ b/src/libcore/machine.cpp
@@ -7,35 +7,67 @@
 
 namespace {
 
-/// Decides one change of configuration: the first of those made from the same revision wins.
-result<revision> judge(const machine_state& st, const set_config& c)
+hash64 asked_of(const set_config& c)
 {
-    constexpr std::string_view step = "apply configuration";
-    if (c.made_from != st.config)
-        return fail(error_code::conflict, step, c.who.str(),
-                    "made from revision " + std::to_string(c.made_from) + ", now " +
-                        std::to_string(st.config));
-    const auto checked = make_fleet_config(c.document);
-    if (!checked)
-        return tl::unexpected(checked.error());
-    return st.config + 1;
+    hash64 h = hash_of(c.why, hash_of(c.who.str(), c.made_from));
+    for (const auto& [key, value] : c.document.defaults)
+        h = hash_of(value, hash_of(key, h));
+    for (const auto& [name, ex] : c.document.exceptions) {
+        for (const auto* text : {&name, &ex.scope, &ex.key, &ex.value, &ex.reason})
+            h = hash_of(*text, h);
+        h = hash_of(std::to_string(ex.lifetime.count()), h);
+    }
+    return h;
 }
 
-machine_step on(machine_state st, const set_config& c)
+hash64 asked_of(const give_order& c)
 {
-    const auto earlier = st.operations.find(c.operation);
-    if (earlier != st.operations.end()) {
-        auto outcome = earlier->second;
-        return {std::move(st), {{c.operation, std::move(outcome)}}};
-    }
-    const auto outcome = judge(st, c);
-    if (outcome) {
-        st.config = *outcome;
-        st.document = c.document;
-        st.history.push_back({st.config, c.operation, c.who, c.why, c.document});
+    hash64 h = hash_of(c.agent.str(), c.what.index());
+    const auto mix = [&](const std::string& text) { h = hash_of(text, h); };
+    match(
+        c.what,
+        [&](const load_model& o) {
+            mix(o.model.str());
+            mix(o.version);
+        },
+        [&](const unload_model& o) { mix(o.model.str()); },
+        [&](const load_adapter& o) {
+            mix(o.model.str());
+            mix(o.adapter.str());
+        },
+        [&](const change_role& o) { mix(o.role); });
+    return h;
+}
+
+hash64 asked_of(const set_drain& c)
+{
+    return hash_of(c.node.str(), c.draining ? 1 : 0);
+}
+
+microseconds forget_time(const machine_state& st)
+{
+    return st.time + config_of(st).grant_keep_time;
+}
+
+/// Runs `decide` unless the operation is known, and keeps its first result.
+template <class Command, class Decide>
+machine_step once(machine_state st, const Command& c, Decide decide)
+{
+    const hash64 asked = asked_of(c);
+    if (!c.operation.empty()) {
+        if (auto earlier = find_operation(st.operations, c.operation, asked))
+            return {std::move(st), {operation_applied{c.operation, std::move(*earlier)}}};
     }
-    st.operations.emplace(c.operation, outcome);
-    return {std::move(st), {{c.operation, outcome}}};
+    const result<operator_result> outcome = decide(st);
+    if (c.operation.empty())
+        return {std::move(st), {}};
+    st.operations = remember(std::move(st.operations), c.operation, {asked, outcome});
+    return {std::move(st), {operation_applied{c.operation, outcome}}};
+}
+
+machine_step on(machine_state st, const no_operation&)
+{
+    return {std::move(st), {}};
 }
 
 machine_step on(machine_state st, const set_replicas& c)
@@ -44,8 +76,119 @@
     return {std::move(st), {}};
 }
 
-machine_step on(machine_state st, const no_operation&)
+machine_step on(machine_state st, const set_config& c)
 {
+    return once(std::move(st), c, [&](machine_state& m) {
+        config_step done = change(std::move(m.configuration), c, m.time);
+        m.configuration = std::move(done.next);
+        return std::move(done.outcome);
+    });
+}
+
+machine_step on(machine_state st, const advance_time& c)
+{
+    st.time += c.by;
+    st.configuration = expire(std::move(st.configuration), st.time);
+    st.grants = expire(std::move(st.grants), st.time);
+    st.quarantine = expire(std::move(st.quarantine), st.time);
+    return {std::move(st), {}};
+}
+
+machine_step on(machine_state st, const register_nodes& c)
+{
+    std::vector<applied> results;
+    const microseconds forget_at = forget_time(st);
+    for (const auto& node : c.nodes) {
+        node_handle& handle = st.registry.handles[node.id];
+        if (handle == 0)
+            handle = ++st.registry.last;
+        node_info& known = st.registry.nodes[handle];
+        if (node.life >= known.life) {
+            known = node;
+            st.registry.gone.erase(handle);
+            st.grants = end_life(std::move(st.grants), node.id, node.life, forget_at);
+        }
+        results.emplace_back(node_applied{node.id, handle});
+    }
+    return {std::move(st), std::move(results)};
+}
+
+machine_step on(machine_state st, const give_up_nodes& c)
+{
+    const microseconds forget_at = forget_time(st);
+    for (const auto& node : c.nodes) {
+        const auto it = st.registry.handles.find(node);
+        if (it == st.registry.handles.end())
+            continue;
+        st.registry.gone.insert(it->second);
+        const incarnation past = st.registry.nodes.at(it->second).life + 1;
+        st.grants = end_life(std::move(st.grants), node, past, forget_at);
+    }
+    return {std::move(st), {}};
+}
+
+/// A request of an incarnation that has ended gets nothing: its agent no longer knows of it.
+bool has_ended(const machine_state& st, const grant_request& what)
+{
+    const auto handle = st.registry.handles.find(what.agent);
+    return handle != st.registry.handles.end() &&
+           what.life < st.registry.nodes.at(handle->second).life;
+}
+
+machine_step on(machine_state st, const give_grants& c)
+{
+    std::vector<applied> results;
+    for (const auto& asked : c.requests) {
+        if (has_ended(st, asked)) {
+            results.emplace_back(grant_applied{asked, grant_unavailable{}});
+            continue;
+        }
+        grant_step done = give(std::move(st.grants), asked);
+        st.grants = std::move(done.next);
+        results.emplace_back(grant_applied{asked, std::move(done.verdict)});
+    }
+    return {std::move(st), std::move(results)};
+}
+
+machine_step on(machine_state st, const end_grants& c)
+{
+    std::vector<applied> results;
+    const microseconds forget_at = forget_time(st);
+    for (const auto& r : c.results) {
+        st.grants = end(std::move(st.grants), r, forget_at);
+        results.emplace_back(result_applied{r});
+    }
+    for (const auto& r : c.releases)
+        st.grants = release(std::move(st.grants), r, forget_at);
+    return {std::move(st), std::move(results)};
+}
+
+machine_step on(machine_state st, const give_order& c)
+{
+    return once(std::move(st), c, [&](machine_state& m) -> result<operator_result> {
+        m.orders = add(std::move(m.orders), c, m.applied);
+        return operator_result(order_accepted{m.applied});
+    });
+}
+
+machine_step on(machine_state st, const end_order& c)
+{
+    st.orders = end(std::move(st.orders), c);
+    return {std::move(st), {}};
+}
+
+machine_step on(machine_state st, const set_drain& c)
+{
+    return once(std::move(st), c, [&](machine_state& m) -> result<operator_result> {
+        m.orders = drain(std::move(m.orders), c);
+        return operator_result(drain_accepted{});
+    });
+}
+
+machine_step on(machine_state st, const note_crash& c)
+{
+    const microseconds expires = st.time + config_of(st).quarantine_time;
+    st.quarantine = note(std::move(st.quarantine), c.report, expires);
     return {std::move(st), {}};
 }
 
@@ -53,7 +196,14 @@
 
 machine_step apply(machine_state current, const command& what)
 {
+    current.applied += 1;
     return std::visit([&](const auto& c) { return on(std::move(current), c); }, what);
 }
 
+fleet_config config_of(const machine_state& st)
+{
+    auto conf = make_fleet_config(st.configuration.document);
+    return conf ? std::move(*conf) : fleet_config{};
+}
+
 } // namespace bluebell::core
--- a/src/libwire/control_codec.cpp
+++ b/src/libwire/control_codec.cpp
@@ -45,6 +45,7 @@
         b.set_key(ex.key);
         b.set_value(ex.value);
         b.set_reason(ex.reason);
+        b.set_lifetime_us(ex.lifetime.count());
     }
 }
 
@@ -55,7 +56,8 @@
         doc.defaults.emplace(key, value);
     for (const auto& b : from.exceptions())
         doc.exceptions.emplace(
-            b.name(), config_exception{b.name(), b.scope(), b.key(), b.value(), b.reason()});
+            b.name(), config_exception{b.name(), b.scope(), b.key(), b.value(), b.reason(),
+                                       microseconds(b.lifetime_us())});
     return doc;
 }
 
