--- a/src/include/bluebell/core/command.h
+++ b/src/include/bluebell/core/command.h
@@ -18,7 +18,8 @@
 
 /// Sets the control replicas. Takes effect in replication as soon as it is in the log.
 struct set_replicas {
-    std::vector<node_info> replicas;
+    std::vector<node_info> replicas; ///< the voters
+    std::vector<node_info> target;   ///< the voters that a change under way shall come to
 
     friend bool operator==(const set_replicas&, const set_replicas&) = default;
 };
@@ -109,8 +110,8 @@
     friend bool operator==(const note_crash&, const note_crash&) = default;
 };
 
-using command =
-    std::variant<no_operation, set_replicas, set_config, advance_time, register_nodes, give_up_nodes,
-                 give_grants, end_grants, give_order, end_order, set_drain, note_crash>;
+using command = std::variant<no_operation, set_replicas, set_config, advance_time, register_nodes,
+                             give_up_nodes, give_grants, end_grants, give_order, end_order,
+                             set_drain, note_crash>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/config.h
+++ b/src/include/bluebell/core/config.h
@@ -59,11 +59,11 @@
                     200},
         rank_policy{microseconds{60'000'000}, microseconds{1'000'000}, microseconds{60'000'000}, 1,
                     100}};
-    std::uint32_t load_bound_permille = 1250;     ///< most load of an engine, of its pool's mean
-    std::uint32_t retry_budget_permille = 100;    ///< retries a router may add, of its live traffic
-    std::uint32_t workspace_weight_default = 1;   ///< weight in fair queueing
-    microseconds quarantine_time{600'000'000};    ///< how long a crashing body stays refused
-    microseconds config_lease{3'000'000};         ///< a node without confirmation stops after this
+    std::uint32_t load_bound_permille = 1250;   ///< most load of an engine, of its pool's mean
+    std::uint32_t retry_budget_permille = 100;  ///< retries a router may add, of its live traffic
+    std::uint32_t workspace_weight_default = 1; ///< weight in fair queueing
+    microseconds quarantine_time{600'000'000};  ///< how long a crashing body stays refused
+    microseconds config_lease{3'000'000};       ///< a node without confirmation stops after this
     lease_loss on_lease_lost = lease_loss::refuse;
     microseconds answer_keep_time{60'000'000};    ///< how long an agent keeps an ended answer
     microseconds grant_keep_time{86'400'000'000}; ///< how long an idempotency key is remembered
@@ -72,7 +72,7 @@
     std::map<std::string, std::uint32_t> model_min_engines; ///< placement floor by model
     std::map<std::string, std::string> model_versions;      ///< version to load, by model
     std::map<std::string, std::string> adapter_models;      ///< base model by adapter
-    bool placement_enabled = false;                ///< control orders loads by demand
+    bool placement_enabled = false;                         ///< control orders loads by demand
     std::uint32_t placement_loads_per_region = 2;  ///< loads from the weight store side by side
     std::uint32_t placement_grow_permille = 800;   ///< a pool busier than this gets an engine
     std::uint32_t placement_shrink_permille = 300; ///< a pool less busy than this may lose one
--- a/src/include/bluebell/core/event.h
+++ b/src/include/bluebell/core/event.h
@@ -188,9 +188,8 @@
     std::vector<node_id> leaving;
     friend bool operator==(const platform_list&, const platform_list&) = default;
 };
-using operator_event =
-    std::variant<config_change, order_wanted, replicas_change, drain_wanted, platform_list,
-                 exception_change, node_drain>;
+using operator_event = std::variant<config_change, order_wanted, replicas_change, drain_wanted,
+                                    platform_list, exception_change, node_drain>;
 
 // From the clock.
 
--- a/src/include/bluebell/core/grants.h
+++ b/src/include/bluebell/core/grants.h
@@ -101,7 +101,8 @@
 
 /// Keeps the answer of the attempt that holds the key, or that held it last and was lost; others
 /// change nothing.
-[[nodiscard]] grant_table end(grant_table current, const grant_result& what, microseconds forget_at);
+[[nodiscard]] grant_table end(grant_table current, const grant_result& what,
+                              microseconds forget_at);
 
 /// Frees a key of an attempt that was not run, or ends it as lost; others change nothing.
 [[nodiscard]] grant_table release(grant_table current, const grant_release& what,
--- a/src/include/bluebell/core/machine.h
+++ b/src/include/bluebell/core/machine.h
@@ -31,9 +31,10 @@
 
 /// All replicated state.
 struct machine_state {
-    std::uint64_t applied = 0; ///< log index of the last applied entry
-    microseconds time{0};      ///< the log's clock; never runs ahead of time
-    std::vector<node_info> replicas;
+    std::uint64_t applied = 0;             ///< log index of the last applied entry
+    microseconds time{0};                  ///< the log's clock; never runs ahead of time
+    std::vector<node_info> replicas;       ///< control's voters
+    std::vector<node_info> replica_target; ///< what a change of them shall come to
     config_log configuration;
     operation_memory operations;
     node_registry registry;
--- a/src/include/bluebell/core/orders.h
+++ b/src/include/bluebell/core/orders.h
@@ -30,7 +30,7 @@
 struct order_book {
     std::map<node_id, std::uint64_t> fences; ///< highest fence by agent; never falls
     std::map<std::uint64_t, order_record> open;
-    std::deque<order_record> ended; ///< newest last, at most max_ended_orders
+    std::deque<order_record> ended;         ///< newest last, at most max_ended_orders
     std::map<node_id, std::string> drained; ///< nodes that shall take no new work, with the reason
 
     friend bool operator==(const order_book&, const order_book&) = default;
--- a/src/libcore/config.cpp
+++ b/src/libcore/config.cpp
@@ -102,8 +102,7 @@
     }
     if (key == "placement.enabled") {
         conf.placement_enabled = value == "yes";
-        return value == "yes" || value == "no" ? ""
-                                               : key + " = " + value + ": allowed yes or no\n";
+        return value == "yes" || value == "no" ? "" : key + " = " + value + ": allowed yes or no\n";
     }
     return key + " = " + value + ": unknown key\n";
 }
--- a/src/libcore/config_log.cpp
+++ b/src/libcore/config_log.cpp
@@ -90,9 +90,9 @@
     }
     if (const auto checked = make_fleet_config(what.document); !checked)
         return {std::move(current), tl::unexpected(checked.error())};
-    config_log next = advance(std::move(current),
-                              {0, what.operation, what.who, what.when, what.why, {}},
-                              what.document, log_time);
+    config_log next =
+        advance(std::move(current), {0, what.operation, what.who, what.when, what.why, {}},
+                what.document, log_time);
     const revision number = next.number;
     return {std::move(next), operator_result(config_accepted{number})};
 }
@@ -111,8 +111,8 @@
         return current;
     const wall_time when = current.history.empty() ? wall_time{0} : current.history.back().when;
     return advance(std::move(current),
-                   {0, "", operator_id::from_trusted("control"), when, "expired: " + names, {}}, doc,
-                   log_time);
+                   {0, "", operator_id::from_trusted("control"), when, "expired: " + names, {}},
+                   doc, log_time);
 }
 
 config_document with_exception(config_document doc, const std::string& name,
--- a/src/libcore/grants.cpp
+++ b/src/libcore/grants.cpp
@@ -112,8 +112,7 @@
     if (it == current.entries.end() || (!lost && !holds(it->second, what.attempt)))
         return current;
     const std::size_t size = what.answer.body.size();
-    const bool fits =
-        size <= max_stored_answer && current.answer_bytes + size <= max_answer_bytes;
+    const bool fits = size <= max_stored_answer && current.answer_bytes + size <= max_answer_bytes;
     current.answer_bytes += fits ? size : 0;
     finish(current, it->second, what.key,
            fits ? grant_status(grant_ended{what.answer}) : grant_status(grant_lost{}), forget_at);
@@ -126,8 +125,8 @@
     if (it == current.entries.end() || !holds(it->second, what.attempt))
         return current;
     grant_entry& entry = it->second;
-    const bool free = what.outcome == run_outcome::not_run &&
-                      entry.released.size() < max_released_attempts;
+    const bool free =
+        what.outcome == run_outcome::not_run && entry.released.size() < max_released_attempts;
     if (free)
         entry.released.push_back(what.attempt);
     finish(current, entry, what.key, free ? grant_status(grant_free{}) : grant_status(grant_lost{}),
--- a/src/libcore/orders.cpp
+++ b/src/libcore/orders.cpp
@@ -52,8 +52,9 @@
     make_room(current, what.agent);
     auto& highest = current.fences[what.agent];
     highest = std::max(highest, fence);
-    current.open.emplace(fence, order_record{fence, what.agent, what.who, what.why, what.what,
-                                             order_status::open, {}});
+    current.open.emplace(
+        fence,
+        order_record{fence, what.agent, what.who, what.why, what.what, order_status::open, {}});
     return current;
 }
 
--- a/src/libwire/codec_pvt.h
+++ b/src/libwire/codec_pvt.h
@@ -12,10 +12,13 @@
 void put(const core::control_message& from, pb::ControlMessage& to);
 void put(const core::replication_message& from, pb::ReplicationMessage& to);
 
+void put(const core::command& from, pb::Command& to);
+
 /// Each fails with invalid_argument when no alternative is set or a value is impossible.
 [[nodiscard]] core::result<core::work_message> get(const pb::WorkMessage& from);
 [[nodiscard]] core::result<core::control_message> get(const pb::ControlMessage& from);
 [[nodiscard]] core::result<core::replication_message> get(const pb::ReplicationMessage& from);
+[[nodiscard]] core::result<core::command> get(const pb::Command& from);
 
 // Values that several groups share.
 void put(const core::attempt_id& from, pb::AttemptId& to);
@@ -24,6 +27,12 @@
 void put(const core::error& from, pb::Error& to);
 void put(const core::node_info& from, pb::NodeInfo& to);
 void put(const core::config_document& from, pb::ConfigDocument& to);
+void put(const core::order& from, pb::Order& to);
+void put(const core::stored_answer& from, pb::StoredAnswer& to);
+void put(const core::grant_key& from, pb::GrantKey& to);
+[[nodiscard]] core::result<core::order> get(const pb::Order& from);
+[[nodiscard]] core::stored_answer get(const pb::StoredAnswer& from);
+[[nodiscard]] core::grant_key get(const pb::GrantKey& from);
 [[nodiscard]] core::attempt_id get(const pb::AttemptId& from);
 [[nodiscard]] core::body_digest get(const pb::Digest& from);
 [[nodiscard]] core::load_report get(const pb::LoadReport& from);
--- /dev/null
+++ b/src/libwire/command_codec.cpp
@@ -0,0 +1,266 @@
+// Commands of the replicated log to protobuf and back.
+
+#include "codec_pvt.h"
+
+#include <bluebell/core/visit.h>
+
+#include <utility>
+
+namespace bluebell::wire {
+
+using namespace core;
+
+namespace {
+
+/// Encodes a value that is also a control message on its own.
+pb::ControlMessage encoded(control_message what)
+{
+    pb::ControlMessage to;
+    put(what, to);
+    return to;
+}
+
+/// Reads a value that is also a control message on its own.
+template <class Value>
+result<Value> decoded(const pb::ControlMessage& from)
+{
+    auto what = get(from);
+    if (!what)
+        return tl::unexpected(what.error());
+    return std::get<Value>(std::move(*what));
+}
+
+template <class Nodes>
+result<std::vector<node_info>> get_nodes(const Nodes& from)
+{
+    std::vector<node_info> nodes;
+    nodes.reserve(static_cast<std::size_t>(from.size()));
+    for (const auto& n : from) {
+        auto node = get(n);
+        if (!node)
+            return tl::unexpected(node.error());
+        nodes.push_back(std::move(*node));
+    }
+    return nodes;
+}
+
+struct writer {
+    pb::Command& to;
+
+    void operator()(const no_operation&) const { to.mutable_no_operation(); }
+    void operator()(const set_replicas& c) const
+    {
+        for (const auto& n : c.replicas)
+            put(n, *to.mutable_set_replicas()->add_replicas());
+        for (const auto& n : c.target)
+            put(n, *to.mutable_set_replicas()->add_target());
+        to.mutable_set_replicas();
+    }
+    void operator()(const set_config& c) const
+    {
+        auto& b = *to.mutable_set_config();
+        b.set_operation(c.operation);
+        b.set_who(c.who.str());
+        b.set_when_us(c.when.count());
+        b.set_made_from(c.made_from);
+        put(c.document, *b.mutable_document());
+        b.set_why(c.why);
+    }
+    void operator()(const advance_time& c) const
+    {
+        to.mutable_advance_time()->set_by_us(c.by.count());
+    }
+    void operator()(const register_nodes& c) const
+    {
+        for (const auto& n : c.nodes)
+            put(n, *to.mutable_register_nodes()->add_nodes());
+        to.mutable_register_nodes();
+    }
+    void operator()(const give_up_nodes& c) const
+    {
+        for (const auto& n : c.nodes)
+            to.mutable_give_up_nodes()->add_nodes(n.str());
+        to.mutable_give_up_nodes();
+    }
+    void operator()(const give_grants& c) const
+    {
+        auto& b = *to.mutable_give_grants();
+        for (const auto& r : c.requests)
+            *b.add_requests() = std::move(*encoded(r).mutable_grant_request());
+    }
+    void operator()(const end_grants& c) const
+    {
+        auto& b = *to.mutable_end_grants();
+        for (const auto& r : c.results)
+            *b.add_results() = std::move(*encoded(r).mutable_grant_result());
+        for (const auto& r : c.releases)
+            *b.add_releases() = std::move(*encoded(r).mutable_grant_release());
+    }
+    void operator()(const give_order& c) const
+    {
+        auto& b = *to.mutable_give_order();
+        b.set_operation(c.operation);
+        b.set_who(c.who.str());
+        b.set_agent(c.agent.str());
+        put(c.what, *b.mutable_what());
+        b.set_why(c.why);
+    }
+    void operator()(const end_order& c) const
+    {
+        auto& b = *to.mutable_end_order();
+        b.set_agent(c.agent.str());
+        *b.mutable_reply() = std::move(*encoded(c.reply).mutable_engine_order_reply());
+    }
+    void operator()(const set_drain& c) const
+    {
+        auto& b = *to.mutable_set_drain();
+        b.set_operation(c.operation);
+        b.set_who(c.who.str());
+        b.set_node(c.node.str());
+        b.set_draining(c.draining);
+        b.set_why(c.why);
+    }
+    void operator()(const note_crash& c) const
+    {
+        *to.mutable_note_crash() = std::move(*encoded(c.report).mutable_crash_report());
+    }
+};
+
+result<command> get(const pb::SetReplicas& b)
+{
+    auto voters = get_nodes(b.replicas());
+    if (!voters)
+        return tl::unexpected(voters.error());
+    auto target = get_nodes(b.target());
+    if (!target)
+        return tl::unexpected(target.error());
+    return set_replicas{std::move(*voters), std::move(*target)};
+}
+
+result<command> get(const pb::SetConfig& b)
+{
+    return set_config{b.operation(), get_id<operator_id>(b.who()), wall_time(b.when_us()),
+                      b.made_from(), wire::get(b.document()),      b.why()};
+}
+
+result<command> get(const pb::RegisterNodes& b)
+{
+    return get_nodes(b.nodes()).map([](auto n) { return command(register_nodes{std::move(n)}); });
+}
+
+result<command> get(const pb::GiveUpNodes& b)
+{
+    give_up_nodes c;
+    for (const auto& n : b.nodes())
+        c.nodes.push_back(get_id<node_id>(n));
+    return c;
+}
+
+result<command> get(const pb::GiveGrants& b)
+{
+    give_grants c;
+    for (const auto& r : b.requests()) {
+        pb::ControlMessage m;
+        *m.mutable_grant_request() = r;
+        auto request = decoded<grant_request>(m);
+        if (!request)
+            return tl::unexpected(request.error());
+        c.requests.push_back(std::move(*request));
+    }
+    return c;
+}
+
+result<command> get(const pb::EndGrants& b)
+{
+    end_grants c;
+    for (const auto& r : b.results()) {
+        pb::ControlMessage m;
+        *m.mutable_grant_result() = r;
+        auto ended = decoded<grant_result>(m);
+        if (!ended)
+            return tl::unexpected(ended.error());
+        c.results.push_back(std::move(*ended));
+    }
+    for (const auto& r : b.releases()) {
+        pb::ControlMessage m;
+        *m.mutable_grant_release() = r;
+        auto released = decoded<grant_release>(m);
+        if (!released)
+            return tl::unexpected(released.error());
+        c.releases.push_back(std::move(*released));
+    }
+    return c;
+}
+
+result<command> get(const pb::GiveOrder& b)
+{
+    auto what = wire::get(b.what());
+    if (!what)
+        return tl::unexpected(what.error());
+    return give_order{b.operation(), get_id<operator_id>(b.who()), get_id<node_id>(b.agent()),
+                      std::move(*what), b.why()};
+}
+
+result<command> get(const pb::EndOrder& b)
+{
+    pb::ControlMessage m;
+    *m.mutable_engine_order_reply() = b.reply();
+    return decoded<engine_order_reply>(m).map([&](auto reply) {
+        return command(end_order{get_id<node_id>(b.agent()), std::move(reply)});
+    });
+}
+
+result<command> get(const pb::SetDrain& b)
+{
+    return set_drain{b.operation(), get_id<operator_id>(b.who()), get_id<node_id>(b.node()),
+                     b.draining(), b.why()};
+}
+
+result<command> get(const pb::CrashReport& b)
+{
+    pb::ControlMessage m;
+    *m.mutable_crash_report() = b;
+    return decoded<crash_report>(m).map([](auto r) { return command(note_crash{r}); });
+}
+
+} // namespace
+
+void put(const command& from, pb::Command& to)
+{
+    std::visit(writer{to}, from);
+}
+
+result<command> get(const pb::Command& from)
+{
+    switch (from.what_case()) {
+    case pb::Command::kNoOperation:
+        return no_operation{};
+    case pb::Command::kSetReplicas:
+        return get(from.set_replicas());
+    case pb::Command::kSetConfig:
+        return get(from.set_config());
+    case pb::Command::kAdvanceTime:
+        return advance_time{microseconds(from.advance_time().by_us())};
+    case pb::Command::kRegisterNodes:
+        return get(from.register_nodes());
+    case pb::Command::kGiveUpNodes:
+        return get(from.give_up_nodes());
+    case pb::Command::kGiveGrants:
+        return get(from.give_grants());
+    case pb::Command::kEndGrants:
+        return get(from.end_grants());
+    case pb::Command::kGiveOrder:
+        return get(from.give_order());
+    case pb::Command::kEndOrder:
+        return get(from.end_order());
+    case pb::Command::kSetDrain:
+        return get(from.set_drain());
+    case pb::Command::kNoteCrash:
+        return get(from.note_crash());
+    case pb::Command::WHAT_NOT_SET:
+        break;
+    }
+    return impossible("empty command");
+}
+
+} // namespace bluebell::wire
--- a/src/libwire/control_codec.cpp
+++ b/src/libwire/control_codec.cpp
@@ -55,36 +55,12 @@
     for (const auto& [key, value] : from.defaults())
         doc.defaults.emplace(key, value);
     for (const auto& b : from.exceptions())
-        doc.exceptions.emplace(
-            b.name(), config_exception{b.name(), b.scope(), b.key(), b.value(), b.reason(),
-                                       microseconds(b.lifetime_us())});
+        doc.exceptions.emplace(b.name(),
+                               config_exception{b.name(), b.scope(), b.key(), b.value(), b.reason(),
+                                                microseconds(b.lifetime_us())});
     return doc;
 }
 
-namespace {
-
-void put(const agent_offer& from, pb::AgentOffer& to)
-{
-    for (const auto& m : from.models)
-        to.add_models(m.str());
-    for (const auto& s : from.services)
-        to.add_services(s.str());
-    to.set_slots(from.slots);
-    to.set_engine_up(from.engine_up);
-}
-
-agent_offer get(const pb::AgentOffer& from)
-{
-    agent_offer o;
-    for (const auto& m : from.models())
-        o.models.push_back(get_id<model_id>(m));
-    for (const auto& s : from.services())
-        o.services.push_back(get_id<service_id>(s));
-    o.slots = from.slots();
-    o.engine_up = from.engine_up();
-    return o;
-}
-
 void put(const grant_key& from, pb::GrantKey& to)
 {
     to.set_workspace(from.workspace.str());
@@ -143,6 +119,30 @@
     return impossible("empty order");
 }
 
+namespace {
+
+void put(const agent_offer& from, pb::AgentOffer& to)
+{
+    for (const auto& m : from.models)
+        to.add_models(m.str());
+    for (const auto& s : from.services)
+        to.add_services(s.str());
+    to.set_slots(from.slots);
+    to.set_engine_up(from.engine_up);
+}
+
+agent_offer get(const pb::AgentOffer& from)
+{
+    agent_offer o;
+    for (const auto& m : from.models())
+        o.models.push_back(get_id<model_id>(m));
+    for (const auto& s : from.services())
+        o.services.push_back(get_id<service_id>(s));
+    o.slots = from.slots();
+    o.engine_up = from.engine_up();
+    return o;
+}
+
 void put(const grant_verdict& from, pb::GrantReply& to)
 {
     match(
@@ -153,7 +153,7 @@
         },
         [&](const grant_done& v) {
             to.set_verdict(pb::GrantReply::DONE);
-            put(v.answer, *to.mutable_answer());
+            wire::put(v.answer, *to.mutable_answer());
         },
         [&](const grant_unknown&) { to.set_verdict(pb::GrantReply::UNKNOWN); },
         [&](const grant_conflict&) { to.set_verdict(pb::GrantReply::CONFLICT); },
@@ -168,7 +168,7 @@
     case pb::GrantReply::RUNNING:
         return grant_running{get_id<node_id>(from.owner())};
     case pb::GrantReply::DONE:
-        return grant_done{get(from.answer())};
+        return grant_done{wire::get(from.answer())};
     case pb::GrantReply::UNKNOWN:
         return grant_unknown{};
     case pb::GrantReply::CONFLICT:
@@ -246,7 +246,7 @@
     void operator()(const grant_request& m) const
     {
         auto& b = *to.mutable_grant_request();
-        put(m.key, *b.mutable_key());
+        wire::put(m.key, *b.mutable_key());
         wire::put(m.digest, *b.mutable_digest());
         wire::put(m.attempt, *b.mutable_attempt());
         b.set_agent(m.agent.str());
@@ -255,27 +255,27 @@
     void operator()(const grant_reply& m) const
     {
         auto& b = *to.mutable_grant_reply();
-        put(m.key, *b.mutable_key());
+        wire::put(m.key, *b.mutable_key());
         wire::put(m.attempt, *b.mutable_attempt());
         put(m.verdict, b);
     }
     void operator()(const grant_result& m) const
     {
         auto& b = *to.mutable_grant_result();
-        put(m.key, *b.mutable_key());
+        wire::put(m.key, *b.mutable_key());
         wire::put(m.attempt, *b.mutable_attempt());
-        put(m.answer, *b.mutable_answer());
+        wire::put(m.answer, *b.mutable_answer());
     }
     void operator()(const grant_result_kept& m) const
     {
         auto& b = *to.mutable_grant_result_kept();
-        put(m.key, *b.mutable_key());
+        wire::put(m.key, *b.mutable_key());
         wire::put(m.attempt, *b.mutable_attempt());
     }
     void operator()(const engine_order& m) const
     {
         to.mutable_engine_order()->set_fence(m.fence);
-        put(m.what, *to.mutable_engine_order()->mutable_what());
+        wire::put(m.what, *to.mutable_engine_order()->mutable_what());
     }
     void operator()(const engine_order_reply& m) const
     {
@@ -300,7 +300,7 @@
     void operator()(const grant_release& m) const
     {
         auto& b = *to.mutable_grant_release();
-        put(m.key, *b.mutable_key());
+        wire::put(m.key, *b.mutable_key());
         wire::put(m.attempt, *b.mutable_attempt());
         b.set_outcome(static_cast<std::uint32_t>(m.outcome));
     }
@@ -352,13 +352,13 @@
 {
     if (b.outcome() > static_cast<std::uint32_t>(run_outcome::unknown))
         return impossible("unknown outcome");
-    return grant_release{get(b.key()), wire::get(b.attempt()),
+    return grant_release{wire::get(b.key()), wire::get(b.attempt()),
                          static_cast<run_outcome>(b.outcome())};
 }
 
 result<control_message> get(const pb::EngineOrder& b)
 {
-    auto what = get(b.what());
+    auto what = wire::get(b.what());
     if (!what)
         return tl::unexpected(what.error());
     return engine_order{b.fence(), std::move(*what)};
@@ -390,20 +390,20 @@
         return suspicion{get_id<node_id>(from.suspicion().about()), from.suspicion().reachable()};
     case pb::ControlMessage::kGrantRequest: {
         const auto& b = from.grant_request();
-        return grant_request{get(b.key()), get(b.digest()), get(b.attempt()),
+        return grant_request{wire::get(b.key()), get(b.digest()), get(b.attempt()),
                              get_id<node_id>(b.agent()), b.life()};
     }
     case pb::ControlMessage::kGrantReply: {
         const auto& b = from.grant_reply();
-        return grant_reply{get(b.key()), get(b.attempt()), get_verdict(b)};
+        return grant_reply{wire::get(b.key()), get(b.attempt()), get_verdict(b)};
     }
     case pb::ControlMessage::kGrantResult: {
         const auto& b = from.grant_result();
-        return grant_result{get(b.key()), get(b.attempt()), get(b.answer())};
+        return grant_result{wire::get(b.key()), get(b.attempt()), wire::get(b.answer())};
     }
     case pb::ControlMessage::kGrantResultKept: {
         const auto& b = from.grant_result_kept();
-        return grant_result_kept{get(b.key()), get(b.attempt())};
+        return grant_result_kept{wire::get(b.key()), get(b.attempt())};
     }
     case pb::ControlMessage::kEngineOrder:
         return get(from.engine_order());
--- a/src/libwire/envelope_test.cpp
+++ b/src/libwire/envelope_test.cpp
@@ -68,7 +68,8 @@
     push.config = 3;
     push.document.emplace();
     push.document->defaults["load_bound_permille"] = "1300";
-    push.document->exceptions["e"] = {"e", "workspace:w", "weight", "2", "a reason", microseconds(5)};
+    push.document->exceptions["e"] = {"e", "workspace:w", "weight",
+                                      "2", "a reason",    microseconds(5)};
     push.lease = microseconds(7);
     survives(control_message(push));
     const grant_key key{workspace_id::from_trusted("w"), idempotency_key::from_trusted("k")};
--- a/src/libwire/replication_codec.cpp
+++ b/src/libwire/replication_codec.cpp
@@ -10,24 +10,6 @@
 
 namespace {
 
-void put(const command& from, pb::Command& to)
-{
-    match(
-        from, [&](const no_operation&) { to.mutable_no_operation(); },
-        [&](const set_replicas& c) {
-            for (const auto& n : c.replicas)
-                wire::put(n, *to.mutable_set_replicas()->add_replicas());
-        },
-        [&](const set_config& c) {
-            auto& b = *to.mutable_set_config();
-            b.set_operation(c.operation);
-            b.set_who(c.who.str());
-            b.set_made_from(c.made_from);
-            wire::put(c.document, *b.mutable_document());
-            b.set_why(c.why);
-        });
-}
-
 struct writer {
     pb::ReplicationMessage& to;
 
@@ -58,7 +40,7 @@
             auto& e = *b.add_entries();
             e.set_index(entry.index);
             e.set_term(entry.at_term);
-            put(entry.what, *e.mutable_command());
+            wire::put(entry.what, *e.mutable_command());
         }
     }
     void operator()(const append_reply& m) const
@@ -89,38 +71,12 @@
     }
 };
 
-result<command> get(const pb::Command& b)
-{
-    switch (b.what_case()) {
-    case pb::Command::kNoOperation:
-        return no_operation{};
-    case pb::Command::kSetReplicas: {
-        set_replicas c;
-        for (const auto& n : b.set_replicas().replicas()) {
-            auto node = wire::get(n);
-            if (!node)
-                return tl::unexpected(node.error());
-            c.replicas.push_back(std::move(*node));
-        }
-        return c;
-    }
-    case pb::Command::kSetConfig: {
-        const auto& c = b.set_config();
-        return set_config{c.operation(), get_id<operator_id>(c.who()), c.made_from(),
-                          wire::get(c.document()), c.why()};
-    }
-    case pb::Command::WHAT_NOT_SET:
-        break;
-    }
-    return impossible("empty command");
-}
-
 result<replication_message> get(const pb::AppendRequest& b)
 {
     append_request m{b.term(), b.previous_index(), b.previous_term(), b.commit(), b.round(), {}};
     m.entries.reserve(static_cast<std::size_t>(b.entries_size()));
     for (const auto& e : b.entries()) {
-        auto c = get(e.command());
+        auto c = wire::get(e.command());
         if (!c)
             return tl::unexpected(c.error());
         m.entries.push_back({e.index(), e.term(), std::move(*c)});
