--- /dev/null
+++ b/src/libcore/machine_test.cpp
@@ -0,0 +1,263 @@
+// The replicated state under random sequences of commands: configuration is one line, a key runs
+// once, fences rise, and a crashing body is refused.
+
+#include <bluebell/core/machine.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+using namespace bluebell::core;
+
+namespace {
+
+operator_id who(int n)
+{
+    return operator_id::from_trusted("operator-" + std::to_string(n));
+}
+
+node_id agent(int n)
+{
+    return node_id::from_trusted("agent-" + std::to_string(n));
+}
+
+set_config change_of(int operation, revision made_from)
+{
+    set_config c;
+    c.operation = "op-" + std::to_string(operation);
+    c.who = who(operation % 3);
+    c.made_from = made_from;
+    c.document.defaults["load_bound_permille"] = std::to_string(1000 + operation);
+    return c;
+}
+
+const operation_applied& answer(const machine_step& done)
+{
+    return std::get<operation_applied>(done.results.at(0));
+}
+
+grant_request request_of(int key, int attempt, int owner, incarnation life)
+{
+    grant_request r;
+    r.key = {workspace_id::from_trusted("w"),
+             idempotency_key::from_trusted("k" + std::to_string(key))};
+    r.digest = {static_cast<std::uint64_t>(key), 0};
+    r.attempt = {request_id::from_trusted("r"), static_cast<std::uint64_t>(attempt)};
+    r.agent = agent(owner);
+    r.life = life;
+    return r;
+}
+
+register_nodes start_of(int n, incarnation life)
+{
+    node_info node;
+    node.id = agent(n);
+    node.role = node_role::agent;
+    node.life = life;
+    return register_nodes{{node}};
+}
+
+/// What an observer of all verdicts knows of one key.
+struct seen_key {
+    std::optional<attempt_id> owner;
+    std::set<attempt_id> freed;
+};
+
+/// Feeds one random command about grants and checks the verdict against what was seen before.
+machine_state random_grant_step(machine_state st, std::map<int, seen_key>& seen)
+{
+    const int key = *rc::gen::inRange(0, 3);
+    const int attempt = *rc::gen::inRange(0, 6);
+    const int owner = attempt % 2;
+    const auto life = static_cast<incarnation>(*rc::gen::inRange(1, 4));
+    const auto asked = request_of(key, attempt, owner, life);
+    switch (*rc::gen::inRange(0, 6)) {
+    case 0:
+        return apply(std::move(st), start_of(owner, life)).next;
+    case 1:
+        return apply(std::move(st),
+                     end_grants{{{asked.key, asked.attempt, {200, "", bytes()}}}, {}})
+            .next;
+    case 2: {
+        const auto& entries = st.grants.entries;
+        const auto it = entries.find(asked.key);
+        const bool held = it != entries.end() && it->second.attempt == asked.attempt &&
+                          std::holds_alternative<grant_held>(it->second.status);
+        if (held)
+            seen[key].freed.insert(asked.attempt);
+        return apply(std::move(st),
+                     end_grants{{}, {{asked.key, asked.attempt, run_outcome::not_run}}})
+            .next;
+    }
+    case 3:
+        return apply(std::move(st), advance_time{seconds(60)}).next;
+    default:
+        break;
+    }
+    machine_step done = apply(std::move(st), give_grants{{asked}});
+    const auto& verdict = std::get<grant_applied>(done.results.at(0)).verdict;
+    if (std::holds_alternative<grant_given>(verdict)) {
+        seen_key& s = seen[key];
+        RC_ASSERT(!s.freed.contains(asked.attempt));
+        RC_ASSERT(!s.owner || *s.owner == asked.attempt || s.freed.contains(*s.owner));
+        s.owner = asked.attempt;
+    }
+    return std::move(done.next);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(machine)
+
+BOOST_AUTO_TEST_CASE(configuration_is_one_line_and_each_operation_has_one_result)
+{
+    BOOST_TEST(rc::check("one line", [] {
+        machine_state st;
+        std::map<std::string, operation_applied> first;
+        for (int i = 0; i < 60; ++i) {
+            const int operation = *rc::gen::inRange(0, 30);
+            const auto before = st.configuration;
+            const auto from =
+                before.number - std::min<revision>(before.number, *rc::gen::inRange(0, 2));
+            machine_step done = apply(std::move(st), change_of(operation, from));
+            const auto told = answer(done);
+            st = std::move(done.next);
+            const auto [known, is_new] = first.emplace(told.operation, told);
+            const bool moved = st.configuration.number != before.number;
+            RC_ASSERT(st.configuration.number - before.number <= 1);
+            RC_ASSERT(moved || st.configuration == before);
+            RC_ASSERT(!moved || (is_new && from == before.number));
+            const auto& earlier = known->second.outcome;
+            const bool same = told.outcome == earlier;
+            const bool other_request =
+                !told.outcome && told.outcome.error().step == "find operation";
+            RC_ASSERT(is_new || same || other_request);
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(of_two_changes_from_one_revision_one_wins)
+{
+    machine_step first = apply(machine_state{}, change_of(1, 0));
+    BOOST_TEST(answer(first).outcome.has_value());
+    const machine_step second = apply(std::move(first.next), change_of(2, 0));
+    BOOST_REQUIRE(!answer(second).outcome.has_value());
+    BOOST_TEST((answer(second).outcome.error().code == error_code::conflict));
+    BOOST_TEST(second.next.configuration.document.defaults.at("load_bound_permille") == "1001");
+}
+
+BOOST_AUTO_TEST_CASE(a_forgotten_operation_is_not_made_twice)
+{
+    machine_state st = apply(machine_state{}, change_of(0, 0)).next;
+    for (int i = 1; i <= static_cast<int>(max_operations); ++i)
+        st = apply(std::move(st), set_drain{"d" + std::to_string(i), who(0), agent(0), true, ""})
+                 .next;
+    BOOST_TEST(st.operations.records.size() == max_operations);
+    const machine_step again = apply(std::move(st), change_of(0, 0));
+    BOOST_REQUIRE(!answer(again).outcome.has_value());
+    BOOST_TEST((answer(again).outcome.error().code == error_code::conflict));
+    BOOST_TEST(again.next.configuration.number == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(an_exception_ends_with_its_lifetime_as_a_revision)
+{
+    auto c = change_of(1, 0);
+    c.document.exceptions["e"] = {"e", "workspace:w", "weight", "9", "draw week", seconds(10)};
+    machine_state st = apply(machine_state{}, c).next;
+    st = apply(std::move(st), advance_time{seconds(9)}).next;
+    BOOST_TEST(config_of(st).workspace_weights.at("w") == 9u);
+    st = apply(std::move(st), advance_time{seconds(1)}).next;
+    BOOST_TEST(config_of(st).workspace_weights.empty());
+    BOOST_TEST(st.configuration.number == 2u);
+    BOOST_TEST(st.configuration.history.back().why == "expired: e");
+}
+
+BOOST_AUTO_TEST_CASE(a_key_is_held_by_one_attempt_until_that_one_was_not_run)
+{
+    BOOST_TEST(rc::check("one attempt", [] {
+        machine_state st;
+        std::map<int, seen_key> seen;
+        for (int i = 0; i < 80; ++i)
+            st = random_grant_step(std::move(st), seen);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(a_newer_life_loses_the_held_grants_and_a_late_answer_is_still_kept)
+{
+    machine_state st = apply(machine_state{}, start_of(0, 1)).next;
+    const auto asked = request_of(1, 1, 0, 1);
+    st = apply(std::move(st), give_grants{{asked}}).next;
+    st = apply(std::move(st), start_of(0, 2)).next;
+    BOOST_TEST((look_up(st.grants, request_of(1, 2, 1, 1)) == grant_verdict(grant_unknown{})));
+    machine_step late = apply(std::move(st), give_grants{{request_of(2, 3, 0, 1)}});
+    const auto& verdict = std::get<grant_applied>(late.results.at(0)).verdict;
+    BOOST_TEST((verdict == grant_verdict(grant_unavailable{})));
+    st = apply(std::move(late.next),
+               end_grants{{{asked.key, asked.attempt, {201, "", bytes()}}}, {}})
+             .next;
+    BOOST_TEST((look_up(st.grants, request_of(1, 2, 1, 1)) ==
+                grant_verdict(grant_done{{201, "", bytes()}})));
+}
+
+BOOST_AUTO_TEST_CASE(a_key_with_another_body_is_a_conflict)
+{
+    machine_state st = apply(machine_state{}, give_grants{{request_of(1, 1, 0, 1)}}).next;
+    auto other = request_of(1, 2, 0, 1);
+    other.digest = {99, 99};
+    BOOST_TEST((look_up(st.grants, other) == grant_verdict(grant_conflict{})));
+}
+
+BOOST_AUTO_TEST_CASE(ended_keys_are_forgotten_after_their_time_and_held_ones_never)
+{
+    machine_state st =
+        apply(machine_state{}, give_grants{{request_of(1, 1, 0, 1), request_of(2, 2, 0, 1)}}).next;
+    const auto first = request_of(1, 1, 0, 1);
+    st =
+        apply(std::move(st), end_grants{{{first.key, first.attempt, {200, "", bytes()}}}, {}}).next;
+    const microseconds keep = config_of(st).grant_keep_time;
+    st = apply(std::move(st), advance_time{keep - microseconds(1)}).next;
+    BOOST_TEST(st.grants.entries.size() == 2u);
+    st = apply(std::move(st), advance_time{microseconds(1)}).next;
+    BOOST_TEST(st.grants.entries.size() == 1u);
+    BOOST_TEST(st.grants.entries.contains(request_of(2, 2, 0, 1).key));
+}
+
+BOOST_AUTO_TEST_CASE(fences_rise_for_each_engine)
+{
+    BOOST_TEST(rc::check("fences rise", [] {
+        machine_state st;
+        std::map<node_id, std::uint64_t> highest;
+        for (int i = 0; i < 40; ++i) {
+            const node_id to = agent(*rc::gen::inRange(0, 3));
+            machine_step done =
+                apply(std::move(st), give_order{"", who(0), to, change_role{"serve"}, ""});
+            st = std::move(done.next);
+            RC_ASSERT(highest_fence(st.orders, to) > highest[to]);
+            highest[to] = highest_fence(st.orders, to);
+            RC_ASSERT(highest[to] == st.applied);
+        }
+        RC_ASSERT(st.orders.open.size() <= 3 * max_open_orders);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(a_body_in_two_crashes_is_refused_and_an_innocent_is_cleared)
+{
+    const body_digest bad{1, 1};
+    const body_digest innocent{2, 2};
+    machine_state st;
+    for (const auto& d : {bad, innocent})
+        st = apply(std::move(st), note_crash{{d, false, agent(0), false}}).next;
+    BOOST_TEST(st.quarantine.suspects.at(bad).holder.str() == "agent-0");
+    st = apply(std::move(st), note_crash{{innocent, false, agent(1), true}}).next;
+    BOOST_TEST(st.quarantine.suspects.contains(innocent)); // only its holder may clear it
+    st = apply(std::move(st), note_crash{{innocent, false, agent(0), true}}).next;
+    BOOST_TEST(!st.quarantine.suspects.contains(innocent));
+    st = apply(std::move(st), note_crash{{bad, true, agent(0), false}}).next;
+    BOOST_TEST(st.quarantine.refused.contains(bad));
+    st = apply(std::move(st), advance_time{config_of(st).quarantine_time}).next;
+    BOOST_TEST(st.quarantine.refused.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/libwire/machine_codec.cpp
@@ -0,0 +1,369 @@
+// The replicated state of control to protobuf and back.
+
+#include "codec_pvt.h"
+
+#include "generated/machine.pb.h"
+
+#include <bluebell/core/visit.h>
+#include <bluebell/wire/machine.h>
+
+namespace bluebell::wire {
+
+using namespace core;
+
+namespace {
+
+constexpr std::string_view step = "decode machine";
+
+// Configuration and operations.
+
+void put(const config_log& from, pb::ConfigLog& to)
+{
+    wire::put(from.document, *to.mutable_document());
+    to.set_number(from.number);
+    for (const auto& r : from.history) {
+        auto& b = *to.add_history();
+        b.set_number(r.number);
+        b.set_operation(r.operation);
+        b.set_who(r.who.str());
+        b.set_when_us(r.when.count());
+        b.set_why(r.why);
+        for (const auto& e : r.edits) {
+            auto& edit = *b.add_edits();
+            edit.set_what(e.what);
+            edit.set_before(e.before);
+            edit.set_after(e.after);
+        }
+    }
+    for (const auto& [name, at] : from.deadlines) {
+        auto& b = *to.add_deadlines();
+        b.set_name(name);
+        b.set_at_us(at.count());
+    }
+}
+
+config_log get(const pb::ConfigLog& from)
+{
+    config_log log;
+    log.document = wire::get(from.document());
+    log.number = from.number();
+    for (const auto& b : from.history()) {
+        config_record r{b.number(),
+                        b.operation(),
+                        get_id<operator_id>(b.who()),
+                        wall_time(b.when_us()),
+                        b.why(),
+                        {}};
+        for (const auto& e : b.edits())
+            r.edits.push_back({e.what(), e.before(), e.after()});
+        log.history.push_back(std::move(r));
+    }
+    for (const auto& b : from.deadlines())
+        log.deadlines.emplace(b.name(), microseconds(b.at_us()));
+    return log;
+}
+
+void put(const operator_result& from, pb::OperatorResult& to)
+{
+    match(
+        from,
+        [&](const config_accepted& r) {
+            to.set_kind(pb::OperatorResult::CONFIG);
+            to.set_number(r.number);
+        },
+        [&](const order_accepted& r) {
+            to.set_kind(pb::OperatorResult::ORDER);
+            to.set_number(r.fence);
+        },
+        [&](const drain_accepted&) { to.set_kind(pb::OperatorResult::DRAIN); },
+        [&](const replicas_accepted&) { to.set_kind(pb::OperatorResult::REPLICAS); });
+}
+
+operator_result get(const pb::OperatorResult& from)
+{
+    switch (from.kind()) {
+    case pb::OperatorResult::ORDER:
+        return order_accepted{from.number()};
+    case pb::OperatorResult::DRAIN:
+        return drain_accepted{};
+    case pb::OperatorResult::REPLICAS:
+        return replicas_accepted{};
+    default:
+        return config_accepted{from.number()};
+    }
+}
+
+void put(const operation_memory& from, pb::Machine& to)
+{
+    for (const auto& name : from.order) {
+        const operation_record& r = from.records.at(name);
+        auto& b = *to.add_operations();
+        b.set_operation(name);
+        b.set_asked(r.asked);
+        if (r.outcome)
+            put(*r.outcome, *b.mutable_result());
+        else
+            wire::put(r.outcome.error(), *b.mutable_error());
+    }
+}
+
+operation_memory get_operations(const pb::Machine& from)
+{
+    operation_memory memory;
+    for (const auto& b : from.operations()) {
+        result<operator_result> outcome = get(b.result());
+        if (b.has_error())
+            outcome = tl::unexpected(wire::get(b.error()));
+        memory.records.emplace(b.operation(), operation_record{b.asked(), std::move(outcome)});
+        memory.order.push_back(b.operation());
+    }
+    return memory;
+}
+
+// Nodes.
+
+void put(const node_registry& from, pb::Machine& to)
+{
+    to.set_last_handle(from.last);
+    for (const auto& [handle, node] : from.nodes) {
+        auto& b = *to.add_registry();
+        b.set_handle(handle);
+        wire::put(node, *b.mutable_node());
+        b.set_gone(from.gone.contains(handle));
+    }
+}
+
+result<node_registry> get_registry(const pb::Machine& from)
+{
+    node_registry registry;
+    registry.last = from.last_handle();
+    for (const auto& b : from.registry()) {
+        auto node = wire::get(b.node());
+        if (!node)
+            return tl::unexpected(node.error());
+        registry.handles.emplace(node->id, b.handle());
+        if (b.gone())
+            registry.gone.insert(b.handle());
+        registry.nodes.emplace(b.handle(), std::move(*node));
+    }
+    return registry;
+}
+
+// Grants.
+
+void put(const grant_table& from, pb::Machine& to)
+{
+    for (const auto& [key, entry] : from.entries) {
+        auto& b = *to.add_grants();
+        wire::put(key, *b.mutable_key());
+        wire::put(entry.digest, *b.mutable_digest());
+        wire::put(entry.attempt, *b.mutable_attempt());
+        b.set_agent(entry.agent.str());
+        b.set_life(entry.life);
+        b.set_forget_at_us(entry.forget_at.count());
+        b.set_status(static_cast<pb::GrantEntry::Status>(entry.status.index()));
+        if (const auto* ended = std::get_if<grant_ended>(&entry.status))
+            wire::put(ended->answer, *b.mutable_answer());
+        for (const auto& a : entry.released)
+            wire::put(a, *b.add_released());
+    }
+    for (const auto& e : from.ended) {
+        auto& b = *to.add_expiries();
+        b.set_at_us(e.at.count());
+        wire::put(e.key, *b.mutable_key());
+    }
+}
+
+grant_status get_status(const pb::GrantEntry& from)
+{
+    switch (from.status()) {
+    case pb::GrantEntry::HELD:
+        return grant_held{};
+    case pb::GrantEntry::ENDED:
+        return grant_ended{wire::get(from.answer())};
+    case pb::GrantEntry::FREE:
+        return grant_free{};
+    default:
+        return grant_lost{};
+    }
+}
+
+grant_table get_grants(const pb::Machine& from)
+{
+    grant_table table;
+    for (const auto& b : from.grants()) {
+        const grant_key key = wire::get(b.key());
+        grant_entry entry;
+        entry.digest = wire::get(b.digest());
+        entry.attempt = wire::get(b.attempt());
+        entry.agent = get_id<node_id>(b.agent());
+        entry.life = b.life();
+        entry.status = get_status(b);
+        entry.forget_at = microseconds(b.forget_at_us());
+        for (const auto& a : b.released())
+            entry.released.push_back(wire::get(a));
+        if (b.status() == pb::GrantEntry::HELD)
+            table.held[entry.agent].insert(key);
+        if (b.status() == pb::GrantEntry::ENDED)
+            table.answer_bytes += b.answer().body().size();
+        table.entries.emplace(key, std::move(entry));
+    }
+    for (const auto& b : from.expiries())
+        table.ended.push_back({microseconds(b.at_us()), wire::get(b.key())});
+    return table;
+}
+
+// Orders and quarantine.
+
+void put(const order_record& from, pb::OrderRecord& to)
+{
+    to.set_fence(from.fence);
+    to.set_agent(from.agent.str());
+    to.set_who(from.who.str());
+    to.set_why(from.why);
+    wire::put(from.what, *to.mutable_what());
+    to.set_status(static_cast<std::uint32_t>(from.status));
+    wire::put(from.outcome, *to.mutable_outcome());
+}
+
+result<order_record> get(const pb::OrderRecord& from)
+{
+    auto what = wire::get(from.what());
+    if (!what)
+        return tl::unexpected(what.error());
+    if (from.status() > static_cast<std::uint32_t>(order_status::replaced))
+        return impossible("unknown order status");
+    return order_record{from.fence(),
+                        get_id<node_id>(from.agent()),
+                        get_id<operator_id>(from.who()),
+                        from.why(),
+                        std::move(*what),
+                        static_cast<order_status>(from.status()),
+                        wire::get(from.outcome())};
+}
+
+void put(const order_book& from, pb::Machine& to)
+{
+    for (const auto& [agent, fence] : from.fences) {
+        auto& b = *to.add_fences();
+        b.set_agent(agent.str());
+        b.set_fence(fence);
+    }
+    for (const auto& [fence, record] : from.open)
+        put(record, *to.add_open_orders());
+    for (const auto& record : from.ended)
+        put(record, *to.add_ended_orders());
+    for (const auto& [node, why] : from.drained) {
+        auto& b = *to.add_drained();
+        b.set_node(node.str());
+        b.set_why(why);
+    }
+}
+
+result<order_book> get_orders(const pb::Machine& from)
+{
+    order_book book;
+    for (const auto& b : from.fences())
+        book.fences.emplace(get_id<node_id>(b.agent()), b.fence());
+    for (const auto& b : from.open_orders()) {
+        auto record = get(b);
+        if (!record)
+            return tl::unexpected(record.error());
+        book.open.emplace(b.fence(), std::move(*record));
+    }
+    for (const auto& b : from.ended_orders()) {
+        auto record = get(b);
+        if (!record)
+            return tl::unexpected(record.error());
+        book.ended.push_back(std::move(*record));
+    }
+    for (const auto& b : from.drained())
+        book.drained.emplace(get_id<node_id>(b.node()), b.why());
+    return book;
+}
+
+void put(const quarantine_list& from, pb::Machine& to)
+{
+    for (const auto& [digest, s] : from.suspects) {
+        auto& b = *to.add_suspects();
+        wire::put(digest, *b.mutable_digest());
+        b.set_holder(s.holder.str());
+        b.set_expires_us(s.expires.count());
+    }
+    for (const auto& [digest, until] : from.refused) {
+        auto& b = *to.add_refused();
+        wire::put(digest, *b.mutable_digest());
+        b.set_until_us(until.count());
+    }
+}
+
+quarantine_list get_quarantine(const pb::Machine& from)
+{
+    quarantine_list list;
+    for (const auto& b : from.suspects())
+        list.suspects.emplace(wire::get(b.digest()), crash_suspect{get_id<node_id>(b.holder()),
+                                                                   microseconds(b.expires_us())});
+    for (const auto& b : from.refused())
+        list.refused.emplace(wire::get(b.digest()), microseconds(b.until_us()));
+    return list;
+}
+
+result<machine_state> get(const pb::Machine& from)
+{
+    machine_state st;
+    pb::Command replicas;
+    *replicas.mutable_set_replicas() = from.replicas();
+    auto set = wire::get(replicas);
+    auto registry = get_registry(from);
+    auto orders = get_orders(from);
+    if (!set)
+        return tl::unexpected(set.error());
+    if (!registry)
+        return tl::unexpected(registry.error());
+    if (!orders)
+        return tl::unexpected(orders.error());
+    st.applied = from.applied();
+    st.time = microseconds(from.time_us());
+    st.replicas = std::get<set_replicas>(*set).replicas;
+    st.replica_target = std::get<set_replicas>(*set).target;
+    st.configuration = get(from.configuration());
+    st.operations = get_operations(from);
+    st.registry = std::move(*registry);
+    st.grants = get_grants(from);
+    st.orders = std::move(*orders);
+    st.quarantine = get_quarantine(from);
+    return st;
+}
+
+} // namespace
+
+std::string encode(const machine_state& what)
+{
+    pb::Machine to;
+    pb::Command replicas;
+    wire::put(command(set_replicas{what.replicas, what.replica_target}), replicas);
+    to.set_version(machine_version);
+    to.set_applied(what.applied);
+    to.set_time_us(what.time.count());
+    *to.mutable_replicas() = std::move(*replicas.mutable_set_replicas());
+    put(what.configuration, *to.mutable_configuration());
+    put(what.operations, to);
+    put(what.registry, to);
+    put(what.grants, to);
+    put(what.orders, to);
+    put(what.quarantine, to);
+    return to.SerializeAsString();
+}
+
+result<machine_state> decode_machine(std::string_view data)
+{
+    pb::Machine from;
+    if (!from.ParseFromArray(data.data(), static_cast<int>(data.size())))
+        return fail(error_code::corrupt, step, "", "not a protobuf machine");
+    if (from.version() != machine_version)
+        return fail(error_code::unsupported_version, step, "",
+                    "version " + std::to_string(from.version()));
+    return get(from);
+}
+
+} // namespace bluebell::wire
