--- a/src/include/bluebell/core/command.h
+++ b/src/include/bluebell/core/command.h
@@ -44,9 +44,18 @@
     friend bool operator==(const advance_time&, const advance_time&) = default;
 };
 
-/// Nodes that started: each gets a handle. A newer incarnation ends the grants of older ones.
+/// A node with what it serves.
+struct registered_node {
+    node_info node;
+    agent_offer offer;
+
+    friend bool operator==(const registered_node&, const registered_node&) = default;
+};
+
+/// Nodes that started or whose offer changed: each gets a handle. A newer incarnation ends the
+/// grants of older ones.
 struct register_nodes {
-    std::vector<node_info> nodes;
+    std::vector<registered_node> nodes;
 
     friend bool operator==(const register_nodes&, const register_nodes&) = default;
 };
--- a/src/include/bluebell/core/control_message.h
+++ b/src/include/bluebell/core/control_message.h
@@ -36,7 +36,11 @@
     friend bool operator==(const agent_offer&, const agent_offer&) = default;
 };
 
-/// Sent once a second to the parent in the dissemination tree: liveness, load, confirmed state.
+/// A short name that control gave a node; 0 is none. Handles are never given twice.
+using node_handle = std::uint32_t;
+
+/// Sent to every control replica by a node that has no handle yet, has no parent that answers, or
+/// whose offer changed. Otherwise a beat_row to the parent takes its place.
 struct heartbeat {
     node_info from;
     revision config = 0;           ///< newest configuration in force at the sender
@@ -89,6 +93,95 @@
     friend bool operator==(const fleet_digest&, const fleet_digest&) = default;
 };
 
+/// One node's sign of life, once a second: what it confirms, and an agent's load.
+struct beat_row {
+    node_handle handle = 0;
+    revision config = 0;
+    std::uint64_t digest = 0;
+    std::uint64_t round = 0; ///< the node's own count of its beats
+    std::uint64_t sequence = 0;
+    std::uint32_t active = 0;
+    std::uint32_t queued = 0;
+    microseconds wait{0}; ///< in whole milliseconds on the wire
+    bool leaving = false;
+
+    friend bool operator==(const beat_row&, const beat_row&) = default;
+};
+
+/// Beats on their way to the leader; a relay joins those of its children to its own.
+struct beat_batch {
+    std::vector<beat_row> rows; ///< handles rise
+
+    friend bool operator==(const beat_batch&, const beat_batch&) = default;
+};
+
+/// An agent's load as routers are told about once a second.
+struct load_row {
+    node_handle handle = 0;
+    std::uint64_t sequence = 0;
+    std::uint32_t active = 0;
+    std::uint32_t queued = 0;
+    microseconds wait{0}; ///< in whole milliseconds on the wire
+    bool leaving = false;
+
+    friend bool operator==(const load_row&, const load_row&) = default;
+};
+
+/// An agent that is new in a digest or whose offer changed.
+struct member_row {
+    node_handle handle = 0;
+    node_info node;
+    agent_offer offer;
+
+    friend bool operator==(const member_row&, const member_row&) = default;
+};
+
+/// What changed in one region since the digest `base`; base 0: the whole of it. A node applies it
+/// only to its base, so a late or doubled delta changes nothing.
+struct digest_delta {
+    std::uint64_t sequence = 0;
+    std::uint64_t base = 0;
+    std::vector<member_row> changed;
+    std::vector<node_handle> gone; ///< handles rise
+    std::vector<load_row> loads;   ///< handles rise
+    std::vector<pool_load> pools;
+    std::vector<body_digest> quarantined; ///< all of them, in every delta
+    std::vector<suspect_entry> suspects;  ///< all of them, in every delta
+
+    friend bool operator==(const digest_delta&, const digest_delta&) = default;
+};
+
+/// The beat of this round is answered: its node may serve by the push's revision for the push's
+/// lease, counted from the sending of that beat.
+struct lease_row {
+    node_handle handle = 0;
+    std::uint64_t round = 0;
+
+    friend bool operator==(const lease_row&, const lease_row&) = default;
+};
+
+/// From the leader through relays to all nodes below: leases, the newest configuration where a
+/// node below lacks it, and the region's digest.
+struct push_batch {
+    revision config = 0;
+    std::optional<config_document> document;
+    microseconds lease{0};
+    std::vector<lease_row> rows; ///< handles rise; each named node has this revision
+    std::optional<digest_delta> digest;
+
+    friend bool operator==(const push_batch&, const push_batch&) = default;
+};
+
+/// Answers a heartbeat: the node's handle, and where its beats go from now on.
+struct node_place {
+    node_handle handle = 0;
+    std::uint64_t round = 0; ///< of the heartbeat; its offer is registered
+    node_id parent;          ///< empty: the sender itself
+    std::string address;     ///< of the parent
+
+    friend bool operator==(const node_place&, const node_place&) = default;
+};
+
 /// A confirmed revision, and the configuration where the receiver's is older.
 struct config_push {
     revision config = 0;
@@ -273,6 +366,7 @@
 using control_message =
     std::variant<heartbeat, fleet_digest, config_push, config_ack, crash_report, suspicion,
                  grant_request, grant_reply, grant_result, grant_result_kept, engine_order,
-                 engine_order_reply, fence_query, fence_answer, not_leader, grant_release>;
+                 engine_order_reply, fence_query, fence_answer, not_leader, grant_release,
+                 beat_batch, push_batch, node_place>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/machine.h
+++ b/src/include/bluebell/core/machine.h
@@ -16,12 +16,9 @@
 
 namespace bluebell::core {
 
-/// A short name that control gave a node; 0 is none. Handles are never given twice.
-using node_handle = std::uint32_t;
-
 /// Nodes that registered, by their handles.
 struct node_registry {
-    std::map<node_handle, node_info> nodes;
+    std::map<node_handle, registered_node> nodes;
     std::map<node_id, node_handle> handles;
     std::set<node_handle> gone; ///< given up: known for their incarnation only
     node_handle last = 0;
--- a/src/libcore/machine.cpp
+++ b/src/libcore/machine.cpp
@@ -99,13 +99,14 @@
 {
     std::vector<applied> results;
     const microseconds forget_at = forget_time(st);
-    for (const auto& node : c.nodes) {
+    for (const auto& wanted : c.nodes) {
+        const node_info& node = wanted.node;
         node_handle& handle = st.registry.handles[node.id];
         if (handle == 0)
             handle = ++st.registry.last;
-        node_info& known = st.registry.nodes[handle];
-        if (node.life >= known.life) {
-            known = node;
+        registered_node& known = st.registry.nodes[handle];
+        if (node.life >= known.node.life) {
+            known = wanted;
             st.registry.gone.erase(handle);
             st.grants = end_life(std::move(st.grants), node.id, node.life, forget_at);
         }
@@ -122,7 +123,7 @@
         if (it == st.registry.handles.end())
             continue;
         st.registry.gone.insert(it->second);
-        const incarnation past = st.registry.nodes.at(it->second).life + 1;
+        const incarnation past = st.registry.nodes.at(it->second).node.life + 1;
         st.grants = end_life(std::move(st.grants), node, past, forget_at);
     }
     return {std::move(st), {}};
@@ -133,7 +134,7 @@
 {
     const auto handle = st.registry.handles.find(what.agent);
     return handle != st.registry.handles.end() &&
-           what.life < st.registry.nodes.at(handle->second).life;
+           what.life < st.registry.nodes.at(handle->second).node.life;
 }
 
 machine_step on(machine_state st, const give_grants& c)
--- a/src/libcore/machine_test.cpp
+++ b/src/libcore/machine_test.cpp
@@ -56,7 +56,7 @@
     node.id = agent(n);
     node.role = node_role::agent;
     node.life = life;
-    return register_nodes{{node}};
+    return register_nodes{{{node, {}}}};
 }
 
 /// What an observer of all verdicts knows of one key.
--- a/src/libwire/command_codec.cpp
+++ b/src/libwire/command_codec.cpp
@@ -73,7 +73,7 @@
     void operator()(const register_nodes& c) const
     {
         for (const auto& n : c.nodes)
-            put(n, *to.mutable_register_nodes()->add_nodes());
+            put(member_row{0, n.node, n.offer}, *to.mutable_register_nodes()->add_nodes());
         to.mutable_register_nodes();
     }
     void operator()(const give_up_nodes& c) const
@@ -145,7 +145,14 @@
 
 result<command> get(const pb::RegisterNodes& b)
 {
-    return get_nodes(b.nodes()).map([](auto n) { return command(register_nodes{std::move(n)}); });
+    register_nodes c;
+    for (const auto& n : b.nodes()) {
+        auto member = wire::get(n);
+        if (!member)
+            return tl::unexpected(member.error());
+        c.nodes.push_back({std::move(member->node), std::move(member->offer)});
+    }
+    return c;
 }
 
 result<command> get(const pb::GiveUpNodes& b)
--- a/src/libwire/control_codec.cpp
+++ b/src/libwire/control_codec.cpp
@@ -119,8 +119,6 @@
     return impossible("empty order");
 }
 
-namespace {
-
 void put(const agent_offer& from, pb::AgentOffer& to)
 {
     for (const auto& m : from.models)
@@ -143,6 +141,8 @@
     return o;
 }
 
+namespace {
+
 void put(const grant_verdict& from, pb::GrantReply& to)
 {
     match(
@@ -187,7 +187,7 @@
         wire::put(m.from, *b.mutable_from());
         b.set_config(m.config);
         b.set_digest(m.digest);
-        put(m.offer, *b.mutable_offer());
+        wire::put(m.offer, *b.mutable_offer());
         wire::put(m.load, *b.mutable_load());
         b.set_lease_round(m.lease_round);
     }
@@ -199,7 +199,7 @@
         for (const auto& entry : m.changed) {
             auto& e = *b.add_changed();
             wire::put(entry.node, *e.mutable_node());
-            put(entry.offer, *e.mutable_offer());
+            wire::put(entry.offer, *e.mutable_offer());
             wire::put(entry.load, *e.mutable_load());
         }
         for (const auto& id : m.gone)
@@ -207,18 +207,10 @@
         for (const auto& d : m.quarantined)
             wire::put(d, *b.add_quarantined());
         for (const auto& p : m.pools) {
-            auto& to_pool = *b.add_pools();
-            to_pool.set_pool(p.pool);
-            to_pool.set_engines(p.engines);
-            to_pool.set_active(p.active);
-            to_pool.set_queued(p.queued);
-            to_pool.set_slots(p.slots);
-        }
-        for (const auto& s : m.suspects) {
-            auto& to_suspect = *b.add_suspects();
-            wire::put(s.digest, *to_suspect.mutable_digest());
-            to_suspect.set_holder(s.holder.str());
+            wire::put(p, *b.add_pools());
         }
+        for (const auto& s : m.suspects)
+            wire::put(s, *b.add_suspects());
     }
     void operator()(const config_push& m) const
     {
@@ -293,6 +285,16 @@
         to.mutable_fence_answer()->set_agent(m.agent.str());
         to.mutable_fence_answer()->set_fence(m.fence);
     }
+    void operator()(const beat_batch& m) const { wire::put(m, *to.mutable_beat_batch()); }
+    void operator()(const push_batch& m) const { wire::put(m, *to.mutable_push_batch()); }
+    void operator()(const node_place& m) const
+    {
+        auto& b = *to.mutable_node_place();
+        b.set_handle(m.handle);
+        b.set_round(m.round);
+        b.set_parent(m.parent.str());
+        b.set_address(m.address);
+    }
     void operator()(const not_leader& m) const
     {
         to.mutable_not_leader()->set_leader(m.leader.str());
@@ -311,8 +313,8 @@
     auto from = wire::get(b.from());
     if (!from)
         return tl::unexpected(from.error());
-    return heartbeat{std::move(*from), b.config(),          b.digest(),
-                     get(b.offer()),   wire::get(b.load()), b.lease_round()};
+    return heartbeat{std::move(*from),     b.config(),          b.digest(),
+                     wire::get(b.offer()), wire::get(b.load()), b.lease_round()};
 }
 
 result<control_message> get(const pb::FleetDigest& b)
@@ -324,16 +326,16 @@
         auto node = wire::get(e.node());
         if (!node)
             return tl::unexpected(node.error());
-        m.changed.push_back({std::move(*node), get(e.offer()), wire::get(e.load())});
+        m.changed.push_back({std::move(*node), wire::get(e.offer()), wire::get(e.load())});
     }
     for (const auto& id : b.gone())
         m.gone.push_back(get_id<node_id>(id));
     for (const auto& d : b.quarantined())
         m.quarantined.push_back(wire::get(d));
     for (const auto& p : b.pools())
-        m.pools.push_back({p.pool(), p.engines(), p.active(), p.queued(), p.slots()});
+        m.pools.push_back(wire::get(p));
     for (const auto& s : b.suspects())
-        m.suspects.push_back({wire::get(s.digest()), get_id<node_id>(s.holder())});
+        m.suspects.push_back(wire::get(s));
     return m;
 }
 
@@ -420,6 +422,14 @@
         return not_leader{get_id<node_id>(from.not_leader().leader())};
     case pb::ControlMessage::kGrantRelease:
         return get(from.grant_release());
+    case pb::ControlMessage::kBeatBatch:
+        return wire::get(from.beat_batch());
+    case pb::ControlMessage::kPushBatch:
+        return wire::get(from.push_batch());
+    case pb::ControlMessage::kNodePlace: {
+        const auto& b = from.node_place();
+        return node_place{b.handle(), b.round(), get_id<node_id>(b.parent()), b.address()};
+    }
     case pb::ControlMessage::BODY_NOT_SET:
         break;
     }
--- a/src/libwire/machine_codec.cpp
+++ b/src/libwire/machine_codec.cpp
@@ -127,8 +127,7 @@
     to.set_last_handle(from.last);
     for (const auto& [handle, node] : from.nodes) {
         auto& b = *to.add_registry();
-        b.set_handle(handle);
-        wire::put(node, *b.mutable_node());
+        wire::put(member_row{handle, node.node, node.offer}, *b.mutable_member());
         b.set_gone(from.gone.contains(handle));
     }
 }
@@ -138,13 +137,14 @@
     node_registry registry;
     registry.last = from.last_handle();
     for (const auto& b : from.registry()) {
-        auto node = wire::get(b.node());
-        if (!node)
-            return tl::unexpected(node.error());
-        registry.handles.emplace(node->id, b.handle());
+        auto member = wire::get(b.member());
+        if (!member)
+            return tl::unexpected(member.error());
+        registry.handles.emplace(member->node.id, member->handle);
         if (b.gone())
-            registry.gone.insert(b.handle());
-        registry.nodes.emplace(b.handle(), std::move(*node));
+            registry.gone.insert(member->handle);
+        registry.nodes.emplace(member->handle,
+                               registered_node{std::move(member->node), std::move(member->offer)});
     }
     return registry;
 }
--- a/src/libwire/machine_test.cpp
+++ b/src/libwire/machine_test.cpp
@@ -39,7 +39,7 @@
         set_config{"op-1", ana, wall_time(7), 0, doc, "why"},
         set_config{"op-2", ana, wall_time(8), 0, doc, "why"},
         advance_time{seconds(1)},
-        register_nodes{{node}},
+        register_nodes{{{node, {{model_id::from_trusted("m")}, {}, 4, true}}}},
         give_grants{{asked("a", 1), asked("b", 2), asked("c", 3), asked("d", 4)}},
         end_grants{
             {{asked("a", 1).key, asked("a", 1).attempt, {200, "text/plain", bytes::from("ok")}}},
