Add the replicated log as pure functions on one value

Cause: control needs a durable log that outlives any one VM; the core had only its messages. A member is an id with the life of its disk, so a replica with a lost disk is another member. Conclusion: the interface stands so that control can be built on it.

--- a/src/include/bluebell/core/command.h
+++ b/src/include/bluebell/core/command.h
@@ -18,7 +18,8 @@
 
 /// Sets the control replicas. Takes effect in replication as soon as it is in the log.
 struct set_replicas {
-    std::vector<node_info> replicas;
+    std::vector<node_info> replicas; ///< the voters
+    std::vector<node_info> target;   ///< the voters that a change under way shall come to
 
     friend bool operator==(const set_replicas&, const set_replicas&) = default;
 };
--- a/src/include/bluebell/core/effect.h
+++ b/src/include/bluebell/core/effect.h
@@ -83,6 +83,7 @@
 
 struct disk_vote {
     std::uint64_t ticket = 0;
+    incarnation life = 0;
     term current_term = 0;
     node_id voted_for;
     friend bool operator==(const disk_vote&, const disk_vote&) = default;
@@ -93,13 +94,31 @@
     std::vector<log_entry> entries;
     friend bool operator==(const disk_append&, const disk_append&) = default;
 };
-/// Saves the machine as of the index and drops the log up to it.
+/// Saves the machine as of the index, which it has after this step, and drops the log up to it.
 struct disk_snapshot {
     std::uint64_t ticket = 0;
     log_index index = 0;
     term at_term = 0;
     friend bool operator==(const disk_snapshot&, const disk_snapshot&) = default;
 };
+/// Reads a part of the saved snapshot; snapshot_part_read answers.
+struct snapshot_read {
+    node_id to;
+    log_index index = 0;
+    std::uint64_t offset = 0;
+    std::uint32_t max_bytes = 0;
+    friend bool operator==(const snapshot_read&, const snapshot_read&) = default;
+};
+/// Keeps a received part; offset 0 begins anew. The last part puts the snapshot in place of the
+/// whole log. snapshot_part_stored, snapshot_installed or snapshot_rejected answers.
+struct snapshot_store {
+    log_index index = 0;
+    term at_term = 0;
+    std::uint64_t offset = 0;
+    bool last = false;
+    bytes part;
+    friend bool operator==(const snapshot_store&, const snapshot_store&) = default;
+};
 
 // To operators.
 
@@ -152,10 +171,11 @@
     friend bool operator==(const drained&, const drained&) = default;
 };
 
-using effect = std::variant<send_message, connect_peer, disconnect_peer, reply_head, reply_chunk,
-                            reply_end, reply_error, engine_run, engine_cancel, engine_pause,
-                            engine_order_run, disk_vote, disk_append, disk_snapshot, operator_reply,
-                            wake_at, log_line, observe, set_ready, drained>;
+using effect =
+    std::variant<send_message, connect_peer, disconnect_peer, reply_head, reply_chunk, reply_end,
+                 reply_error, engine_run, engine_cancel, engine_pause, engine_order_run, disk_vote,
+                 disk_append, disk_snapshot, snapshot_read, snapshot_store, operator_reply, wake_at,
+                 log_line, observe, set_ready, drained>;
 using effects = std::vector<effect>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/event.h
+++ b/src/include/bluebell/core/event.h
@@ -119,6 +119,7 @@
 struct disk_loaded {
     bool fresh =
         false; ///< the data folder was empty: this replica must not vote before it caught up
+    incarnation life = 0; ///< as last written with disk_vote
     term current_term = 0;
     node_id voted_for;
     log_index snapshot_index = 0; ///< 0: no snapshot
@@ -127,7 +128,36 @@
     std::vector<log_entry> entries;
     friend bool operator==(const disk_loaded&, const disk_loaded&) = default;
 };
-using disk_event = std::variant<disk_synced, disk_failed, disk_loaded>;
+/// A part of the saved snapshot, for a replica that lacks it.
+struct snapshot_part_read {
+    node_id to;
+    log_index index = 0;
+    std::uint64_t offset = 0;
+    bool last = false;
+    bytes part; ///< empty and not last: there is no such snapshot any more
+    friend bool operator==(const snapshot_part_read&, const snapshot_part_read&) = default;
+};
+/// A received part is kept, but not durable. The next one wanted begins at next_offset.
+struct snapshot_part_stored {
+    log_index index = 0;
+    std::uint64_t next_offset = 0;
+    friend bool operator==(const snapshot_part_stored&, const snapshot_part_stored&) = default;
+};
+/// A received snapshot is durable and has replaced the log.
+struct snapshot_installed {
+    log_index index = 0;
+    term at_term = 0;
+    machine_state machine;
+    friend bool operator==(const snapshot_installed&, const snapshot_installed&) = default;
+};
+/// A received snapshot was damaged and has been dropped. The log is as before.
+struct snapshot_rejected {
+    log_index index = 0;
+    error why;
+    friend bool operator==(const snapshot_rejected&, const snapshot_rejected&) = default;
+};
+using disk_event = std::variant<disk_synced, disk_failed, disk_loaded, snapshot_part_read,
+                                snapshot_part_stored, snapshot_installed, snapshot_rejected>;
 
 // From operators and the platform.
 
--- a/src/include/bluebell/core/machine.h
+++ b/src/include/bluebell/core/machine.h
@@ -24,7 +24,8 @@
 
 /// All replicated state.
 struct machine_state {
-    std::vector<node_info> replicas;
+    std::vector<node_info> replicas;                    ///< control's voters
+    std::vector<node_info> replica_target;              ///< what a change of them shall come to
     config_document document;                           ///< in force at `config`
     revision config = 0;                                ///< rises by one with each accepted change
     std::vector<config_record> history;                 ///< newest last
--- a/src/include/bluebell/core/replication_message.h
+++ b/src/include/bluebell/core/replication_message.h
@@ -29,6 +29,7 @@
     bool pre_vote = false;
     log_index last_index = 0;
     term last_term = 0;
+    bool blank = false; ///< the sender never held an entry: asks for the first election of all
 
     friend bool operator==(const vote_request&, const vote_request&) = default;
 };
@@ -36,6 +37,7 @@
     term at_term = 0;
     bool pre_vote = false;
     bool granted = false;
+    incarnation life = 0; ///< the sender's disk: a vote counts only for the member of this life
 
     friend bool operator==(const vote_reply&, const vote_reply&) = default;
 };
@@ -54,6 +56,7 @@
     bool accepted = false;
     log_index match = 0; ///< accepted: last durable matching entry; refused: where to try next
     std::uint64_t round = 0;
+    incarnation life = 0;
 
     friend bool operator==(const append_reply&, const append_reply&) = default;
 };
@@ -72,6 +75,7 @@
     log_index last_index = 0;
     std::uint64_t next_offset = 0;
     bool installed = false;
+    incarnation life = 0;
 
     friend bool operator==(const snapshot_reply&, const snapshot_reply&) = default;
 };
--- a/src/libcore/machine.cpp
+++ b/src/libcore/machine.cpp
@@ -41,6 +41,7 @@
 machine_step on(machine_state st, const set_replicas& c)
 {
     st.replicas = c.replicas;
+    st.replica_target = c.target;
     return {std::move(st), {}};
 }
 
--- /dev/null
+++ b/src/libcore/replication.cpp
@@ -0,0 +1,235 @@
+// The way of every event through replication, and what an owner may ask of the state.
+
+#include "replication_pvt.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebell::core {
+
+namespace replication {
+
+void send(turn& t, const node_id& to, replication_message msg)
+{
+    send_message what{to, std::move(msg)};
+    const bool waits = t.st.guards.persist_vote && t.st.vote_ticket > t.st.synced_ticket;
+    if (waits)
+        t.st.held.push_back({t.st.vote_ticket, std::move(what)});
+    else
+        t.out.emplace_back(std::move(what));
+}
+
+void say(turn& t, log_level level, std::string_view text, std::vector<log_field> fields)
+{
+    fields.push_back({"term", std::to_string(t.st.current_term)});
+    t.out.emplace_back(make_log(level, "replication", text, request_id(), std::move(fields)));
+}
+
+namespace {
+
+turn begin(replication_state&& st, const context& ctx)
+{
+    return turn{std::move(st), ctx, {}, {}, std::nullopt};
+}
+
+instant next_deadline(const replication_state& st)
+{
+    const auto* leader = std::get_if<leader_part>(&st.role);
+    return leader != nullptr ? leader->next_round : st.election_at;
+}
+
+void ask_wake(turn& t)
+{
+    const instant due = next_deadline(t.st);
+    if (due >= t.st.wake_due)
+        return;
+    t.st.wake_due = due;
+    t.out.emplace_back(wake_at{due});
+}
+
+replication_step finish(turn&& t)
+{
+    if (t.st.health == replica_health::good) {
+        save_if_due(t);
+        ask_wake(t);
+    }
+    return {std::move(t.st), std::move(t.out), std::move(t.committed), std::move(t.install)};
+}
+
+void on(turn& t, const disk_synced& ev)
+{
+    note_synced(t, ev.ticket);
+    match(
+        t.st.role,
+        [&](const follower_part& f) {
+            if (f.owes_reply)
+                reply_append(t, true, confirmed_match(t));
+        },
+        [&](const candidate_part&) { try_win(t); },
+        [&](const leader_part&) {
+            count_confirmations(t);
+            advance_change(t);
+        });
+}
+
+void on(turn& t, const disk_failed& ev)
+{
+    t.st.health = replica_health::failed;
+    t.st.role = follower_part{};
+    t.st.held.clear();
+    say(t, log_level::error, "A write failed: this replica takes no part until it is restarted.",
+        {{"why", to_string(ev.why)}});
+    t.out.emplace_back(set_ready{false});
+}
+
+/// Notes the replicas that the loaded entries set.
+void load_replicas(turn& t, const disk_loaded& ev)
+{
+    if (ev.snapshot_index > 0)
+        adopt_replicas(t, ev.snapshot_index, {ev.snapshot.replicas, ev.snapshot.replica_target});
+    for (const auto& entry : ev.entries) {
+        if (const auto* c = std::get_if<set_replicas>(&entry.what))
+            adopt_replicas(t, entry.index, *c);
+    }
+}
+
+void load_identity(turn& t, const disk_loaded& ev)
+{
+    t.st.life = ev.fresh ? t.ctx.self.life : ev.life;
+    t.st.current_term = ev.current_term;
+    t.st.voted_for = ev.voted_for;
+    // A fresh disk has promised nothing to any leader, in this life.
+    t.st.heard_at = ev.fresh ? t.ctx.now - election_timeout_min : t.ctx.now;
+    if (!ev.fresh)
+        return;
+    t.st.last_ticket += 1;
+    t.st.vote_ticket = t.st.last_ticket;
+    t.out.emplace_back(disk_vote{t.st.vote_ticket, t.st.life, t.st.current_term, t.st.voted_for});
+}
+
+void on(turn& t, const disk_loaded& ev)
+{
+    t.st.health = replica_health::good;
+    load_identity(t, ev);
+    t.st.log = {ev.snapshot_index, ev.snapshot_term, {ev.entries.begin(), ev.entries.end()}};
+    t.st.commit = ev.snapshot_index;
+    t.st.durable = t.st.log.last();
+    t.st.snapshot = {ev.snapshot_index, ev.snapshot_term};
+    load_replicas(t, ev);
+    if (ev.snapshot_index > 0)
+        t.install = ev.snapshot;
+    become_follower(t, t.st.current_term, node_id());
+    say(t, log_level::info, "Loaded the log.",
+        {{"fresh", ev.fresh ? "yes" : "no"},
+         {"snapshot", std::to_string(ev.snapshot_index)},
+         {"last", std::to_string(t.st.log.last())}});
+    const bool alone = may_campaign(t) && peers(t).empty();
+    if (alone)
+        on_election_due(t);
+}
+
+void on_tick(turn& t)
+{
+    t.st.wake_due = instant::max();
+    if (t.leading() != nullptr) {
+        if (t.ctx.now >= t.leading()->next_round)
+            start_round(t);
+        if (t.leading() != nullptr)
+            advance_change(t);
+        return;
+    }
+    if (t.ctx.now >= t.st.election_at)
+        on_election_due(t);
+}
+
+void take(turn& t, const disk_event& ev)
+{
+    std::visit([&](const auto& e) { on(t, e); }, ev);
+}
+
+proposal_step end(turn&& t, proposal_outcome outcome)
+{
+    auto done = finish(std::move(t));
+    return {std::move(done.next), std::move(done.out), std::move(outcome)};
+}
+
+/// Says why a proposal can't be taken, if so.
+std::optional<proposal_outcome> objection(turn& t)
+{
+    const auto* leader = t.leading();
+    if (leader == nullptr || t.st.health != replica_health::good)
+        return proposed_elsewhere{leader_of(t.st, t.self())};
+    if (leader->uncommitted <= max_uncommitted_bytes)
+        return std::nullopt;
+    error why{error_code::overloaded, "propose", t.self().str(), "too much waits for the quorum"};
+    return proposal_refused{std::move(why)};
+}
+
+} // namespace
+
+} // namespace replication
+
+using namespace replication;
+
+replication_step reduce(replication_state current, const context& ctx, const node_id& from,
+                        const replication_message& msg)
+{
+    turn t = begin(std::move(current), ctx);
+    if (t.st.health == replica_health::good)
+        std::visit([&](const auto& m) { replication::on(t, from, m); }, msg);
+    return finish(std::move(t));
+}
+
+replication_step reduce(replication_state current, const context& ctx, const disk_event& ev)
+{
+    turn t = begin(std::move(current), ctx);
+    if (t.st.health != replica_health::failed)
+        take(t, ev);
+    return finish(std::move(t));
+}
+
+replication_step reduce(replication_state current, const context& ctx, const clock_event&)
+{
+    turn t = begin(std::move(current), ctx);
+    if (t.st.health == replica_health::good)
+        on_tick(t);
+    return finish(std::move(t));
+}
+
+proposal_step propose(replication_state current, const context& ctx, std::vector<command> commands)
+{
+    turn t = begin(std::move(current), ctx);
+    if (auto no = objection(t))
+        return end(std::move(t), std::move(*no));
+    const log_index first = t.st.log.last() + 1;
+    std::vector<log_entry> entries;
+    entries.reserve(commands.size());
+    for (auto& c : commands)
+        entries.push_back({first + entries.size(), t.st.current_term, std::move(c)});
+    append_local(t, std::move(entries));
+    replicate_to_all(t);
+    const proposed done{first, t.st.log.last(), t.st.current_term};
+    return end(std::move(t), done);
+}
+
+bool leads(const replication_state& st, instant now)
+{
+    const auto* leader = std::get_if<leader_part>(&st.role);
+    if (leader == nullptr || st.health != replica_health::good || st.commit < leader->first_own)
+        return false;
+    return !st.guards.check_lease || now < leader->lease_from + leader_lease;
+}
+
+node_id leader_of(const replication_state& st, const node_id& self)
+{
+    return match(
+        st.role, [](const follower_part& f) { return f.leader; },
+        [](const candidate_part&) { return node_id(); }, [&](const leader_part&) { return self; });
+}
+
+replica_set replicas_of(const replication_state& st)
+{
+    return st.replicas.empty() ? replica_set{} : st.replicas.back().replicas;
+}
+
+} // namespace bluebell::core
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -47,6 +47,8 @@
     void operator()(const disk_vote&) const {}
     void operator()(const disk_append&) const {}
     void operator()(const disk_snapshot&) const {}
+    void operator()(const snapshot_read&) const {}
+    void operator()(const snapshot_store&) const {}
     void operator()(const operator_reply&) const {}
     void operator()(const wake_at& e) const { node.wake(e.at); }
     void operator()(const log_line& e) const
--- a/src/libwire/replication_codec.cpp
+++ b/src/libwire/replication_codec.cpp
@@ -17,6 +17,8 @@
         [&](const set_replicas& c) {
             for (const auto& n : c.replicas)
                 wire::put(n, *to.mutable_set_replicas()->add_replicas());
+            for (const auto& n : c.target)
+                wire::put(n, *to.mutable_set_replicas()->add_target());
         },
         [&](const set_config& c) {
             auto& b = *to.mutable_set_config();
@@ -38,6 +40,7 @@
         b.set_pre_vote(m.pre_vote);
         b.set_last_index(m.last_index);
         b.set_last_term(m.last_term);
+        b.set_blank(m.blank);
     }
     void operator()(const vote_reply& m) const
     {
@@ -45,6 +48,7 @@
         b.set_term(m.at_term);
         b.set_pre_vote(m.pre_vote);
         b.set_granted(m.granted);
+        b.set_life(m.life);
     }
     void operator()(const append_request& m) const
     {
@@ -68,6 +72,7 @@
         b.set_accepted(m.accepted);
         b.set_match(m.match);
         b.set_round(m.round);
+        b.set_life(m.life);
     }
     void operator()(const snapshot_request& m) const
     {
@@ -86,23 +91,36 @@
         b.set_last_index(m.last_index);
         b.set_next_offset(m.next_offset);
         b.set_installed(m.installed);
+        b.set_life(m.life);
     }
 };
 
+template <class Nodes>
+result<std::vector<node_info>> get_nodes(const Nodes& from)
+{
+    std::vector<node_info> nodes;
+    for (const auto& n : from) {
+        auto node = wire::get(n);
+        if (!node)
+            return tl::unexpected(node.error());
+        nodes.push_back(std::move(*node));
+    }
+    return nodes;
+}
+
 result<command> get(const pb::Command& b)
 {
     switch (b.what_case()) {
     case pb::Command::kNoOperation:
         return no_operation{};
     case pb::Command::kSetReplicas: {
-        set_replicas c;
-        for (const auto& n : b.set_replicas().replicas()) {
-            auto node = wire::get(n);
-            if (!node)
-                return tl::unexpected(node.error());
-            c.replicas.push_back(std::move(*node));
-        }
-        return c;
+        auto voters = get_nodes(b.set_replicas().replicas());
+        if (!voters)
+            return tl::unexpected(voters.error());
+        auto target = get_nodes(b.set_replicas().target());
+        if (!target)
+            return tl::unexpected(target.error());
+        return set_replicas{std::move(*voters), std::move(*target)};
     }
     case pb::Command::kSetConfig: {
         const auto& c = b.set_config();
@@ -140,17 +158,17 @@
     switch (from.body_case()) {
     case pb::ReplicationMessage::kVoteRequest: {
         const auto& b = from.vote_request();
-        return vote_request{b.term(), b.pre_vote(), b.last_index(), b.last_term()};
+        return vote_request{b.term(), b.pre_vote(), b.last_index(), b.last_term(), b.blank()};
     }
     case pb::ReplicationMessage::kVoteReply: {
         const auto& b = from.vote_reply();
-        return vote_reply{b.term(), b.pre_vote(), b.granted()};
+        return vote_reply{b.term(), b.pre_vote(), b.granted(), b.life()};
     }
     case pb::ReplicationMessage::kAppendRequest:
         return get(from.append_request());
     case pb::ReplicationMessage::kAppendReply: {
         const auto& b = from.append_reply();
-        return append_reply{b.term(), b.accepted(), b.match(), b.round()};
+        return append_reply{b.term(), b.accepted(), b.match(), b.round(), b.life()};
     }
     case pb::ReplicationMessage::kSnapshotRequest: {
         const auto& b = from.snapshot_request();
@@ -159,7 +177,7 @@
     }
     case pb::ReplicationMessage::kSnapshotReply: {
         const auto& b = from.snapshot_reply();
-        return snapshot_reply{b.term(), b.last_index(), b.next_offset(), b.installed()};
+        return snapshot_reply{b.term(), b.last_index(), b.next_offset(), b.installed(), b.life()};
     }
     case pb::ReplicationMessage::BODY_NOT_SET:
         break;
