--- a/src/libcore/replication_log.cpp
+++ b/src/libcore/replication_log.cpp
@@ -46,6 +46,21 @@
     {
         return entry_overhead * (1 + c.replicas.size() + c.target.size());
     }
+    std::size_t operator()(const give_grants& c) const
+    {
+        return entry_overhead * (1 + 4 * c.requests.size());
+    }
+    std::size_t operator()(const end_grants& c) const
+    {
+        std::size_t n = entry_overhead * (1 + 2 * c.releases.size());
+        for (const auto& r : c.results)
+            n += 4 * entry_overhead + r.answer.body.size();
+        return n;
+    }
+    std::size_t operator()(const register_nodes& c) const
+    {
+        return entry_overhead * (1 + 2 * c.nodes.size());
+    }
     /// Commands without large texts.
     template <class Command>
     std::size_t operator()(const Command&) const
