--- a/src/libsettings/settings.cpp
+++ b/src/libsettings/settings.cpp
@@ -1,15 +1,13 @@
-// Reads INI files and checks every key against its rule.
+// Reads a settings file and checks it as a whole.
 
-#include <bluebell/settings/settings.h>
+#include "ini_pvt.h"
+#include "rules_pvt.h"
 
-#include <ini.h>
+#include <bluebell/settings/settings.h>
 
 #include <algorithm>
 #include <charconv>
-#include <cstdio>
-#include <functional>
-#include <map>
-#include <memory>
+#include <fstream>
 #include <sstream>
 
 namespace bluebell::settings {
@@ -18,181 +16,162 @@
 
 namespace {
 
-/// One key as found.
-struct entry {
-    int line = 0;
-    std::string value;
-};
-
-/// The file's lines are counted by the reader, which inih calls once per line.
-struct reader {
-    std::FILE* file = nullptr;
-    int line = 0;
-    std::map<std::string, entry> entries;
-
-    static char* next_line(char* buf, int n, void* self)
-    {
-        auto* r = static_cast<reader*>(self);
-        r->line += 1;
-        return std::fgets(buf, n, r->file);
-    }
-    static int take(void* self, const char* section, const char* name, const char* value)
-    {
-        auto* r = static_cast<reader*>(self);
-        r->entries[std::string(section) + "." + name] = {r->line, value};
-        return 1;
-    }
-};
+using problems = std::vector<problem>;
 
-std::vector<std::string> words(const std::string& text)
+const rule* find_rule(const std::string& key)
 {
-    std::istringstream in(text);
-    std::vector<std::string> all;
-    for (std::string w; in >> w;)
-        all.push_back(w);
-    return all;
+    const auto it =
+        std::find_if(rules().begin(), rules().end(), [&](const rule& r) { return r.key == key; });
+    return it == rules().end() ? nullptr : &*it;
 }
 
-bool read_endpoint(const std::string& text, endpoint& to)
+std::string role_names(unsigned roles)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0)
-        return false;
-    const char* end = text.data() + text.size();
-    const auto [at, ec] = std::from_chars(text.data() + colon + 1, end, to.port);
-    to.host = text.substr(0, colon);
-    return ec == std::errc() && at == end && to.port != 0;
+    std::string names;
+    for (const node_role r : {node_role::router, node_role::agent, node_role::control}) {
+        if ((roles & bit_of(r)) != 0)
+            names += (names.empty() ? "" : ", ") + std::string(to_string(r));
+    }
+    return names;
 }
 
-/// A key's rule: whether it is required for a role, what is allowed, and how it is taken.
-struct rule {
-    std::string key;
-    std::string required_for; ///< space-separated roles
-    std::string allowed;
-    std::function<bool(node_settings&, const std::string&)> take;
-};
-
-template <class Id>
-bool take_id(Id& to, const std::string& text)
+/// Takes each known key; the others are problems.
+void take_entries(const ini_document& doc, const std::string& file, node_settings& s, problems& bad)
 {
-    auto id = Id::make(text);
-    if (id)
-        to = std::move(*id);
-    return id.has_value();
+    for (const auto& [key, found] : doc.entries) {
+        const rule* r = find_rule(key);
+        if (r == nullptr)
+            bad.push_back({file, found.line, key, found.value, "no such key"});
+        else if (!take(r->kind, s, found.value))
+            bad.push_back({file, found.line, key, found.value, allowed(r->kind)});
+    }
 }
 
-bool take_role(node_settings& s, const std::string& v)
+/// Checks what depends on the role: keys of other roles, and missing keys.
+void check_role(const ini_document& doc, const std::string& file, const node_settings& s,
+                problems& bad)
 {
-    for (const node_role r : {node_role::router, node_role::agent, node_role::control}) {
-        if (to_string(r) == v) {
-            s.self.role = r;
-            return true;
-        }
+    const unsigned role = bit_of(s.self.role);
+    for (const auto& r : rules()) {
+        const auto it = doc.entries.find(r.key);
+        const bool mine = (r.roles & role) != 0;
+        if (it != doc.entries.end() && !mine)
+            bad.push_back({file, it->second.line, r.key, it->second.value,
+                           "only with node.role = " + role_names(r.roles)});
+        if (it == doc.entries.end() && mine && r.required)
+            bad.push_back({file, 0, r.key, "", allowed(r.kind) + " (required)"});
     }
-    return false;
 }
 
-bool take_controls(node_settings& s, const std::string& v)
+/// Checks keys against each other.
+void check_together(const ini_document& doc, const std::string& file, const node_settings& s,
+                    problems& bad)
 {
-    for (const auto& word : words(v)) {
-        const auto eq = word.find('=');
-        endpoint at;
-        node_info n;
-        if (eq == std::string::npos || !read_endpoint(word.substr(eq + 1), at) ||
-            !take_id(n.id, word.substr(0, eq)))
-            return false;
-        n.role = node_role::control;
-        n.address = "tcp://" + word.substr(eq + 1);
-        s.controls.push_back(std::move(n));
-    }
-    return !s.controls.empty() && s.controls.size() <= 7;
+    const auto line_of = [&](const std::string& key) {
+        const auto it = doc.entries.find(key);
+        return it == doc.entries.end() ? 0 : it->second.line;
+    };
+    const bool listed = std::any_of(s.controls.begin(), s.controls.end(),
+                                    [&](const node_info& n) { return n.id == s.self.id; });
+    if (s.self.role == node_role::control && !s.controls.empty() && !listed)
+        bad.push_back({file, line_of("control.replicas"), "control.replicas", "",
+                       "must name this node, " + s.self.id.str()});
+    if (s.self.role == node_role::agent && s.offer.models.empty() && s.offer.services.empty())
+        bad.push_back({file, line_of("engine.models"), "engine.models", "",
+                       "engine.models or engine.services must name something"});
+    if (s.admin.port == 0 && !s.operator_token_file.empty())
+        bad.push_back({file, line_of("admin.operator_token_file"), "admin.operator_token_file",
+                       s.operator_token_file, "only with admin.listen"});
 }
 
-template <class Id>
-bool take_ids(std::vector<Id>& to, const std::string& v)
+} // namespace
+
+std::string to_string(const problem& p)
 {
-    for (const auto& word : words(v)) {
-        to.emplace_back();
-        if (!take_id(to.back(), word))
-            return false;
-    }
-    return true;
+    return p.file + ":" + std::to_string(p.line) + ": " + p.key + " = " + p.value +
+           ": allowed: " + p.allowed;
 }
 
-bool take_slots(node_settings& s, const std::string& v)
+result<endpoint> parse_endpoint(std::string_view text)
 {
-    const char* end = v.data() + v.size();
-    const auto [at, ec] = std::from_chars(v.data(), end, s.offer.slots);
-    return ec == std::errc() && at == end && s.offer.slots >= 1 && s.offer.slots <= 4096;
+    constexpr std::string_view step = "parse endpoint";
+    const auto colon = text.rfind(':');
+    endpoint at;
+    if (colon == std::string_view::npos || colon == 0)
+        return fail(error_code::invalid_argument, step, text, "must be IP:PORT");
+    const char* end = text.data() + text.size();
+    const auto [last, ec] = std::from_chars(text.data() + colon + 1, end, at.port);
+    at.host = text.substr(0, colon);
+    const bool digits = at.host.find_first_not_of("0123456789.") == std::string::npos;
+    if (ec != std::errc() || last != end || at.port == 0 || !digits)
+        return fail(error_code::invalid_argument, step, text, "must be IP:PORT");
+    return at;
 }
 
-const std::vector<rule>& rules()
+tl::expected<node_settings, problems> parse(std::string_view text, const std::string& name)
 {
-    static const std::vector<rule> all{
-        {"node.role", "any", "router, agent or control", take_role},
-        {"node.id", "any", "1 to 128 visible characters",
-         [](auto& s, const auto& v) { return take_id(s.self.id, v); }},
-        {"node.region", "any", "1 to 128 visible characters",
-         [](auto& s, const auto& v) { return take_id(s.self.region, v); }},
-        {"node.availability_zone", "any", "1 to 128 visible characters",
-         [](auto& s, const auto& v) { return take_id(s.self.zone, v); }},
-        {"node.listen", "any", "IP:PORT",
-         [](auto& s, const auto& v) {
-             endpoint at;
-             s.self.address = "tcp://" + v;
-             return read_endpoint(v, at);
-         }},
-        {"control.replicas", "any", "1 to 7 words ID=IP:PORT", take_controls},
-        {"http.listen", "router", "IP:PORT",
-         [](auto& s, const auto& v) { return read_endpoint(v, s.http); }},
-        {"engine.address", "agent", "IP:PORT",
-         [](auto& s, const auto& v) { return read_endpoint(v, s.engine); }},
-        {"engine.models", "", "words",
-         [](auto& s, const auto& v) { return take_ids(s.offer.models, v); }},
-        {"engine.services", "", "words",
-         [](auto& s, const auto& v) { return take_ids(s.offer.services, v); }},
-        {"engine.slots", "agent", "1 to 4096", take_slots},
-    };
-    return all;
+    const ini_document doc = parse_ini(text);
+    problems bad;
+    for (const int line : doc.bad_lines)
+        bad.push_back({name, line, "", "", "[section], key = value or ; comment"});
+    for (const auto& [key, line] : doc.repeated)
+        bad.push_back({name, line, key, "", "once in a file"});
+    node_settings s;
+    take_entries(doc, name, s, bad);
+    check_role(doc, name, s, bad);
+    check_together(doc, name, s, bad);
+    if (!bad.empty())
+        return tl::unexpected(std::move(bad));
+    return s;
 }
 
-} // namespace
+tl::expected<node_settings, problems> load(const std::string& file)
+{
+    std::ifstream in(file);
+    if (!in)
+        return tl::unexpected(problems{{file, 0, "", "", "a readable file"}});
+    std::ostringstream text;
+    text << in.rdbuf();
+    return parse(text.str(), file);
+}
 
-std::string to_string(const problem& p)
+reload_result reload(const node_settings& current, const node_settings& next)
 {
-    return p.file + ":" + std::to_string(p.line) + ": " + p.key + " = " + p.value + ": allowed " +
-           p.allowed;
+    reload_result r{current, {}};
+    r.settings.log.least = next.log.least;
+    r.settings.operator_token_file = next.operator_token_file;
+    r.settings.offer = next.offer;
+    const auto differs = [&](bool same, const char* key) {
+        if (!same)
+            r.needs_restart.emplace_back(key);
+    };
+    differs(current.self == next.self, "node");
+    differs(current.controls == next.controls, "control.replicas");
+    differs(current.admin == next.admin, "admin.listen");
+    differs(current.key_file == next.key_file, "security.key_file");
+    differs(current.http == next.http, "http.listen");
+    differs(current.limits == next.limits, "http limits");
+    differs(current.engine == next.engine, "engine.address");
+    differs(current.engine_checks_fence == next.engine_checks_fence, "engine.checks_fence");
+    differs(current.data_folder == next.data_folder, "storage.data_folder");
+    differs(current.platform_list == next.platform_list, "platform.list_file");
+    differs(current.log.folder == next.log.folder, "log.folder");
+    return r;
 }
 
-tl::expected<node_settings, std::vector<problem>> load(const std::string& file)
+std::string describe_keys()
 {
-    const std::unique_ptr<std::FILE, int (*)(std::FILE*)> in(std::fopen(file.c_str(), "r"),
-                                                             &std::fclose);
-    if (!in)
-        return tl::unexpected(std::vector<problem>{{file, 0, "", "", "a readable file"}});
-    reader r;
-    r.file = in.get();
-    std::vector<problem> problems;
-    if (const int line = ini_parse_stream(&reader::next_line, &r, &reader::take, &r); line != 0)
-        problems.push_back({file, line, "", "", "[section] or key = value"});
-    node_settings s;
-    for (const auto& [key, found] : r.entries) {
-        const auto it = std::find_if(rules().begin(), rules().end(),
-                                     [&wanted = key](const rule& x) { return x.key == wanted; });
-        if (it == rules().end())
-            problems.push_back({file, found.line, key, found.value, "no such key"});
-        else if (!it->take(s, found.value))
-            problems.push_back({file, found.line, key, found.value, it->allowed});
+    std::string text;
+    for (const auto& r : rules()) {
+        text += r.key + " (" + role_names(r.roles) + (r.required ? ", required" : "") +
+                "): " + allowed(r.kind);
+        if (!r.standard.empty())
+            text += "; default " + r.standard;
+        if (r.may_change)
+            text += "; re-read at SIGHUP";
+        text += "\n";
     }
-    const std::string role(to_string(s.self.role));
-    for (const auto& x : rules()) {
-        const bool required = x.required_for == "any" || x.required_for == role;
-        if (required && !r.entries.contains(x.key))
-            problems.push_back({file, 0, x.key, "", x.allowed});
-    }
-    if (!problems.empty())
-        return tl::unexpected(std::move(problems));
-    return s;
+    return text;
 }
 
 } // namespace bluebell::settings
--- a/testsuite/path/run.sh
+++ b/testsuite/path/run.sh
@@ -4,7 +4,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 reserve_ports
 controls="control-1=127.0.0.1:$((port + 1))"
-node_settings control control-1 $((port + 1)) ''
+node_settings control control-1 $((port + 1)) "[storage]\ndata_folder = $work/data\n"
 node_settings agent agent-1 $((port + 2)) "[engine]\naddress = 127.0.0.1:$((port + 4))\nmodels = m1\nslots = 4\n"
 node_settings router router-1 $((port + 3)) "[http]\nlisten = 127.0.0.1:$((port + 5))\n"
 start engine "$STANDINS_BIN/standin_engine" --port $((port + 4)) --seconds 60
