--- a/src/libwire/replication_codec.cpp
+++ b/src/libwire/replication_codec.cpp
@@ -20,6 +20,7 @@
         b.set_pre_vote(m.pre_vote);
         b.set_last_index(m.last_index);
         b.set_last_term(m.last_term);
+        b.set_blank(m.blank);
     }
     void operator()(const vote_reply& m) const
     {
@@ -27,6 +28,7 @@
         b.set_term(m.at_term);
         b.set_pre_vote(m.pre_vote);
         b.set_granted(m.granted);
+        b.set_life(m.life);
     }
     void operator()(const append_request& m) const
     {
@@ -50,6 +52,7 @@
         b.set_accepted(m.accepted);
         b.set_match(m.match);
         b.set_round(m.round);
+        b.set_life(m.life);
     }
     void operator()(const snapshot_request& m) const
     {
@@ -68,6 +71,7 @@
         b.set_last_index(m.last_index);
         b.set_next_offset(m.next_offset);
         b.set_installed(m.installed);
+        b.set_life(m.life);
     }
 };
 
@@ -96,17 +100,17 @@
     switch (from.body_case()) {
     case pb::ReplicationMessage::kVoteRequest: {
         const auto& b = from.vote_request();
-        return vote_request{b.term(), b.pre_vote(), b.last_index(), b.last_term()};
+        return vote_request{b.term(), b.pre_vote(), b.last_index(), b.last_term(), b.blank()};
     }
     case pb::ReplicationMessage::kVoteReply: {
         const auto& b = from.vote_reply();
-        return vote_reply{b.term(), b.pre_vote(), b.granted()};
+        return vote_reply{b.term(), b.pre_vote(), b.granted(), b.life()};
     }
     case pb::ReplicationMessage::kAppendRequest:
         return get(from.append_request());
     case pb::ReplicationMessage::kAppendReply: {
         const auto& b = from.append_reply();
-        return append_reply{b.term(), b.accepted(), b.match(), b.round()};
+        return append_reply{b.term(), b.accepted(), b.match(), b.round(), b.life()};
     }
     case pb::ReplicationMessage::kSnapshotRequest: {
         const auto& b = from.snapshot_request();
@@ -115,7 +119,7 @@
     }
     case pb::ReplicationMessage::kSnapshotReply: {
         const auto& b = from.snapshot_reply();
-        return snapshot_reply{b.term(), b.last_index(), b.next_offset(), b.installed()};
+        return snapshot_reply{b.term(), b.last_index(), b.next_offset(), b.installed(), b.life()};
     }
     case pb::ReplicationMessage::BODY_NOT_SET:
         break;
