--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -1,24 +1,59 @@
 /// \file
-/// Control's part of the reducer: the directory of nodes, the replicated log and what hangs on it.
+/// Control's part of the reducer: the replicated log, and what its leader does by it. Only a leader
+/// whose lease is valid answers, renews leases, or sends orders.
 #pragma once
 
 #include <bluebell/core/context.h>
+#include <bluebell/core/dissemination.h>
+#include <bluebell/core/replication.h>
 
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace bluebell::core {
 
-/// A node as control last heard of it.
-struct member {
-    heartbeat last;
-    instant heard_at{};
+/// What waits to go into the log with the next batch. One batch is in the log at a time, so that
+/// a slow disk makes larger batches.
+struct command_queue {
+    std::vector<command> commands;
+    std::vector<grant_request> grants;
+    end_grants ends;
+    std::map<node_id, heartbeat> arriving; ///< nodes to register, answered once applied
+    std::optional<proposed> in_flight;
 
-    friend bool operator==(const member&, const member&) = default;
+    friend bool operator==(const command_queue&, const command_queue&) = default;
+};
+
+/// An accepted change that may not be in force everywhere yet.
+struct waiting_change {
+    std::string operation;
+    revision number = 0;
+
+    friend bool operator==(const waiting_change&, const waiting_change&) = default;
+};
+
+/// What a leader keeps besides the log.
+struct leadership {
+    term at_term = 0; ///< 0: this replica doesn't lead
+    directory members;
+    dissemination spread;
+    command_queue queue;
+    std::map<std::string, bool> operators; ///< operations that an operator awaits
+    std::vector<waiting_change> changes;
+    std::map<std::uint64_t, instant> orders_sent; ///< by fence
+    std::map<std::string, instant> placements;    ///< last change by region and model
+    instant time_marked{};                        ///< the log's clock stands for this instant
+    instant next_review{};
+
+    friend bool operator==(const leadership&, const leadership&) = default;
 };
 
 struct control_state {
-    std::map<node_id, member> members;
-    std::uint64_t digest = 0; ///< rises whenever members changes
+    replication_state log;
+    machine_state machine;
+    fleet_config config; ///< of the machine
+    leadership lead;
 
     friend bool operator==(const control_state&, const control_state&) = default;
 };
@@ -34,4 +69,38 @@
                                   const operator_event& ev);
 [[nodiscard]] control_step reduce(control_state current, const context& ctx, const clock_event& ev);
 
+/// One node as operators see it.
+struct node_status {
+    node_info node;
+    agent_offer offer;
+    bool present = false;
+    bool drained = false;
+    revision in_force = 0; ///< as the node last confirmed
+    microseconds silence{0};
+    beat_row last;
+
+    friend bool operator==(const node_status&, const node_status&) = default;
+};
+
+/// What operators may read. Only a leader's view is up to date; others have the log's part.
+struct control_view {
+    bool leads = false;
+    node_id leader; ///< as far as known
+    revision config = 0;
+    bool everywhere = false; ///< no node can serve by an older revision
+    std::vector<node_id> lagging;
+    std::vector<node_status> nodes;
+    std::vector<order_record> orders; ///< open ones first, then ended ones, newest first
+
+    friend bool operator==(const control_view&, const control_view&) = default;
+};
+
+/// Reads the view. The document and its history are in machine.configuration.
+[[nodiscard]] control_view view_of(const control_state& st, const node_id& self, instant now);
+
+/// The highest fence that can have been given for the agent's engine: in the applied state or in
+/// the rest of the log here. A majority of replicas holds every committed order in its logs, so
+/// the maximum of a majority's answers is at least every order that was ever sent.
+[[nodiscard]] std::uint64_t highest_fence(const control_state& st, const node_id& agent);
+
 } // namespace bluebell::core
--- a/src/include/bluebell/core/control_message.h
+++ b/src/include/bluebell/core/control_message.h
@@ -166,7 +166,8 @@
     revision config = 0;
     std::optional<config_document> document;
     microseconds lease{0};
-    std::vector<lease_row> rows; ///< handles rise; each named node has this revision
+    std::vector<lease_row> rows;      ///< handles rise; each named node has this revision
+    std::vector<node_handle> drained; ///< of these rows, nodes that shall take no new work
     std::optional<digest_delta> digest;
 
     friend bool operator==(const push_batch&, const push_batch&) = default;
--- /dev/null
+++ b/src/include/bluebell/core/relay.h
@@ -0,0 +1,55 @@
+/// \file
+/// A router as a relay: joins its children's beats on their way to the leader and passes pushes
+/// down. It makes no lease and no revision of its own.
+#pragma once
+
+#include <bluebell/core/effect.h>
+
+#include <map>
+
+namespace bluebell::core {
+
+/// A node whose beats come through this relay.
+struct relay_child {
+    node_id via; ///< who sent its last beat: itself, or the relay below
+    beat_row last;
+    bool waiting = false; ///< its last beat has not been passed on
+    instant heard_at{};
+
+    friend bool operator==(const relay_child&, const relay_child&) = default;
+};
+
+struct relay_state {
+    std::map<node_handle, relay_child> children;
+    instant flush_at = instant::max(); ///< when waiting beats are passed on
+
+    friend bool operator==(const relay_state&, const relay_state&) = default;
+};
+
+/// How long a relay holds beats to join them.
+inline constexpr microseconds relay_hold{100'000};
+/// A child not heard for this long is forgotten.
+inline constexpr microseconds relay_child_timeout{5'000'000};
+
+/// Takes children's beats in; rows of `self` and rows older than the last are dropped.
+[[nodiscard]] relay_state take(relay_state current, instant now, node_handle self,
+                               const node_id& from, const beat_batch& batch);
+
+struct relay_flush {
+    relay_state next;
+    std::vector<beat_row> rows; ///< handles rise
+};
+
+/// Gives the waiting beats, and forgets children that are silent.
+[[nodiscard]] relay_flush flush(relay_state current, instant now);
+
+/// What each neighbour below is sent of a push: its own leases, the document where it lacks the
+/// revision, and the digest, to agents without its rows.
+[[nodiscard]] effects pass_on(const relay_state& relay, const push_batch& push,
+                              const std::optional<config_document>& newest,
+                              const std::map<node_handle, agent_entry>& agents);
+
+/// The digest without the rows that only routers need.
+[[nodiscard]] digest_delta pools_only(const digest_delta& digest);
+
+} // namespace bluebell::core
--- a/src/libcore/reducer.cpp
+++ b/src/libcore/reducer.cpp
@@ -4,6 +4,8 @@
 #include <bluebell/core/visit.h>
 
 #include <iterator>
+#include <optional>
+#include <type_traits>
 
 namespace bluebell::core {
 
@@ -34,25 +36,40 @@
     return agent == nullptr ? load_report{} : report_of(*agent, st.self);
 }
 
-/// The configuration's part, the same for every role that follows control.
-effects follow_control(node_state& st, const event& ev)
+/// The follower's part of one control message; other messages are the role's alone.
+template <class Message>
+follower_step follow_message(node_state& st, const event& ev, const node_id& from,
+                             const Message& msg)
+{
+    if constexpr (std::is_same_v<Message, push_batch>)
+        return follow(std::move(st.fleet), ev.at, st.self, msg);
+    else if constexpr (std::is_same_v<Message, node_place> || std::is_same_v<Message, beat_batch>)
+        return follow(std::move(st.fleet), ev.at, from, msg);
+    else
+        return {std::move(st.fleet), {}, {}};
+}
+
+/// What follows control, the same for every role but control itself.
+follower_step follow_control(node_state& st, const event& ev)
 {
     if (std::holds_alternative<control_state>(st.role))
-        return {};
-    if (std::holds_alternative<clock_event>(ev.body)) {
-        auto done = follow(std::move(st.fleet), ev.at, st.self, offer_of(st), load_of(st));
-        st.fleet = std::move(done.next);
-        return std::move(done.out);
-    }
+        return {std::move(st.fleet), {}, {}};
+    if (std::holds_alternative<clock_event>(ev.body))
+        return follow(std::move(st.fleet), ev.at, st.self, offer_of(st), load_of(st));
     const auto* peer = std::get_if<peer_event>(&ev.body);
     const auto* received = peer ? std::get_if<message_received>(peer) : nullptr;
     const auto* group = received ? std::get_if<control_message>(&received->what) : nullptr;
-    const auto* push = group ? std::get_if<config_push>(group) : nullptr;
-    if (push == nullptr)
-        return {};
-    auto done = follow(std::move(st.fleet), ev.at, received->from, *push);
-    st.fleet = std::move(done.next);
-    return std::move(done.out);
+    if (group == nullptr)
+        return {std::move(st.fleet), {}, {}};
+    return std::visit([&](const auto& msg) { return follow_message(st, ev, received->from, msg); },
+                      *group);
+}
+
+/// A digest reaches the role with its handles resolved, in place of the push that brought it.
+event resolved(const event& ev, fleet_digest news)
+{
+    const auto& from = std::get<message_received>(std::get<peer_event>(ev.body)).from;
+    return {ev.at, ev.random, peer_event(message_received{from, control_message(std::move(news))})};
 }
 
 } // namespace
@@ -60,7 +77,11 @@
 step reduce(node_state current, const event& ev)
 {
     node_state next = std::move(current);
-    effects out = follow_control(next, ev);
+    follower_step followed = follow_control(next, ev);
+    next.fleet = std::move(followed.next);
+    effects out = std::move(followed.out);
+    const std::optional<event> digest =
+        followed.news ? std::optional(resolved(ev, std::move(*followed.news))) : std::nullopt;
     const context ctx{ev.at, ev.random, next.self, next.fleet};
     std::visit(
         [&]<class State, class Events>(State& role, const Events& body) {
@@ -73,7 +94,7 @@
                                           "Event has no meaning for this role.", request_id()));
             }
         },
-        next.role, ev.body);
+        next.role, digest ? digest->body : ev.body);
     return {std::move(next), std::move(out)};
 }
 
--- a/src/libwire/dissemination_codec.cpp
+++ b/src/libwire/dissemination_codec.cpp
@@ -240,6 +240,8 @@
     to.set_lease_us(from.lease.count());
     put_handles(from.rows, to.mutable_handle_step());
     put_column(from.rows, to.mutable_round(), [](const auto& r) { return r.round; });
+    for (const auto handle : from.drained)
+        to.add_drained(handle);
     if (from.digest)
         put(*from.digest, *to.mutable_digest());
 }
@@ -256,6 +258,7 @@
         return impossible("columns of unequal length");
     for (int i = 0; i < from.round_size(); ++i)
         m.rows[static_cast<std::size_t>(i)].round = from.round(i);
+    m.drained.assign(from.drained().begin(), from.drained().end());
     if (from.has_digest()) {
         auto digest = get(from.digest());
         if (!digest)
