Guard callers' connections and tell an engine's crash before its calls

Cause: a byte of a pipelined request while a reply was awaited ended the process inside evhttp, requests of callers that went leaked, an error event was lost with its connection, a sender of one byte a second held a connection for ever, and a drain could stop before the last bytes left. Change: sessions take evhttp's read callback away while a reply streams, free what evhttp leaves to them, and close only when their output is empty; a guard bounds connections and the time to send a request; resume by GET /v1/requests/ID or POST with Last-Event-ID. The agent's client pauses reading, runs orders, reads token counts and cache events, and tells engine_down before the engine_failed of the calls that were in the engine.

--- a/src/include/bluebell/core/event.h
+++ b/src/include/bluebell/core/event.h
@@ -89,7 +89,8 @@
     std::vector<hash64> evicted; ///< prefix blocks dropped
     friend bool operator==(const engine_report&, const engine_report&) = default;
 };
-/// The engine's process is gone: its connections broke and its health page doesn't answer.
+/// The engine's process is gone or has restarted: its load page doesn't answer, or has another
+/// life. Comes before the engine_failed of the calls whose connections broke with it.
 struct engine_down {
     error why;
     friend bool operator==(const engine_down&, const engine_down&) = default;
--- a/src/include/bluebell/runtime/event_loop.h
+++ b/src/include/bluebell/runtime/event_loop.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 struct event_base;
 struct event;
@@ -27,15 +28,24 @@
     void run();
     void stop();
 
+    /// Calls back once the callbacks that run now have returned. What must not be freed inside a
+    /// library's callback is freed so.
+    void defer(std::function<void()> what);
+
+    /// Calls everything deferred, without running the loop; for the end of its users.
+    void settle();
+
     /// The clock of all events, in microseconds since an arbitrary start.
     [[nodiscard]] core::instant now() const;
 
     [[nodiscard]] event_base* base() const { return base_; }
 
 private:
-    explicit event_loop(event_base* base) : base_(base) {}
+    explicit event_loop(event_base* base);
 
     event_base* base_;
+    std::vector<std::function<void()>> deferred_; ///< not yet called, oldest first
+    std::unique_ptr<class watcher> defer_timer_;
 };
 
 /// Calls back on the loop: at a time, on a signal, or when a descriptor can be read.
--- a/src/include/bluebell/wire/chat_http.h
+++ b/src/include/bluebell/wire/chat_http.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace bluebell::wire {
@@ -39,6 +40,25 @@
     friend bool operator==(const parsed_call&, const parsed_call&) = default;
 };
 
+/// A caller that comes back for the rest of an answer.
+struct parsed_resume {
+    core::request_id request;
+    core::workspace_id workspace;
+    std::uint64_t last_event = 0; ///< the last event the caller has; 0: none
+
+    friend bool operator==(const parsed_resume&, const parsed_resume&) = default;
+};
+
+/// A page that tells the process's condition.
+enum class probe : std::uint8_t { health, readiness };
+
+using parsed_request = std::variant<parsed_call, parsed_resume, probe>;
+
+/// Reads any request of the API. fallback names the request when the caller doesn't. Fails with
+/// invalid_argument or not_found; the error names the step.
+[[nodiscard]] core::result<parsed_request> parse_request(const http_request& request,
+                                                         const core::request_id& fallback);
+
 /// Reads a POST /v1/chat/completions. fallback names the request when the caller doesn't. Fails
 /// with invalid_argument at step `parse chat request`.
 [[nodiscard]] core::result<parsed_call> parse_chat_call(const http_request& request,
@@ -49,6 +69,10 @@
 [[nodiscard]] core::result<parsed_call> parse_service_call(const http_request& request,
                                                            const core::request_id& fallback);
 
+/// Reads a GET /v1/requests/REQUEST_ID, or a POST /v1/chat/completions with Last-Event-ID and
+/// X-Request-Id. Fails with invalid_argument at step `parse resume`.
+[[nodiscard]] core::result<parsed_resume> parse_resume(const http_request& request);
+
 /// Returns one server-sent event.
 [[nodiscard]] std::string sse_event(std::uint64_t id, std::string_view data);
 
--- a/src/libruntime/event_loop.cpp
+++ b/src/libruntime/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 
 #include <chrono>
+#include <utility>
 
 namespace bluebell::runtime {
 
@@ -19,11 +20,34 @@
     return std::shared_ptr<event_loop>(new event_loop(base));
 }
 
+event_loop::event_loop(event_base* base) : base_(base)
+{
+    defer_timer_ = watcher::timer(*this, [this] { settle(); });
+}
+
 event_loop::~event_loop()
 {
+    settle();
+    defer_timer_.reset();
     event_base_free(base_);
 }
 
+void event_loop::defer(std::function<void()> what)
+{
+    if (deferred_.empty())
+        defer_timer_->arm(core::microseconds{0});
+    deferred_.push_back(std::move(what));
+}
+
+void event_loop::settle()
+{
+    while (!deferred_.empty()) {
+        const auto due = std::exchange(deferred_, {});
+        for (const auto& what : due)
+            what();
+    }
+}
+
 void event_loop::run()
 {
     event_base_dispatch(base_);
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -42,8 +42,8 @@
     void operator()(const reply_error& e) const { node.ports_.callers->run(e); }
     void operator()(const engine_run& e) const { node.ports_.engine->run(e); }
     void operator()(const engine_cancel& e) const { node.ports_.engine->run(e); }
-    void operator()(const engine_pause&) const {}
-    void operator()(const engine_order_run&) const {}
+    void operator()(const engine_pause& e) const { node.ports_.engine->run(e); }
+    void operator()(const engine_order_run& e) const { node.ports_.engine->run(e); }
     void operator()(const disk_vote&) const {}
     void operator()(const disk_append&) const {}
     void operator()(const disk_snapshot&) const {}
@@ -69,7 +69,14 @@
         if (node.ports_.callers)
             node.ports_.callers->set_ready(e.ready);
     }
-    void operator()(const drained&) const { node.loop_->stop(); }
+    void operator()(const drained&) const
+    {
+        const auto stop = [loop = node.loop_] { loop->stop(); };
+        if (node.ports_.callers)
+            node.ports_.callers->when_flushed(stop);
+        else
+            stop();
+    }
 };
 
 result<std::shared_ptr<node_runner>> node_runner::make(std::shared_ptr<event_loop> loop,
--- a/src/libwire/chat_http.cpp
+++ b/src/libwire/chat_http.cpp
@@ -17,6 +17,24 @@
 constexpr std::size_t bytes_per_token = 4;
 constexpr std::uint32_t default_max_tokens = 256;
 
+constexpr std::string_view chat_path = "/v1/chat/completions";
+constexpr std::string_view requests_root = "/v1/requests/";
+constexpr std::string_view services_root = "/v1/services/";
+
+/// The path without the query.
+std::string path_of(const http_request& request)
+{
+    return request.path.substr(0, request.path.find('?'));
+}
+
+/// Reads a whole decimal number; false if there is anything else.
+template <class Number>
+bool read_number(std::string_view text, Number& to)
+{
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), to);
+    return ec == std::errc() && end == text.data() + text.size();
+}
+
 std::string header(const http_request& request, std::string_view name)
 {
     const auto it = request.headers.find(std::string(name));
@@ -39,8 +57,7 @@
     if (text.empty())
         return microseconds{0};
     std::uint32_t ms = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
-    if (ec != std::errc() || end != text.data() + text.size() || ms == 0)
+    if (!read_number(text, ms) || ms == 0)
         return fail(error_code::invalid_argument, "parse deadline", "",
                     std::string(header_deadline) + " must be a whole number of milliseconds");
     return microseconds(milliseconds(ms));
@@ -158,15 +175,14 @@
 
 result<parsed_call> parse_service_call(const http_request& request, const request_id& fallback)
 {
-    constexpr std::string_view root = "/v1/services/";
     constexpr std::string_view step = "parse service call";
-    if (!request.path.starts_with(root))
+    if (!request.path.starts_with(services_root))
         return fail(error_code::not_found, step, "", "no such page");
     auto c = common_call(request, fallback);
     if (!c)
         return tl::unexpected(c.error());
-    const std::string rest = request.path.substr(root.size());
-    const auto slash = rest.find('/');
+    const std::string rest = request.path.substr(services_root.size());
+    const auto slash = rest.find_first_of("/?");
     auto service = service_id::make(rest.substr(0, slash));
     if (!service)
         return fail(error_code::invalid_argument, step, "", "a service name is required");
@@ -174,12 +190,66 @@
     target.service = std::move(*service);
     target.method = request.method;
     target.path = slash == std::string::npos ? "/" : rest.substr(slash);
+    if (target.path.front() == '?')
+        target.path.insert(0, "/");
     target.content_type = header(request, "content-type");
     c->target = std::move(target);
     c->idempotent = request.method != "POST" && request.method != "PATCH";
     return parsed_call{std::move(*c), false};
 }
 
+result<parsed_resume> parse_resume(const http_request& request)
+{
+    constexpr std::string_view step = "parse resume";
+    const std::string path = path_of(request);
+    const std::string name = path.starts_with(requests_root) ? path.substr(requests_root.size())
+                                                             : header(request, header_request);
+    auto id = request_id::make(name);
+    if (!id)
+        return fail(error_code::invalid_argument, step, "",
+                    std::string(header_request) + " is required with " +
+                        std::string(header_last_event));
+    auto workspace = workspace_id::make(header(request, header_workspace));
+    if (!workspace)
+        return fail(error_code::invalid_argument, step, "",
+                    std::string(header_workspace) + " is required");
+    const std::string text = header(request, header_last_event);
+    std::uint64_t last = 0;
+    if (!text.empty() && !read_number(text, last))
+        return fail(error_code::invalid_argument, step, "",
+                    std::string(header_last_event) + " must be a whole number");
+    return parsed_resume{std::move(*id), std::move(*workspace), last};
+}
+
+result<parsed_request> parse_request(const http_request& request, const request_id& fallback)
+{
+    constexpr std::string_view step = "parse request";
+    const auto widen = [](auto parsed) {
+        return parsed.map([](auto what) { return parsed_request(std::move(what)); });
+    };
+    const std::string path = path_of(request);
+    const bool reads = request.method == "GET" || request.method == "HEAD";
+    if (reads && path == "/healthz")
+        return probe::health;
+    if (reads && path == "/readyz")
+        return probe::readiness;
+    if (path == chat_path) {
+        if (request.method != "POST")
+            return fail(error_code::invalid_argument, step, "", "the method must be POST");
+        if (!header(request, header_last_event).empty())
+            return widen(parse_resume(request));
+        return widen(parse_chat_call(request, fallback));
+    }
+    if (path.starts_with(requests_root)) {
+        if (request.method != "GET")
+            return fail(error_code::invalid_argument, step, "", "the method must be GET");
+        return widen(parse_resume(request));
+    }
+    if (path.starts_with(services_root) && !request.method.empty())
+        return widen(parse_service_call(request, fallback));
+    return fail(error_code::not_found, step, "", "no such page or method");
+}
+
 std::string sse_event(std::uint64_t id, std::string_view data)
 {
     std::string text = "id: " + std::to_string(id) + "\ndata: ";
--- /dev/null
+++ b/src/libwire/engine_http.cpp
@@ -0,0 +1,138 @@
+// The engines' API to values and back.
+
+#include <bluebell/core/visit.h>
+#include <bluebell/wire/engine_http.h>
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace bluebell::wire {
+
+using namespace core;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view step = "read engine report";
+constexpr int hex = 16;
+
+/// A number member within range, or the fallback.
+template <class Number>
+Number number_of(const json& doc, const char* name, Number fallback)
+{
+    const auto it = doc.find(name);
+    if (it == doc.end() || !it->is_number_unsigned())
+        return fallback;
+    const auto value = it->get<std::uint64_t>();
+    return value > std::numeric_limits<Number>::max() ? fallback : static_cast<Number>(value);
+}
+
+std::vector<hash64> hashes_of(const json& doc, const char* name)
+{
+    std::vector<hash64> all;
+    const auto it = doc.find(name);
+    if (it == doc.end() || !it->is_array())
+        return all;
+    for (const auto& item : *it) {
+        if (!item.is_string() || all.size() == max_report_items)
+            break;
+        const auto& text = item.get_ref<const std::string&>();
+        hash64 h = 0;
+        if (std::from_chars(text.data(), text.data() + text.size(), h, hex).ec == std::errc())
+            all.push_back(h);
+    }
+    return all;
+}
+
+json hex_list(const std::vector<hash64>& all)
+{
+    json list = json::array();
+    for (const hash64 h : all) {
+        std::array<char, 16> buf{};
+        const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), h, hex);
+        list.push_back(std::string(buf.data(), end));
+    }
+    return list;
+}
+
+} // namespace
+
+result<engine_load> parse_engine_load(std::string_view body)
+{
+    const json doc = json::parse(body, nullptr, false);
+    if (!doc.is_object())
+        return fail(error_code::corrupt, step, "", "not a JSON object");
+    engine_load load;
+    load.life = number_of<incarnation>(doc, "life", 0);
+    load.running = number_of<std::uint32_t>(doc, "running", 0);
+    if (doc.contains("slots"))
+        load.slots = number_of<std::uint32_t>(doc, "slots", 0);
+    if (const auto it = doc.find("models"); it != doc.end() && it->is_array()) {
+        load.models.emplace();
+        for (const auto& item : *it) {
+            auto id = model_id::make(item.is_string() ? item.get<std::string>() : "");
+            if (!id || load.models->size() == max_report_items)
+                return fail(error_code::corrupt, step, "", "models must be names");
+            load.models->push_back(std::move(*id));
+        }
+    }
+    load.cached = hashes_of(doc, "cached");
+    load.evicted = hashes_of(doc, "evicted");
+    return load;
+}
+
+std::string engine_load_json(const engine_load& load)
+{
+    json doc{{"life", load.life},
+             {"running", load.running},
+             {"cached", hex_list(load.cached)},
+             {"evicted", hex_list(load.evicted)}};
+    if (load.slots)
+        doc["slots"] = *load.slots;
+    if (load.models) {
+        doc["models"] = json::array();
+        for (const auto& m : *load.models)
+            doc["models"].push_back(m.str());
+    }
+    return doc.dump();
+}
+
+std::string order_json(const engine_order& what)
+{
+    json doc = match(
+        what.what,
+        [](const load_model& o) {
+            return json{{"order", "load_model"}, {"model", o.model.str()}, {"version", o.version}};
+        },
+        [](const unload_model& o) {
+            return json{{"order", "unload_model"}, {"model", o.model.str()}};
+        },
+        [](const load_adapter& o) {
+            return json{
+                {"order", "load_adapter"}, {"model", o.model.str()}, {"adapter", o.adapter.str()}};
+        },
+        [](const change_role& o) {
+            return json{{"order", "change_role"}, {"role", o.role}};
+        });
+    doc["fence"] = what.fence;
+    return doc.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<token_usage> usage_of(std::string_view payload)
+{
+    if (payload.find("\"usage\"") == std::string_view::npos)
+        return std::nullopt;
+    const json doc = json::parse(payload, nullptr, false);
+    if (!doc.is_object() || !doc.contains("usage") || !doc["usage"].is_object())
+        return std::nullopt;
+    const json& usage = doc["usage"];
+    token_usage u;
+    u.generated = number_of<std::uint32_t>(usage, "completion_tokens", 0);
+    const auto details = usage.find("prompt_tokens_details");
+    if (details != usage.end() && details->is_object())
+        u.cached = number_of<std::uint32_t>(*details, "cached_tokens", 0);
+    return u;
+}
+
+} // namespace bluebell::wire
