Admit only holders of the fleet's key between processes

Cause: any client that knew the public key was admitted, an envelope could name any sender, a queue for a dead peer was delivered when it came back, and each peer cost a socket and a descriptor. Conclusion: runtime_test shows a peer without the key, with another key, forged and damaged envelopes get nowhere.

--- a/src/include/bluebell/runtime/peer_bus.h
+++ b/src/include/bluebell/runtime/peer_bus.h
@@ -1,15 +1,16 @@
 /// \file
-/// Messages between processes over ZeroMQ. One bound socket receives from every peer; one
-/// connected socket per known peer sends to it and receives its replies.
+/// Messages between processes over ZeroMQ. One bound socket takes the connections that peers make
+/// to this process, one more socket makes all of its own; a process with 600 peers still has two.
 #pragma once
 
 #include <bluebell/core/error.h>
 #include <bluebell/core/message.h>
 #include <bluebell/runtime/event_loop.h>
+#include <bluebell/runtime/keys.h>
 
 #include <functional>
-#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace bluebell::runtime {
@@ -17,10 +18,9 @@
 /// How the bus is set up.
 struct peer_bus_options {
     core::node_id self;
-    std::string listen;      ///< tcp://IP:PORT
-    std::string public_key;  ///< Z85, 40 characters; empty: no encryption
-    std::string secret_key;  ///< Z85, 40 characters
-    int send_queue = 10'000; ///< messages held for one peer before sends fail
+    std::string listen;           ///< tcp://IP:PORT
+    std::optional<key_pair> keys; ///< absent: no encryption, any peer is admitted
+    int send_queue = 10'000;      ///< messages held for one peer before sends fail
 
     friend bool operator==(const peer_bus_options&, const peer_bus_options&) = default;
 };
@@ -30,7 +30,12 @@
 public:
     struct callbacks {
         std::function<void(const core::node_id& from, core::message what)> message;
-        std::function<void(const core::error& why)> bad;
+        /// A connection that this process had made to the peer broke, or couldn't be made while
+        /// messages waited for it.
+        std::function<void(const core::node_id& peer)> unreachable;
+        /// A message or a peer was refused. Called at most once a second; dropped counts what was
+        /// refused since without a call.
+        std::function<void(const core::error& why, std::uint64_t dropped)> bad;
     };
 
     /// Binds the socket. Fails with unavailable at step `bind peer socket`.
@@ -45,8 +50,10 @@
     void connect(const core::node_id& peer, const std::string& address);
     void disconnect(const core::node_id& peer);
 
-    /// Queues a message. A peer without a known address is reached over the connection it made.
-    /// Fails with unavailable at step `send to peer` when it is unknown or its queue is full.
+    /// Queues a message. It goes over the connection made to the peer, else over one that the peer
+    /// made. While the first connection is being made, messages wait for it for a second at most.
+    /// Fails with unavailable at step `send to peer` when there is no connection or its queue is
+    /// full; nothing of the message is sent then.
     [[nodiscard]] core::result<void> send(const core::node_id& to, const core::message& what);
 
 private:
--- a/src/libruntime/caller_server.cpp
+++ b/src/libruntime/caller_server.cpp
@@ -8,7 +8,9 @@
 #include <bluebell/runtime/caller_server.h>
 
 #include <event2/http.h>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <random>
 
 namespace bluebell::runtime {
@@ -18,6 +20,9 @@
 namespace {
 
 constexpr int listen_backlog = 1024;
+/// Descriptors kept for everything but callers. Without any left, accepting would fail for ever
+/// and wake the loop each time.
+constexpr std::size_t other_descriptors = 256;
 
 /// Every method that evhttp knows is taken, so that the refusal is ours to word.
 constexpr ev_uint16_t all_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
@@ -34,6 +39,16 @@
     return n;
 }
 
+/// The connections that the descriptors allow, at most `wanted`.
+std::size_t connections_within(std::size_t wanted)
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return wanted;
+    const std::size_t all = limit.rlim_cur;
+    return std::min(wanted, all > 2 * other_descriptors ? all - other_descriptors : all / 2);
+}
+
 bufferevent* make_buffer(event_base*, void* guard)
 {
     return static_cast<connection_guard*>(guard)->accept();
@@ -52,7 +67,8 @@
     std::shared_ptr<caller_server> s(new caller_server(std::move(loop), std::move(on_event)));
     const std::weak_ptr<caller_server> weak = s;
     s->guard_ = std::make_shared<connection_guard>(
-        s->loop_, connection_guard::limits{options.max_connections, options.request_time});
+        s->loop_, connection_guard::limits{connections_within(options.max_connections),
+                                           options.request_time});
     caller_session::callbacks calls;
     calls.gone = [weak](const request_id& id) {
         if (const auto server = weak.lock())
--- /dev/null
+++ b/src/libruntime/zap_handler.cpp
@@ -0,0 +1,62 @@
+// The ZAP handler: one reply per handshake.
+
+#include "zap_handler_pvt.h"
+
+#include <array>
+#include <vector>
+
+namespace bluebell::runtime {
+
+namespace {
+
+constexpr std::size_t raw_key_size = 32;
+/// Frames of a request: version, id, domain, address, routing id, mechanism, credentials.
+enum request_frame : std::size_t { version, sequence, domain, address, routing_id, mechanism, key };
+
+} // namespace
+
+zap_handler::zap_handler(event_loop& loop, zmq::context_t& context, const key_pair& keys,
+                         on_refused refused)
+    : socket_(context, zmq::socket_type::rep), fleet_key_(raw_key_size, '\0'),
+      refused_(std::move(refused))
+{
+    zmq_z85_decode(reinterpret_cast<std::uint8_t*>(fleet_key_.data()), keys.public_key.c_str());
+    socket_.set(zmq::sockopt::linger, 0);
+    socket_.bind("inproc://zeromq.zap.01");
+    readable_ = watcher::readable(loop, socket_.get(zmq::sockopt::fd), [this] { read(); });
+}
+
+void zap_handler::read()
+{
+    while ((socket_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
+        if (!answer_one())
+            return;
+    }
+}
+
+bool zap_handler::answer_one()
+{
+    std::vector<std::string> frames;
+    for (bool more = true; more;) {
+        zmq::message_t frame;
+        if (!socket_.recv(frame, zmq::recv_flags::dontwait))
+            return false;
+        frames.push_back(frame.to_string());
+        more = frame.more();
+    }
+    const bool good =
+        frames.size() > key && frames[mechanism] == "CURVE" && frames[key] == fleet_key_;
+    if (!good)
+        refused_({core::error_code::unauthenticated, "admit peer",
+                  frames.size() > address ? frames[address] : "", "not the fleet's key"});
+    const std::string id = frames.size() > sequence ? frames[sequence] : "";
+    const std::array<std::string, 6> reply{
+        "1.0", id, good ? "200" : "400", good ? "OK" : "not the fleet's key", "", ""};
+    for (std::size_t n = 0; n < reply.size(); ++n) {
+        const auto flags = n + 1 < reply.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
+        socket_.send(zmq::buffer(reply[n]), flags | zmq::send_flags::dontwait);
+    }
+    return true;
+}
+
+} // namespace bluebell::runtime
