Add telemetry and the operators' API as values

Cause: operators need metrics, explanations and changes, and those shall be testable without sockets. Change: windows of Boost.Accumulators per rank and workspace class on a scrapable page; a bounded trace by request; requests, tokens and JSON replies of the operators' API as variants; a read-only view of a node.

--- a/src/include/bluebell/core/effect.h
+++ b/src/include/bluebell/core/effect.h
@@ -137,11 +137,12 @@
     std::vector<log_field> fields;
     friend bool operator==(const log_line&, const log_line&) = default;
 };
-/// Adds a sample to a metric.
+/// Adds a sample to a metric. The workspace is counted to tell large ones from small, not shown.
 struct observe {
-    std::string metric;
+    std::string metric; ///< lower case with its unit, for instance first_token_seconds
     double value = 1;
     rank priority = rank::normal;
+    workspace_id workspace;
     friend bool operator==(const observe&, const observe&) = default;
 };
 /// Readiness as the balancer sees it.
--- /dev/null
+++ b/src/include/bluebell/core/view.h
@@ -0,0 +1,31 @@
+/// \file
+/// A read-only summary of a node's state for operators.
+#pragma once
+
+#include <bluebell/core/reducer.h>
+
+#include <string>
+#include <vector>
+
+namespace bluebell::core {
+
+/// One table of a view; every row has the same names in the same order.
+struct view_table {
+    std::string name;
+    std::vector<std::vector<log_field>> rows;
+
+    friend bool operator==(const view_table&, const view_table&) = default;
+};
+
+/// Single values and tables.
+struct node_view {
+    std::vector<log_field> values;
+    std::vector<view_table> tables;
+
+    friend bool operator==(const node_view&, const node_view&) = default;
+};
+
+/// Summarises the state; the node's counters and who it knows, never callers' contents.
+[[nodiscard]] node_view view(const node_state& st, instant now);
+
+} // namespace bluebell::core
--- /dev/null
+++ b/src/libadmin/operator_json.cpp
@@ -0,0 +1,151 @@
+// Replies to operators as JSON.
+
+#include <bluebell/admin/operator_api.h>
+#include <bluebell/core/visit.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace bluebell::admin {
+
+using namespace core;
+using nlohmann::ordered_json;
+
+namespace {
+
+std::string dump(const ordered_json& doc)
+{
+    return doc.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+ordered_json fields_of(const std::vector<log_field>& fields)
+{
+    ordered_json doc = ordered_json::object();
+    for (const auto& f : fields)
+        doc[f.name] = f.value;
+    return doc;
+}
+
+ordered_json exception_of(const config_exception& e)
+{
+    return {{"name", e.name},     {"scope", e.scope},
+            {"key", e.key},       {"value", e.value},
+            {"reason", e.reason}, {"lifetime_s", e.lifetime.count() / 1'000'000}};
+}
+
+ordered_json order_of(const order& what)
+{
+    return match(
+        what,
+        [](const load_model& o) {
+            return ordered_json{
+                {"kind", "load_model"}, {"model", o.model.str()}, {"version", o.version}};
+        },
+        [](const unload_model& o) {
+            return ordered_json{{"kind", "unload_model"}, {"model", o.model.str()}};
+        },
+        [](const load_adapter& o) {
+            return ordered_json{
+                {"kind", "load_adapter"}, {"model", o.model.str()}, {"adapter", o.adapter.str()}};
+        },
+        [](const change_role& o) {
+            return ordered_json{{"kind", "change_role"}, {"role", o.role}};
+        });
+}
+
+ordered_json record_of(const order_record& r)
+{
+    ordered_json doc{{"fence", r.fence},
+                     {"agent", r.agent.str()},
+                     {"who", r.who.str()},
+                     {"why", r.why},
+                     {"status", std::string(to_string(r.status))}};
+    doc.update(order_of(r.what));
+    if (r.status == order_status::failed)
+        doc["error"] = to_string(r.outcome);
+    return doc;
+}
+
+} // namespace
+
+std::string to_json(const node_view& view)
+{
+    ordered_json doc = fields_of(view.values);
+    for (const auto& table : view.tables) {
+        doc[table.name] = ordered_json::array();
+        for (const auto& row : table.rows)
+            doc[table.name].push_back(fields_of(row));
+    }
+    return dump(doc);
+}
+
+std::string explanation_json(const node_id& node, const std::vector<telemetry::trace_entry>& lines)
+{
+    ordered_json doc{{"node", node.str()}, {"lines", ordered_json::array()}};
+    for (const auto& e : lines) {
+        ordered_json line{
+            {"wall_us", e.wall.count()}, {"part", e.line.part}, {"text", e.line.text}};
+        line["fields"] = fields_of(e.line.fields);
+        doc["lines"].push_back(std::move(line));
+    }
+    return dump(doc);
+}
+
+std::string config_json(const config_log& log)
+{
+    ordered_json doc{{"revision", log.number},
+                     {"defaults", ordered_json::object()},
+                     {"exceptions", ordered_json::array()}};
+    for (const auto& [key, value] : log.document.defaults)
+        doc["defaults"][key] = value;
+    for (const auto& [name, e] : log.document.exceptions)
+        doc["exceptions"].push_back(exception_of(e));
+    return dump(doc);
+}
+
+std::string history_json(const config_log& log, std::size_t newest)
+{
+    ordered_json doc{{"history", ordered_json::array()}};
+    const std::size_t skip = log.history.size() - std::min(log.history.size(), newest);
+    for (std::size_t i = skip; i < log.history.size(); ++i) {
+        const config_record& r = log.history[i];
+        ordered_json edits = ordered_json::array();
+        for (const auto& e : r.edits)
+            edits.push_back({{"what", e.what}, {"before", e.before}, {"after", e.after}});
+        doc["history"].push_back({{"revision", r.number},
+                                  {"who", r.who.str()},
+                                  {"when_us", r.when.count()},
+                                  {"why", r.why},
+                                  {"operation", r.operation},
+                                  {"edits", std::move(edits)}});
+    }
+    return dump(doc);
+}
+
+std::string orders_json(const order_book& book)
+{
+    ordered_json doc{{"open", ordered_json::array()},
+                     {"ended", ordered_json::array()},
+                     {"drained", ordered_json::array()}};
+    for (const auto& [fence, r] : book.open)
+        doc["open"].push_back(record_of(r));
+    for (const auto& r : book.ended)
+        doc["ended"].push_back(record_of(r));
+    for (const auto& [node, why] : book.drained)
+        doc["drained"].push_back({{"node", node.str()}, {"why", why}});
+    return dump(doc);
+}
+
+std::string result_json(const std::string& operation, const operator_result& outcome)
+{
+    ordered_json doc{{"operation", operation}};
+    match(
+        outcome, [&](const config_accepted& r) { doc["revision"] = r.number; },
+        [&](const order_accepted& r) { doc["fence"] = r.fence; },
+        [&](const drain_accepted&) { doc["drain"] = "accepted"; },
+        [&](const replicas_accepted&) { doc["replicas"] = "accepted"; });
+    return dump(doc);
+}
+
+} // namespace bluebell::admin
--- /dev/null
+++ b/src/libadmin/operator_keys.cpp
@@ -0,0 +1,64 @@
+// Operators and their bearer tokens.
+
+#include <bluebell/admin/operator_api.h>
+
+#include <sstream>
+
+namespace bluebell::admin {
+
+using namespace core;
+
+namespace {
+
+/// Compares without stopping at the first difference.
+bool equal_in_constant_time(std::string_view a, std::string_view b)
+{
+    unsigned difference = a.size() == b.size() ? 0 : 1;
+    for (std::size_t i = 0; i < a.size(); ++i)
+        difference |= static_cast<unsigned char>(a[i]) ^
+                      static_cast<unsigned char>(b.empty() ? 0 : b[i % b.size()]);
+    return difference == 0;
+}
+
+} // namespace
+
+result<operator_keys> operator_keys::make(std::string_view text)
+{
+    constexpr std::string_view step = "read operator tokens";
+    operator_keys keys;
+    std::istringstream in{std::string(text)};
+    int n = 0;
+    for (std::string line; std::getline(in, line);) {
+        n += 1;
+        std::istringstream words(line.substr(0, line.find('#')));
+        std::string name;
+        std::string token;
+        if (!(words >> name))
+            continue;
+        const auto id = operator_id::make(name);
+        if (!id || !(words >> token) || token.size() < min_token_length)
+            return fail(error_code::invalid_argument, step, "",
+                        "line " + std::to_string(n) + ": must be NAME TOKEN, the token of " +
+                            std::to_string(min_token_length) + " characters or more");
+        keys.keys_.emplace_back(*id, token);
+    }
+    return keys;
+}
+
+result<operator_id> operator_keys::find(std::string_view authorization) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view token =
+        authorization.starts_with(scheme) ? authorization.substr(scheme.size()) : "";
+    const operator_id* found = nullptr;
+    for (const auto& [id, key] : keys_) {
+        if (equal_in_constant_time(token, key))
+            found = &id;
+    }
+    if (found == nullptr)
+        return fail(error_code::unauthenticated, "authenticate operator", "",
+                    "an operator's bearer token is required");
+    return *found;
+}
+
+} // namespace bluebell::admin
--- /dev/null
+++ b/src/libtelemetry/telemetry_test.cpp
@@ -0,0 +1,66 @@
+// Metrics and traces stay bounded and tell what went in.
+
+#include <bluebell/telemetry/metrics.h>
+#include <bluebell/telemetry/trace.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bluebell;
+using namespace bluebell::core;
+
+namespace {
+
+observe sample(const std::string& workspace, double value)
+{
+    observe o;
+    o.metric = "first_token_seconds";
+    o.value = value;
+    o.priority = rank::urgent;
+    o.workspace = workspace_id::from_trusted(workspace);
+    return o;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(telemetry_parts)
+
+BOOST_AUTO_TEST_CASE(quantiles_are_those_of_the_last_window)
+{
+    auto m = telemetry::metrics::make(instant(seconds(0)));
+    for (int i = 1; i <= 1000; ++i)
+        m.add(instant(seconds(10)), sample("w", i));
+    const std::string page = m.page(instant(seconds(61)));
+    BOOST_TEST(page.find("bluebell_first_token_seconds_count{rank=\"urgent\"") !=
+               std::string::npos);
+    const auto at = page.find("quantile=\"0.95\"} ");
+    BOOST_REQUIRE(at != std::string::npos);
+    const double p95 = std::stod(page.substr(at + 17));
+    BOOST_TEST(p95 > 930.0);
+    BOOST_TEST(p95 < 970.0);
+    BOOST_TEST(m.page(instant(seconds(200))).find("quantile") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_workspace_with_a_tenth_of_the_samples_is_large)
+{
+    auto m = telemetry::metrics::make(instant(seconds(0)));
+    for (int i = 0; i < 100; ++i)
+        m.add(instant(seconds(1)), sample(i < 60 ? "city" : "village" + std::to_string(i), 1));
+    m.add(instant(seconds(61)), sample("city", 1));
+    m.add(instant(seconds(61)), sample("village99", 1));
+    const std::string page = m.page(instant(seconds(62)));
+    BOOST_TEST(page.find("_count{rank=\"urgent\",workspace_class=\"large\"} 1\n") !=
+               std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_trace_keeps_the_newest_requests)
+{
+    telemetry::trace t;
+    const auto id = [](std::size_t i) { return request_id::from_trusted("r" + std::to_string(i)); };
+    for (std::size_t i = 0; i < telemetry::trace::max_lines + 10; ++i)
+        t.add(microseconds(1), log_line{log_level::info, "routing", "Chosen.", id(i), {}});
+    BOOST_TEST(t.explain(id(0)).empty());
+    BOOST_TEST(t.explain(id(9)).empty());
+    BOOST_TEST(t.explain(id(10)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/libtelemetry/trace.cpp
@@ -0,0 +1,45 @@
+// A bounded memory of decisions by request.
+
+#include <bluebell/telemetry/trace.h>
+
+namespace bluebell::telemetry {
+
+using namespace core;
+
+std::string format(const log_line& line)
+{
+    std::string text = line.part + ": " + line.text;
+    if (!line.request.empty())
+        text += " request=" + line.request.str();
+    for (const auto& f : line.fields)
+        text += " " + f.name + "=" + f.value;
+    return text;
+}
+
+void trace::add(microseconds wall, const log_line& line)
+{
+    if (line.request.empty())
+        return;
+    auto& mine = lines_[line.request];
+    if (mine.size() >= max_lines_of_request)
+        return;
+    mine.push_back({wall, line});
+    order_.push_back(line.request);
+    if (order_.size() <= max_lines)
+        return;
+    const auto it = lines_.find(order_.front());
+    order_.pop_front();
+    it->second.pop_front();
+    if (it->second.empty())
+        lines_.erase(it);
+}
+
+std::vector<trace_entry> trace::explain(const request_id& request) const
+{
+    const auto it = lines_.find(request);
+    if (it == lines_.end())
+        return {};
+    return {it->second.begin(), it->second.end()};
+}
+
+} // namespace bluebell::telemetry
