Give the agent its queue, bounds, crash guard, grants, fences and kept answers

Cause: the agent admitted whatever came: no ranks, no fairness, no bound on waiting or load, nothing known of crashed requests, keys or fences. Change: one part each as a value with pure functions (admission, rank_share, fair_queue, service_times, held_calls, load_bound, crash_guard, answer_store, idempotency_guard, fence_guard, prefix_view, chat_pointers), visited by the agent's reducer.

--- a/src/libcore/agent.cpp
+++ b/src/libcore/agent.cpp
@@ -1,164 +1,85 @@
-// The agent's part of the reducer: one function per event.
+// The agent's part of the reducer: each event passes its own transition and then settle().
 
-#include <bluebell/core/agent.h>
-#include <bluebell/core/visit.h>
-
-namespace bluebell::core {
+#include "agent_pvt.h"
 
-namespace {
+#include <bluebell/core/visit.h>
 
-constexpr std::string_view part = "admission";
+#include <iterator>
 
-running_call* find_running(agent_state& st, const attempt_id& attempt)
-{
-    const auto it = st.running.find(attempt);
-    return it == st.running.end() ? nullptr : &it->second;
-}
-
-agent_step on(agent_state st, const context& ctx, const node_id& from, const run_call& msg)
-{
-    effects out;
-    if (st.draining || !st.offer.engine_up) {
-        const refusal why = st.draining ? refusal::leaving : refusal::engine_down;
-        out.emplace_back(make_log(log_level::info, part, "Call refused.", msg.what.id,
-                                  {{"reason", std::string(to_string(why))}}));
-        out.emplace_back(
-            send_message{from, work_message(call_refused{msg.attempt, why, seconds(1), node_id(),
-                                                         report_of(st, ctx.self)})});
-        return {std::move(st), std::move(out)};
-    }
-    st.running.emplace(msg.attempt, running_call{msg.what, from, 0, false});
-    out.emplace_back(
-        make_log(log_level::info, part, "Call admitted.", msg.what.id,
-                 {{"router", from.str()}, {"running", std::to_string(st.running.size())}}));
-    out.emplace_back(
-        send_message{from, work_message(call_admitted{msg.attempt, report_of(st, ctx.self)})});
-    out.emplace_back(
-        engine_run{msg.attempt, msg.what, static_cast<std::int32_t>(msg.what.priority)});
-    return {std::move(st), std::move(out)};
-}
+namespace bluebell::core {
 
-agent_step on(agent_state st, const context&, const node_id&, const cancel_call& msg)
-{
-    effects out;
-    if (st.running.erase(msg.attempt) > 0)
-        out.emplace_back(engine_cancel{msg.attempt});
-    return {std::move(st), std::move(out)};
-}
+namespace agent_part {
 
-template <class Message>
-agent_step on(agent_state st, const context&, const node_id&, const Message&)
+void append(effects& out, effects more)
 {
-    return {std::move(st), {}};
+    out.insert(out.end(), std::make_move_iterator(more.begin()),
+               std::make_move_iterator(more.end()));
 }
 
-agent_step on(agent_state st, const context& ctx, const message_received& ev)
+engine_room room_of(const agent_state& st)
 {
-    return std::visit(
-        [&](const auto& group) {
-            return std::visit([&](const auto& msg) { return on(std::move(st), ctx, ev.from, msg); },
-                              group);
-        },
-        ev.what);
+    return {st.offer.slots, static_cast<std::uint32_t>(st.running.size())};
 }
 
-agent_step on(agent_state st, const context&, const peer_unreachable&)
+bool has_lease(const context& ctx)
 {
-    return {std::move(st), {}};
+    return ctx.now < ctx.fleet.lease_until;
 }
 
-agent_step on(agent_state st, const context&, const engine_head& ev)
+std::string in_ms(microseconds t)
 {
-    running_call* run = find_running(st, ev.attempt);
-    if (run == nullptr)
-        return {std::move(st), {}};
-    run->head_seen = true;
-    effects out;
-    out.emplace_back(send_message{
-        run->router,
-        work_message(answer_head{ev.attempt, ev.status, ev.content_type, ev.streamed})});
-    return {std::move(st), std::move(out)};
+    return std::to_string(t.count() / 1000);
 }
 
-agent_step on(agent_state st, const context&, const engine_chunk& ev)
+agent_state mark_over(agent_state st, const context& ctx, const attempt_id& attempt)
 {
-    running_call* run = find_running(st, ev.attempt);
-    if (run == nullptr)
-        return {std::move(st), {}};
-    run->last_event += 1;
-    effects out;
-    out.emplace_back(send_message{
-        run->router, work_message(answer_chunk{ev.attempt, run->last_event, ev.data})});
-    return {std::move(st), std::move(out)};
+    st.over = with(expired(std::move(st.over), ctx.now), attempt, attempt_over{},
+                   ctx.now + ended_attempt_keep_time, max_ended_attempts);
+    return st;
 }
 
-/// Ends a drain when the last call has ended.
-agent_step finish(agent_state st, effects out)
-{
-    if (st.draining && st.running.empty())
-        out.emplace_back(drained{});
-    return {std::move(st), std::move(out)};
-}
+} // namespace agent_part
 
-agent_step on(agent_state st, const context& ctx, const engine_end& ev)
-{
-    const auto it = st.running.find(ev.attempt);
-    if (it == st.running.end())
-        return {std::move(st), {}};
-    const running_call run = std::move(it->second);
-    st.running.erase(it);
-    effects out;
-    out.emplace_back(send_message{
-        run.router, work_message(answer_end{ev.attempt, run.last_event, ev.cached_tokens,
-                                            report_of(st, ctx.self)})});
-    return finish(std::move(st), std::move(out));
-}
+namespace {
 
-agent_step on(agent_state st, const context& ctx, const engine_failed& ev)
-{
-    const auto it = st.running.find(ev.attempt);
-    if (it == st.running.end())
-        return {std::move(st), {}};
-    const running_call run = std::move(it->second);
-    st.running.erase(it);
-    effects out;
-    const run_outcome outcome = ev.sent ? run_outcome::unknown : run_outcome::not_run;
-    out.emplace_back(send_message{
-        run.router,
-        work_message(answer_failed{ev.attempt, outcome, false, ev.why, report_of(st, ctx.self)})});
-    return finish(std::move(st), std::move(out));
-}
+using namespace agent_part;
 
-agent_step on(agent_state st, const context&, const engine_report& ev)
+agent_step begin(agent_state st)
 {
-    st.offer = ev.offer;
+    st.report_sequence += 1;
     return {std::move(st), {}};
 }
 
-agent_step on(agent_state st, const context&, const engine_down&)
+agent_step on(agent_step s, const context& ctx, const message_received& ev)
 {
-    st.offer.engine_up = false;
-    return {std::move(st), {}};
+    return match(
+        ev.what, [&](const work_message& m) { return on_work(std::move(s), ctx, ev.from, m); },
+        [&](const control_message& m) { return on_control(std::move(s), ctx, ev.from, m); },
+        [&](const replication_message&) { return std::move(s); });
 }
 
-agent_step on(agent_state st, const context&, const drain_wanted&)
+agent_step on(agent_step s, const context& ctx, const peer_unreachable& ev)
 {
-    st.draining = true;
-    effects out;
-    out.emplace_back(set_ready{false});
-    return finish(std::move(st), std::move(out));
+    s.next.answers = detach(std::move(s.next.answers), ctx.now, ev.peer);
+    return s;
 }
 
-template <class Event>
-agent_step on(agent_state st, const context&, const Event&)
+agent_step on(agent_step s, const context& ctx, const drain_wanted&)
 {
-    return {std::move(st), {}};
+    if (s.next.draining)
+        return s;
+    s.next.draining = true;
+    s.out.emplace_back(set_ready{false});
+    s.out.emplace_back(make_log(log_level::info, admission_log, "Drain begins.", request_id(),
+                                {{"running", std::to_string(s.next.running.size())},
+                                 {"queued", std::to_string(s.next.queue.calls.size())}}));
+    return refuse_waiting(std::move(s), ctx, refusal::leaving, true);
 }
 
-template <class Events>
-agent_step dispatch(agent_state st, const context& ctx, const Events& ev)
+template <class Event>
+agent_step on(agent_step s, const context&, const Event&)
 {
-    return std::visit([&](const auto& e) { return on(std::move(st), ctx, e); }, ev);
+    return s;
 }
 
 } // namespace
@@ -170,29 +91,36 @@
     r.life = self.life;
     r.sequence = st.report_sequence;
     r.active = static_cast<std::uint32_t>(st.running.size());
+    r.queued = static_cast<std::uint32_t>(st.queue.calls.size() + st.held.calls.size());
     r.slots = st.offer.slots;
+    r.expected_wait = st.expected_wait;
     r.leaving = st.draining;
     return r;
 }
 
 agent_step reduce(agent_state current, const context& ctx, const peer_event& ev)
 {
-    return dispatch(std::move(current), ctx, ev);
+    agent_step s = begin(std::move(current));
+    s = std::visit([&](const auto& e) { return on(std::move(s), ctx, e); }, ev);
+    return settle(std::move(s), ctx);
 }
 
 agent_step reduce(agent_state current, const context& ctx, const engine_event& ev)
 {
-    return dispatch(std::move(current), ctx, ev);
+    return settle(on_engine(begin(std::move(current)), ctx, ev), ctx);
 }
 
 agent_step reduce(agent_state current, const context& ctx, const operator_event& ev)
 {
-    return dispatch(std::move(current), ctx, ev);
+    agent_step s = begin(std::move(current));
+    s = std::visit([&](const auto& e) { return on(std::move(s), ctx, e); }, ev);
+    return settle(std::move(s), ctx);
 }
 
-agent_step reduce(agent_state current, const context& ctx, const clock_event& ev)
+agent_step reduce(agent_state current, const context& ctx, const clock_event&)
 {
-    return dispatch(std::move(current), ctx, ev);
+    agent_step s = remind_control(begin(std::move(current)), ctx);
+    return settle(judge_broken(std::move(s), ctx), ctx);
 }
 
 } // namespace bluebell::core
--- /dev/null
+++ b/src/libcore/agent_control.cpp
@@ -0,0 +1,249 @@
+// Control's messages to the agent: the fleet's state, grants, orders and fences.
+
+#include "agent_pvt.h"
+
+#include <bluebell/core/visit.h>
+
+#include <algorithm>
+
+namespace bluebell::core::agent_part {
+
+namespace {
+
+constexpr microseconds taken_retry = seconds(2); ///< of a key that another attempt is running
+
+agent_step with_grants(agent_step s, grant_step done)
+{
+    s.next.grants = std::move(done.next);
+    append(s.out, std::move(done.out));
+    return s;
+}
+
+/// Takes the call that waits for its grant out of the held ones.
+std::optional<waiting_call> take_asking(agent_step& s, const attempt_id& attempt)
+{
+    const auto it = s.next.held.calls.find(attempt);
+    const bool asks =
+        it != s.next.held.calls.end() && std::holds_alternative<grant_wait>(it->second.why);
+    if (!asks)
+        return std::nullopt;
+    auto done = take(std::move(s.next.held), attempt);
+    s.next.held = std::move(done.next);
+    return std::move(done.taken->waiting);
+}
+
+/// Answers a call whose key has run before; the answer is sent whole under the new attempt.
+agent_step answer_stored(agent_step s, const context& ctx, const waiting_call& w,
+                         const stored_answer& answer)
+{
+    s.next.grants = forget(std::move(s.next.grants), ctx.now, w.attempt);
+    s.next = mark_over(std::move(s.next), ctx, w.attempt);
+    const load_report load = report_of(s.next, ctx.self);
+    const auto tell = [&](work_message msg) {
+        s.out.emplace_back(send_message{w.router, std::move(msg)});
+    };
+    if (answer.status == 0) {
+        tell(answer_failed{w.attempt,
+                           run_outcome::run,
+                           false,
+                           {error_code::too_large, "repeat answer", "",
+                            "the call ran once; its answer was too large to keep"},
+                           load});
+        return s;
+    }
+    const bool streamed = answer.content_type.starts_with("text/event-stream");
+    tell(answer_head{w.attempt, answer.status, answer.content_type, streamed});
+    std::uint64_t event = 0;
+    std::string_view rest = answer.body.view();
+    while (!rest.empty()) {
+        const auto end = streamed ? rest.find('\n') : std::string_view::npos;
+        event += 1;
+        tell(answer_chunk{w.attempt, event, bytes::from(std::string(rest.substr(0, end)))});
+        rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    }
+    tell(answer_end{w.attempt, event, 0, load});
+    return s;
+}
+
+agent_step fail_unknown(agent_step s, const context& ctx, const waiting_call& w)
+{
+    s.next.grants = forget(std::move(s.next.grants), ctx.now, w.attempt);
+    s.next = mark_over(std::move(s.next), ctx, w.attempt);
+    s.out.emplace_back(send_message{
+        w.router, work_message(answer_failed{w.attempt,
+                                             run_outcome::unknown,
+                                             false,
+                                             {error_code::conflict, "ask grant", "",
+                                              "an earlier call with this key may have run"},
+                                             report_of(s.next, ctx.self)})});
+    return s;
+}
+
+std::string_view name_of(const grant_verdict& v)
+{
+    return match(
+        v, [](const grant_given&) { return std::string_view("given"); },
+        [](const grant_running&) { return std::string_view("running"); },
+        [](const grant_done&) { return std::string_view("done"); },
+        [](const grant_unknown&) { return std::string_view("unknown"); },
+        [](const grant_conflict&) { return std::string_view("conflict"); },
+        [](const grant_unavailable&) { return std::string_view("unavailable"); });
+}
+
+agent_step act_on(agent_step s, const context& ctx, waiting_call w, const grant_verdict& verdict)
+{
+    return match(
+        verdict, [&](const grant_given&) { return accept(std::move(s), ctx, std::move(w)); },
+        [&](const grant_running&) { return std::move(s); },
+        [&](const grant_done& v) { return answer_stored(std::move(s), ctx, w, v.answer); },
+        [&](const grant_unknown&) { return fail_unknown(std::move(s), ctx, w); },
+        [&](const grant_conflict&) {
+            s.next.grants = forget(std::move(s.next.grants), ctx.now, w.attempt);
+            return refuse(std::move(s), ctx, w, refusal::key_conflict, microseconds{0});
+        },
+        [&](const grant_unavailable&) {
+            return refuse(std::move(s), ctx, w, refusal::too_late, taken_retry);
+        });
+}
+
+agent_step on(agent_step s, const context& ctx, const node_id&, const grant_reply& msg)
+{
+    auto done = answered(std::move(s.next.grants), ctx.now, ctx.fleet.controls, msg);
+    s.next.grants = std::move(done.next);
+    append(s.out, std::move(done.out));
+    if (!done.verdict)
+        return s;
+    s.out.emplace_back(make_log(log_level::info, grant_log, "Control judged a key.",
+                                msg.attempt.request,
+                                {{"verdict", std::string(name_of(*done.verdict))},
+                                 {"workspace", msg.key.workspace.str()}}));
+    if (std::holds_alternative<grant_running>(*done.verdict))
+        return s;
+    auto w = take_asking(s, msg.attempt);
+    if (!w)
+        return s;
+    return act_on(std::move(s), ctx, std::move(*w), *done.verdict);
+}
+
+agent_step on(agent_step s, const context&, const node_id&, const grant_result_kept& msg)
+{
+    s.next.grants = kept(std::move(s.next.grants), msg.attempt);
+    return s;
+}
+
+agent_step on(agent_step s, const context& ctx, const node_id& from, const not_leader& msg)
+{
+    auto done = led_by(std::move(s.next.grants), ctx.now, ctx.fleet.controls, from, msg.leader);
+    return with_grants(std::move(s), std::move(done));
+}
+
+agent_step on(agent_step s, const context& ctx, const node_id&, const fleet_digest& msg)
+{
+    s.next.bound = see(std::move(s.next.bound), ctx.now, msg.pools,
+                       static_cast<std::uint32_t>(s.next.running.size()));
+    s.next.crashes =
+        told(std::move(s.next.crashes), ctx.now, msg, ctx.fleet.config.quarantine_time);
+    return s;
+}
+
+agent_step on(agent_step s, const context& ctx, const node_id& from, const engine_order& msg)
+{
+    auto done = judge(std::move(s.next.fences), from, msg);
+    s.next.fences = std::move(done.next);
+    const auto log = [&](std::string_view text) {
+        s.out.emplace_back(make_log(log_level::info, order_log, text, request_id(),
+                                    {{"fence", std::to_string(msg.fence)},
+                                     {"highest", std::to_string(s.next.fences.highest)},
+                                     {"from", from.str()},
+                                     {"agent", ctx.self.id.str()}}));
+    };
+    match(
+        done.verdict,
+        [&](const pass_order&) {
+            log("Order passed to the engine.");
+            s.out.emplace_back(engine_order_run{msg});
+        },
+        [&](const refuse_order& v) {
+            log("Order refused.");
+            s.out.emplace_back(
+                send_message{from, control_message(engine_order_reply{msg.fence, false, v.why})});
+        },
+        [&](const await_order&) { log("Order is running already."); },
+        [&](const repeat_reply& v) {
+            log("Order has ended already.");
+            s.out.emplace_back(send_message{from, control_message(v.reply)});
+        });
+    return s;
+}
+
+agent_step on(agent_step s, const context& ctx, const node_id& from, const fence_answer& msg)
+{
+    const auto& replicas = ctx.fleet.controls;
+    const bool known = std::any_of(replicas.begin(), replicas.end(),
+                                   [&](const node_info& n) { return n.id == from; });
+    if (msg.agent == ctx.self.id && known)
+        s.next.fences = answered(std::move(s.next.fences), from, msg.fence, replicas.size());
+    return s;
+}
+
+template <class Message>
+agent_step on(agent_step s, const context&, const node_id&, const Message&)
+{
+    return s;
+}
+
+agent_step query_fences(agent_step s, const context& ctx)
+{
+    if (s.next.fences.confirmed || ctx.now < s.next.fences.next_query)
+        return s;
+    s.next.fences.next_query = ctx.now + fence_query_interval;
+    for (const auto& control : ctx.fleet.controls)
+        s.out.emplace_back(send_message{control.id, control_message(fence_query{ctx.self.id})});
+    return s;
+}
+
+agent_step resend_crashes(agent_step s, const context& ctx)
+{
+    if (s.next.crashes.unconfirmed.empty() || ctx.now < s.next.next_crash_resend)
+        return s;
+    s.next.next_crash_resend = ctx.now + heartbeat_interval;
+    auto done = resend(std::move(s.next.crashes));
+    s.next.crashes = std::move(done.next);
+    for (const auto& report : done.reports) {
+        for (const auto& control : ctx.fleet.controls)
+            s.out.emplace_back(send_message{control.id, control_message(report)});
+    }
+    return s;
+}
+
+} // namespace
+
+agent_step ask_grant(agent_step s, const context& ctx, waiting_call w)
+{
+    if (s.next.held.calls.size() >= max_held_calls)
+        return refuse(std::move(s), ctx, w, refusal::over_bound, taken_retry);
+    grant_request request{
+        {w.what.workspace, w.what.key}, w.what.digest, w.attempt, ctx.self.id, ctx.self.life};
+    s.out.emplace_back(make_log(log_level::info, grant_log, "Control is asked for a key.",
+                                w.what.id, {{"workspace", w.what.workspace.str()}}));
+    auto done = ask(std::move(s.next.grants), ctx.now, ctx.fleet.controls, std::move(request));
+    s = with_grants(std::move(s), std::move(done));
+    const instant until = std::max(w.latest_start, ctx.now + grant_patience);
+    s.next.held = hold(std::move(s.next.held), std::move(w), grant_wait{}, until);
+    return s;
+}
+
+agent_step on_control(agent_step s, const context& ctx, const node_id& from,
+                      const control_message& msg)
+{
+    return std::visit([&](const auto& m) { return on(std::move(s), ctx, from, m); }, msg);
+}
+
+agent_step remind_control(agent_step s, const context& ctx)
+{
+    auto done = resend(std::move(s.next.grants), ctx.now, ctx.fleet.controls);
+    s = with_grants(std::move(s), std::move(done));
+    return resend_crashes(query_fences(std::move(s), ctx), ctx);
+}
+
+} // namespace bluebell::core::agent_part
