Share slot time among ranks and keep slots free for light and urgent calls

Change: slot_share keeps some slots free of workspaces that hold twice their fair share; headroom keeps some free of lower ranks, from the learnt arrival and release rates; ranks are charged in slot time.

--- a/src/include/bluebell/core/admission.h
+++ b/src/include/bluebell/core/admission.h
@@ -7,6 +7,7 @@
 #include <bluebell/core/fair_queue.h>
 #include <bluebell/core/rank_share.h>
 #include <bluebell/core/service_times.h>
+#include <bluebell/core/slot_share.h>
 #include <bluebell/core/work_message.h>
 
 #include <array>
@@ -63,6 +64,7 @@
 struct admission {
     std::array<fair_queue, rank_count> queues;
     rank_share shares;
+    slot_share slots;
     service_times times;
     std::array<arrival_rate, rank_count> arrivals;
     std::unordered_map<attempt_id, queued_call> calls; ///< exactly the items of `queues`
@@ -124,6 +126,10 @@
 [[nodiscard]] std::uint32_t headroom(const admission& a, const fleet_config& conf, instant now,
                                      const engine_room& room, rank r);
 
+/// A call enters or leaves the engine.
+[[nodiscard]] admission slot_taken(admission a, const fleet_config& conf, const call& what);
+[[nodiscard]] admission slot_freed(admission a, const call& what);
+
 /// Takes a call out that is not wanted any more.
 [[nodiscard]] admission_pick withdraw(admission a, const attempt_id& attempt);
 
--- a/src/include/bluebell/core/fair_queue.h
+++ b/src/include/bluebell/core/fair_queue.h
@@ -72,11 +72,9 @@
 [[nodiscard]] pushed push(fair_queue q, const workspace_id& w, std::uint32_t weight,
                           queue_item item);
 
-/// The call that would be served next; nullptr when the queue is empty.
-[[nodiscard]] const queue_item* front(const fair_queue& q);
-
-/// Serves the call with the smallest start tag. The queue must not be empty.
-[[nodiscard]] popped pop(fair_queue q);
+/// Serves the first call of the flow, which must have one. Virtual time follows the smallest start
+/// tag, so a flow that is passed over goes first as soon as it may.
+[[nodiscard]] popped pop(fair_queue q, const workspace_id& w);
 
 /// Takes a call out unserved; its workspace is charged nothing.
 [[nodiscard]] fair_queue remove(fair_queue q, const workspace_id& w, std::uint64_t item);
--- a/src/include/bluebell/core/service_times.h
+++ b/src/include/bluebell/core/service_times.h
@@ -38,8 +38,11 @@
 struct service_times {
     std::array<running_mean, rank_count> generated; ///< tokens per call, by rank
     std::array<running_mean, rank_count> hold;      ///< microseconds in a slot, by rank
+    std::array<running_mean, rank_count> cost;      ///< tokens charged per call, by rank
     running_mean hold_any;                          ///< microseconds in a slot
     running_mean cost_any;                          ///< tokens charged
+    running_mean decode;                            ///< microseconds after the first event
+    running_mean decoded;                           ///< tokens generated
     running_mean first_token;                       ///< microseconds from start to first event
     running_mean prefill;                           ///< prompt tokens not found in cache
 
@@ -66,7 +69,11 @@
 /// Time from a call's start to its first token.
 [[nodiscard]] microseconds expected_first_token(const service_times& t, std::uint64_t uncached);
 
-/// Time that the tokens hold one slot.
-[[nodiscard]] microseconds expected_hold(const service_times& t, std::uint64_t cost);
+/// Time that a call holds its slot: prefill of the uncached prompt, then decoding.
+[[nodiscard]] microseconds expected_hold(const service_times& t, std::uint64_t uncached,
+                                         std::uint64_t generated);
+
+/// Time that calls of the rank which cost so many tokens together hold one slot.
+[[nodiscard]] microseconds slot_time(const service_times& t, rank r, std::uint64_t tokens);
 
 } // namespace bluebell::core
--- a/src/libcore/admission.cpp
+++ b/src/libcore/admission.cpp
@@ -39,21 +39,59 @@
 /// free slots: it has its share of the queue.
 std::uint32_t slots_wanted(double rate, double release, microseconds allowed, std::uint32_t share)
 {
-    constexpr double missed_part = 0.005;
-    if (rate <= 0 || release <= 0 || rate * permille >= release * share)
+    constexpr double missed_part = 0.002;
+    if (rate * permille >= release * share)
         return 0;
     const double late = std::exp(-(release - rate) * static_cast<double>(allowed.count()));
-    if (late <= missed_part)
+    return static_cast<std::uint32_t>(slots_for(rate, release, missed_part / late));
+}
+
+/// Slots that fall free in a microsecond when all are taken; 0: not known yet.
+double release_rate(const admission& a, const engine_room& room)
+{
+    if (a.times.hold_any.samples == 0)
         return 0;
-    return static_cast<std::uint32_t>(
-        std::ceil(std::log(missed_part / late) / std::log(rate / release)));
+    return room.slots / std::max(a.times.hold_any.value, 1.0);
+}
+
+std::uint32_t kept_for_light(const admission& a, instant now, const engine_room& room)
+{
+    const double release = release_rate(a, room);
+    return release == 0 ? 0 : light_headroom(a.slots, now, room.slots, release);
+}
+
+/// Free slots, those kept for more urgent ranks apart.
+std::uint32_t free_slots(const admission& a, const fleet_config& conf, instant now,
+                         const engine_room& room, rank r)
+{
+    const std::uint32_t taken = room.running + headroom(a, conf, now, room, r);
+    return room.slots - std::min(room.slots, taken);
+}
+
+/// The workspace of the rank that goes next into one of the free slots. Heavy workspaces are
+/// passed over while few are free; they hold a slot each, so at most that many are looked at.
+std::optional<workspace_id> next_workspace(const admission& a, const engine_room& room, rank r,
+                                           std::uint32_t free, std::uint32_t kept)
+{
+    if (free == 0)
+        return std::nullopt;
+    const auto& q = a.queues.at(index_of(r));
+    std::uint32_t looked_at = 0;
+    for (const auto& [start, w] : q.by_start) {
+        if (free > kept || !is_heavy(a.slots, room.slots, r, w))
+            return w;
+        looked_at += 1;
+        if (looked_at > room.slots)
+            break;
+    }
+    return std::nullopt;
 }
 
 /// Time until the next slot is free for the rank.
 microseconds slot_wait(const admission& a, const fleet_config& conf, instant now,
                        const engine_room& room, rank r)
 {
-    if (room.running + headroom(a, conf, now, room, r) < room.slots || room.slots == 0)
+    if (room.slots == 0 || free_slots(a, conf, now, room, r) > 0)
         return microseconds{0};
     return microseconds(static_cast<std::int64_t>(a.times.hold_any.value / room.slots));
 }
@@ -65,7 +103,7 @@
     if (tokens == 0 || room.slots == 0)
         return microseconds{0};
     const auto share = share_permille(r, waiting_ranks(a), conf.ranks);
-    return expected_hold(a.times, tokens) * permille / share / room.slots;
+    return slot_time(a.times, r, tokens) * permille / share / room.slots;
 }
 
 microseconds clamp_retry(microseconds t)
@@ -80,6 +118,7 @@
     a.size -= it->second.waiting.what.body.size();
     waiting_call w = std::move(it->second.waiting);
     a.calls.erase(it);
+    a.slots = unqueued(std::move(a.slots), w.what.workspace);
     return w;
 }
 
@@ -97,6 +136,7 @@
     auto done = push(std::move(q), what.what.workspace, weight_of(conf, what.what.workspace),
                      {what.attempt, what.estimate.cost});
     q = std::move(done.next);
+    a.slots = queued(std::move(a.slots), what.what.workspace, weight_of(conf, what.what.workspace));
     a.size += what.what.body.size();
     const instant at = review_time(now, what.latest_start);
     a.reviews.emplace(at, what.attempt);
@@ -105,6 +145,12 @@
     return a;
 }
 
+/// What a call is charged to its rank: a rank's share is one of slot time, whatever its tokens are.
+std::uint64_t slot_milliseconds(const call_estimate& est)
+{
+    return std::max<std::uint64_t>(static_cast<std::uint64_t>(est.hold.count() / 1000), 1);
+}
+
 /// Is there room in the rank's queue without taking it from another workspace?
 bool has_room(const admission& a, const fair_queue& q, const waiting_call& what)
 {
@@ -130,7 +176,7 @@
             est.first_token = expected_first_token(a.times, est.uncached);
         },
         [&](const service_target&) { est.cost = expected_generated(a.times, what.priority, 0); });
-    est.hold = expected_hold(a.times, est.cost);
+    est.hold = expected_hold(a.times, est.uncached, est.cost - est.uncached);
     return est;
 }
 
@@ -147,9 +193,9 @@
 std::uint32_t headroom(const admission& a, const fleet_config& conf, instant now,
                        const engine_room& room, rank r)
 {
-    if (a.times.hold_any.samples == 0)
+    const double release = release_rate(a, room);
+    if (release == 0)
         return 0;
-    const double release = room.slots / std::max(a.times.hold_any.value, 1.0);
     std::uint32_t wanted = 0;
     for (std::size_t i = 0; i < index_of(r); ++i) {
         const rank_policy& p = conf.ranks.at(i);
@@ -157,8 +203,9 @@
         const microseconds first(static_cast<std::int64_t>(a.times.first_token.value));
         const microseconds allowed = std::min(p.max_wait, p.first_token_target - first);
         const std::uint32_t most = room.slots * p.min_share_permille / permille;
-        wanted += std::min(most, slots_wanted(rate_at(a.arrivals.at(i), now), release,
-                                              std::max(allowed, microseconds{0}), share));
+        const std::uint32_t enough = slots_wanted(rate_at(a.arrivals.at(i), now), release,
+                                                  std::max(allowed, microseconds{0}), share);
+        wanted += std::min(most, enough);
     }
     return wanted;
 }
@@ -176,6 +223,7 @@
 {
     const rank r = what.what.priority;
     a.arrivals.at(index_of(r)) = with_arrival(a.arrivals.at(index_of(r)), now);
+    a.slots = arrived(std::move(a.slots), now, room.slots, r, what.what.workspace);
     const fair_queue& q = a.queues.at(index_of(r));
     const microseconds wait = expected_wait(a, conf, now, room, r, what.what.workspace);
     const microseconds allowed = what.latest_start - now;
@@ -209,20 +257,23 @@
 admission_pick pick(admission a, const fleet_config& conf, instant now, const engine_room& room)
 {
     const rank_flags waiting = waiting_ranks(a);
-    rank_flags ready = waiting;
+    std::array<std::optional<workspace_id>, rank_count> next;
+    rank_flags ready{};
     for (std::size_t i = 0; i < rank_count; ++i) {
-        if (ready.at(i))
-            ready.at(i) =
-                room.running + headroom(a, conf, now, room, static_cast<rank>(i)) < room.slots;
+        const auto each = static_cast<rank>(i);
+        if (waiting.at(i))
+            next.at(i) = next_workspace(a, room, each, free_slots(a, conf, now, room, each),
+                                        kept_for_light(a, now, room));
+        ready.at(i) = next.at(i).has_value();
     }
     const auto r = choose(a.shares, ready);
     if (!r)
         return {std::move(a), std::nullopt};
     auto& q = a.queues.at(index_of(*r));
-    auto done = pop(std::move(q));
+    auto done = pop(std::move(q), *next.at(index_of(*r)));
     q = std::move(done.next);
-    a.shares = charge(a.shares, *r, done.item.cost, waiting, conf.ranks);
     waiting_call w = forget(a, a.calls.find(done.item.attempt));
+    a.shares = charge(a.shares, *r, slot_milliseconds(w.estimate), waiting, conf.ranks);
     return {std::move(a), std::move(w)};
 }
 
@@ -262,6 +313,19 @@
     return {std::move(a), std::move(out), microseconds{0}};
 }
 
+admission slot_taken(admission a, const fleet_config& conf, const call& what)
+{
+    a.slots =
+        started(std::move(a.slots), what.workspace, what.priority, weight_of(conf, what.workspace));
+    return a;
+}
+
+admission slot_freed(admission a, const call& what)
+{
+    a.slots = stopped(std::move(a.slots), what.workspace, what.priority);
+    return a;
+}
+
 admission learn_end(admission a, const fleet_config& conf, const workspace_id& w,
                     std::uint64_t charged, const service_sample& sample)
 {
--- a/src/libcore/agent_engine.cpp
+++ b/src/libcore/agent_engine.cpp
@@ -296,6 +296,7 @@
     if (it == s.next.running.end())
         return s;
     s.next.crashes = left(std::move(s.next.crashes), crash_digest(it->second.what));
+    s.next.queue = slot_freed(std::move(s.next.queue), it->second.what);
     s.next.running.erase(it);
     std::erase_if(s.next.broken, [&](const auto& entry) { return entry.second == attempt; });
     if (s.next.alone == attempt) {
--- a/src/libcore/agent_start.cpp
+++ b/src/libcore/agent_start.cpp
@@ -18,6 +18,7 @@
     running_call run{w.what,      ctx.now, std::nullopt, w.estimate.cost, w.estimate.uncached,
                      std::nullopt};
     st.running.emplace(w.attempt, std::move(run));
+    st.queue = slot_taken(std::move(st.queue), ctx.fleet.config, w.what);
     st.crashes = entered(std::move(st.crashes), crash_digest(w.what));
     st.answers = open(std::move(st.answers), w.attempt, w.what, w.router);
     if (const auto* chat = std::get_if<chat_target>(&w.what.target))
--- a/src/libcore/fair_queue.cpp
+++ b/src/libcore/fair_queue.cpp
@@ -104,20 +104,14 @@
     return {std::move(q), number};
 }
 
-const queue_item* front(const fair_queue& q)
+popped pop(fair_queue q, const workspace_id& served)
 {
-    if (q.by_start.empty())
-        return nullptr;
-    return &q.flows.at(q.by_start.begin()->second).items.begin()->second;
-}
-
-popped pop(fair_queue q)
-{
-    const workspace_id w = q.by_start.begin()->second;
+    const workspace_id w = served; // the argument may lie inside q
     const auto it = q.flows.find(w);
     flow& f = it->second;
     const queue_item item = f.items.begin()->second;
-    q = advance(std::move(q), f.start);
+    const virtual_time smallest = q.by_start.begin()->first;
+    q = advance(std::move(q), smallest);
     q.by_start.erase({f.start, w});
     q.by_length.erase({f.items.size(), w});
     f.start += span_of(item.cost, f.weight);
--- a/src/libcore/rank_share.cpp
+++ b/src/libcore/rank_share.cpp
@@ -50,7 +50,7 @@
     return best;
 }
 
-rank_share charge(rank_share s, rank served, std::uint64_t tokens, const rank_flags& waiting,
+rank_share charge(rank_share s, rank served, std::uint64_t slot_ms, const rank_flags& waiting,
                   const rank_policies& policies)
 {
     const auto own = static_cast<std::size_t>(served);
@@ -58,7 +58,7 @@
         s.owed = {};
         return s;
     }
-    const auto cost = static_cast<std::int64_t>(tokens);
+    const auto cost = static_cast<std::int64_t>(slot_ms);
     const bool guaranteed = s.owed.at(own) > 0;
     for (std::size_t i = 0; i < rank_count; ++i) {
         if (!waiting.at(i))
@@ -73,7 +73,7 @@
     const std::uint64_t start = std::max(s.tags.at(own), s.now);
     s.now = start;
     s.tags.at(own) =
-        start + tokens * tag_scale / std::max<std::uint32_t>(policies.at(own).weight, 1);
+        start + slot_ms * tag_scale / std::max<std::uint32_t>(policies.at(own).weight, 1);
     return s;
 }
 
--- a/src/libcore/service_times.cpp
+++ b/src/libcore/service_times.cpp
@@ -47,6 +47,10 @@
     t.generated.at(i) = with_sample(t.generated.at(i), static_cast<double>(s.generated_tokens));
     t.hold.at(i) = with_sample(t.hold.at(i), hold);
     t.hold_any = with_sample(t.hold_any, hold);
+    t.decode = with_sample(t.decode, static_cast<double>((s.hold - s.first_token).count()));
+    t.decoded = with_sample(t.decoded, static_cast<double>(s.generated_tokens));
+    t.cost.at(i) =
+        with_sample(t.cost.at(i), static_cast<double>(s.uncached_tokens + s.generated_tokens));
     t.cost_any =
         with_sample(t.cost_any, static_cast<double>(s.uncached_tokens + s.generated_tokens));
     t.first_token = with_sample(t.first_token, static_cast<double>(s.first_token.count()));
@@ -70,10 +74,19 @@
     return to_time(per_token * static_cast<double>(uncached));
 }
 
-microseconds expected_hold(const service_times& t, std::uint64_t cost)
+microseconds expected_hold(const service_times& t, std::uint64_t uncached, std::uint64_t generated)
 {
-    const double per_token = t.hold_any.value / std::max(t.cost_any.value, 1.0);
-    return to_time(per_token * static_cast<double>(cost));
+    const double per_token = t.decode.value / std::max(t.decoded.value, 1.0);
+    return expected_first_token(t, uncached) + to_time(per_token * static_cast<double>(generated));
+}
+
+microseconds slot_time(const service_times& t, rank r, std::uint64_t tokens)
+{
+    const auto i = static_cast<std::size_t>(r);
+    const bool known = t.hold.at(i).samples > 0;
+    const double hold = known ? t.hold.at(i).value : t.hold_any.value;
+    const double cost = known ? t.cost.at(i).value : t.cost_any.value;
+    return to_time(hold / std::max(cost, 1.0) * static_cast<double>(tokens));
 }
 
 } // namespace bluebell::core
