--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -9,6 +9,12 @@
 
 namespace {
 
+std::uint32_t around(std::mt19937_64& random, std::uint32_t mean)
+{
+    std::lognormal_distribution<double> d(std::log(mean) - 0.125, 0.5);
+    return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(d(random)), 1, 8 * mean);
+}
+
 /// A chat that has grown to this size ends; its workspace begins a new one.
 constexpr std::uint32_t longest_chat = 4000;
 
@@ -20,20 +26,26 @@
 }
 
 workload::workload(std::uint64_t seed, std::vector<model_id> models)
-    : random_(seed), models_(std::move(models))
+    : seed_(seed), models_(std::move(models))
 {
 }
 
-std::uint32_t workload::around(std::uint32_t mean)
+workload::stream_random& workload::random_of(const traffic& from)
 {
-    std::lognormal_distribution<double> d(std::log(mean) - 0.125, 0.5);
-    return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(d(random_)), 1, 8 * mean);
+    const std::string name = from.workspace + "/" + std::string(to_string(from.priority));
+    const auto it = random_.find(name);
+    if (it != random_.end())
+        return it->second;
+    const hash64 base = hash_of(name, seed_);
+    const auto made = [base](std::string_view use) { return std::mt19937_64(hash_of(use, base)); };
+    return random_.emplace(name, stream_random{made("gaps"), made("sizes"), made("returns")})
+        .first->second;
 }
 
 microseconds workload::gap(const traffic& from)
 {
     std::exponential_distribution<double> d(from.rate);
-    return microseconds(static_cast<std::int64_t>(d(random_) * 1e6) + 1);
+    return microseconds(static_cast<std::int64_t>(d(random_of(from).gaps) * 1e6) + 1);
 }
 
 std::vector<hash64> workload::blocks(const traffic& from, const chat& c, std::uint32_t tokens) const
@@ -51,12 +63,14 @@
 arrival workload::next(const traffic& from)
 {
     auto& idle = idle_[from.workspace];
-    const bool returns = !idle.empty() && std::bernoulli_distribution(from.returning)(random_);
+    stream_random& random = random_of(from);
+    const bool returns =
+        !idle.empty() && std::bernoulli_distribution(from.returning)(random.returns);
     chat before;
     if (returns) {
         // Most chats return soon, some late: exponential in recency rank.
         std::exponential_distribution<double> d(3.0 / static_cast<double>(idle.size()));
-        const auto back = std::min(idle.size() - 1, static_cast<std::size_t>(d(random_)));
+        const auto back = std::min(idle.size() - 1, static_cast<std::size_t>(d(random.returns)));
         const auto it = idle.end() - 1 - static_cast<std::ptrdiff_t>(back);
         before = *it;
         idle.erase(it);
@@ -64,8 +78,8 @@
         before.number = ++chats_;
     }
     arrival a;
-    const std::uint32_t prompt = from.prefix + before.tokens + around(from.question);
-    a.answer = around(from.answer);
+    const std::uint32_t prompt = from.prefix + before.tokens + around(random.sizes, from.question);
+    a.answer = around(random.sizes, from.answer);
     chat after = before;
     after.tokens = prompt - from.prefix + a.answer;
     const bool seen = prefix_seen_[from.workspace];
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -57,6 +57,13 @@
         std::uint64_t number = 0;
         std::uint32_t tokens = 0; ///< prompt and answers so far, without the common prefix
     };
+    /// Random numbers of one stream, apart by use: other streams, and what becomes of earlier
+    /// calls, change neither when its calls arrive nor how large questions and answers are.
+    struct stream_random {
+        std::mt19937_64 gaps;
+        std::mt19937_64 sizes;
+        std::mt19937_64 returns;
+    };
     struct open_call {
         std::string workspace;
         chat before;
@@ -65,11 +72,12 @@
     };
 
     workload(std::uint64_t seed, std::vector<model_id> models);
-    std::uint32_t around(std::uint32_t mean);
+    stream_random& random_of(const traffic& from);
     [[nodiscard]] std::vector<hash64> blocks(const traffic& from, const chat& c,
                                              std::uint32_t tokens) const;
 
-    std::mt19937_64 random_;
+    std::uint64_t seed_;
+    std::unordered_map<std::string, stream_random> random_; ///< by workspace and rank
     std::vector<model_id> models_;
     std::uint64_t made_ = 0;
     std::uint64_t chats_ = 0;
