--- a/src/include/bluebell/core/crash_guard.h
+++ b/src/include/bluebell/core/crash_guard.h
@@ -16,7 +16,7 @@
 namespace bluebell::core {
 
 inline constexpr std::size_t max_suspects = 4096;
-inline constexpr std::size_t max_quarantined = 4096;
+inline constexpr std::size_t max_refused_bodies = 4096;
 
 /// Where a suspect may run: at its holder, which may be this agent.
 struct suspect_state {
--- a/src/include/bluebell/core/idempotency_guard.h
+++ b/src/include/bluebell/core/idempotency_guard.h
@@ -61,12 +61,12 @@
     friend bool operator==(const idempotency_guard&, const idempotency_guard&) = default;
 };
 
-struct grant_step {
+struct guard_step {
     idempotency_guard next;
     effects out;
 };
 
-struct grant_answer {
+struct guard_answer {
     idempotency_guard next;
     effects out;
     std::optional<grant_verdict> verdict; ///< none: nothing to act on
@@ -75,36 +75,36 @@
 using replica_list = std::vector<node_info>;
 
 /// Asks control for the attempt's key.
-[[nodiscard]] grant_step ask(idempotency_guard g, instant now, const replica_list& replicas,
+[[nodiscard]] guard_step ask(idempotency_guard g, instant now, const replica_list& replicas,
                              grant_request request);
 
 /// Takes in control's verdict. A verdict for an attempt that does not wait for one is dropped;
 /// a grant of a dead attempt is released.
-[[nodiscard]] grant_answer answered(idempotency_guard g, instant now, const replica_list& replicas,
+[[nodiscard]] guard_answer answered(idempotency_guard g, instant now, const replica_list& replicas,
                                     const grant_reply& reply);
 
 /// Another replica leads: what is due goes there.
-[[nodiscard]] grant_step led_by(idempotency_guard g, instant now, const replica_list& replicas,
+[[nodiscard]] guard_step led_by(idempotency_guard g, instant now, const replica_list& replicas,
                                 const node_id& from, const node_id& leader);
 
 /// May the attempt be passed to the engine now? Only with a grant that is still valid.
 [[nodiscard]] bool holds_grant(const idempotency_guard& g, instant now, const attempt_id& attempt);
 
 /// The attempt will never run, or may have run (unknown): control is told, the attempt is dead.
-[[nodiscard]] grant_step give_up(idempotency_guard g, instant now, const replica_list& replicas,
+[[nodiscard]] guard_step give_up(idempotency_guard g, instant now, const replica_list& replicas,
                                  const attempt_id& attempt, run_outcome outcome);
 
 /// Control has told that the key is another attempt's: nothing more is asked or told.
 [[nodiscard]] idempotency_guard forget(idempotency_guard g, instant now, const attempt_id& attempt);
 
 /// The attempt has ended with an answer, which control keeps.
-[[nodiscard]] grant_step finish(idempotency_guard g, instant now, const replica_list& replicas,
+[[nodiscard]] guard_step finish(idempotency_guard g, instant now, const replica_list& replicas,
                                 const attempt_id& attempt, stored_answer answer);
 
 /// Control has the result.
 [[nodiscard]] idempotency_guard kept(idempotency_guard g, const attempt_id& attempt);
 
 /// Sends again what is due.
-[[nodiscard]] grant_step resend(idempotency_guard g, instant now, const replica_list& replicas);
+[[nodiscard]] guard_step resend(idempotency_guard g, instant now, const replica_list& replicas);
 
 } // namespace bluebell::core
--- a/src/libcore/agent_control.cpp
+++ b/src/libcore/agent_control.cpp
@@ -12,7 +12,7 @@
 
 constexpr microseconds taken_retry = seconds(2); ///< of a key that another attempt is running
 
-agent_step with_grants(agent_step s, grant_step done)
+agent_step with_grants(agent_step s, guard_step done)
 {
     s.next.grants = std::move(done.next);
     append(s.out, std::move(done.out));
--- a/src/libcore/crash_guard.cpp
+++ b/src/libcore/crash_guard.cpp
@@ -84,7 +84,7 @@
         if (alone) {
             g.own_suspects = without(std::move(g.own_suspects), body);
             g.quarantined = with(std::move(g.quarantined), body, quarantine_state{}, now + keep,
-                                 max_quarantined);
+                                 max_refused_bodies);
         } else {
             g.own_suspects = with(std::move(g.own_suspects), body, suspect_state{self}, now + keep,
                                   max_suspects);
@@ -122,8 +122,8 @@
         g.unconfirmed.erase(body);
         if (find(g.quarantined, body, now) != nullptr)
             continue;
-        g.quarantined =
-            with(std::move(g.quarantined), body, quarantine_state{}, now + keep, max_quarantined);
+        g.quarantined = with(std::move(g.quarantined), body, quarantine_state{}, now + keep,
+                             max_refused_bodies);
         g.own_suspects = without(std::move(g.own_suspects), body);
     }
     g.told_suspects.clear();
--- a/src/libcore/idempotency_guard.cpp
+++ b/src/libcore/idempotency_guard.cpp
@@ -56,7 +56,7 @@
 }
 
 /// Ends the asking and leaves news for control.
-grant_step leave_news(idempotency_guard g, instant now, const replica_list& replicas,
+guard_step leave_news(idempotency_guard g, instant now, const replica_list& replicas,
                       const attempt_id& attempt, pending_news news)
 {
     const auto it = g.asked.find(attempt);
@@ -78,7 +78,7 @@
 
 } // namespace
 
-grant_step ask(idempotency_guard g, instant now, const replica_list& replicas,
+guard_step ask(idempotency_guard g, instant now, const replica_list& replicas,
                grant_request request)
 {
     const attempt_id attempt = request.attempt;
@@ -89,7 +89,7 @@
     return {std::move(g), std::move(out)};
 }
 
-grant_answer answered(idempotency_guard g, instant now, const replica_list& replicas,
+guard_answer answered(idempotency_guard g, instant now, const replica_list& replicas,
                       const grant_reply& reply)
 {
     const auto it = g.asked.find(reply.attempt);
@@ -114,7 +114,7 @@
     return {std::move(g), {}, reply.verdict};
 }
 
-grant_step led_by(idempotency_guard g, instant now, const replica_list& replicas,
+guard_step led_by(idempotency_guard g, instant now, const replica_list& replicas,
                   const node_id& from, const node_id& leader)
 {
     if (!leader.empty() && leader != from)
@@ -132,7 +132,7 @@
     return it != g.asked.end() && it->second.given && now - it->second.first_asked < grant_validity;
 }
 
-grant_step give_up(idempotency_guard g, instant now, const replica_list& replicas,
+guard_step give_up(idempotency_guard g, instant now, const replica_list& replicas,
                    const attempt_id& attempt, run_outcome outcome)
 {
     const auto it = g.asked.find(attempt);
@@ -154,7 +154,7 @@
     return g;
 }
 
-grant_step finish(idempotency_guard g, instant now, const replica_list& replicas,
+guard_step finish(idempotency_guard g, instant now, const replica_list& replicas,
                   const attempt_id& attempt, stored_answer answer)
 {
     const auto it = g.asked.find(attempt);
@@ -170,7 +170,7 @@
     return g;
 }
 
-grant_step resend(idempotency_guard g, instant now, const replica_list& replicas)
+guard_step resend(idempotency_guard g, instant now, const replica_list& replicas)
 {
     effects out;
     std::vector<attempt_id> attempts;
