Keep pushes from running in circles, and digests from going back

Cause: the cost loop with a relay stopped found pushes that ran between two relays while children moved; a property found that a node that had missed a digest took an older whole one. Change: each lease and document passes a relay once, a place drops children through the new parent, and a whole digest is taken only if it is not older.

--- a/src/include/bluebell/core/relay.h
+++ b/src/include/bluebell/core/relay.h
@@ -13,7 +13,9 @@
 struct relay_child {
     node_id via; ///< who sent its last beat: itself, or the relay below
     beat_row last;
-    bool waiting = false; ///< its last beat has not been passed on
+    bool waiting = false;       ///< its last beat has not been passed on
+    std::uint64_t answered = 0; ///< the newest round whose lease was passed down
+    revision told = 0;          ///< of the document passed down since its last beat
     instant heard_at{};
 
     friend bool operator==(const relay_child&, const relay_child&) = default;
@@ -43,11 +45,17 @@
 /// Gives the waiting beats, and forgets children that are silent.
 [[nodiscard]] relay_flush flush(relay_state current, instant now);
 
+struct relay_pass {
+    relay_state next;
+    effects out;
+};
+
 /// What each neighbour below is sent of a push: its own leases, the document where it lacks the
-/// revision, and the digest, to agents without its rows.
-[[nodiscard]] effects pass_on(const relay_state& relay, const push_batch& push,
-                              const std::optional<config_document>& newest,
-                              const std::map<node_handle, agent_entry>& agents);
+/// revision, and the digest, to agents without its rows. Each lease, and each document to a beat,
+/// is passed down once, so that a push can't run in a circle while children move.
+[[nodiscard]] relay_pass pass_on(relay_state current, const push_batch& push,
+                                 const std::optional<config_document>& newest,
+                                 const std::map<node_handle, agent_entry>& agents);
 
 /// The digest without the rows that only routers need.
 [[nodiscard]] digest_delta pools_only(const digest_delta& digest);
--- /dev/null
+++ b/src/libcore/dissemination_test.cpp
@@ -0,0 +1,297 @@
+// Followers, relays and the leader's dissemination: a revision never falls, a lease needs its own
+// round, digests apply once and in order, and the tree heals.
+
+#include <bluebell/core/dissemination.h>
+#include <bluebell/core/follower.h>
+#include <bluebell/core/placement.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace bluebell::core;
+
+namespace {
+
+node_id named(const std::string& name, int n)
+{
+    return node_id::from_trusted(name + "-" + std::to_string(n));
+}
+
+node_info node_at(const std::string& name, int n, node_role role)
+{
+    node_info node;
+    node.id = named(name, n);
+    node.role = role;
+    node.address = "tcp://127.0.0.1:" + std::to_string(1000 + n);
+    node.region = region_id::from_trusted("austral");
+    node.life = 1;
+    return node;
+}
+
+instant at(microseconds t)
+{
+    return instant(seconds(100) + t);
+}
+
+/// A registered router that has sent one beat at time 0.
+follower_state placed_follower()
+{
+    follower_state st;
+    st.controls = {node_at("control", 0, node_role::control)};
+    const node_info self = node_at("router", 0, node_role::router);
+    auto first = follow(std::move(st), at({}), self, {}, {});
+    auto place = follow(std::move(first.next), at({}), named("control", 0),
+                        node_place{7, first.next.round, node_id(), ""});
+    return std::move(place.next);
+}
+
+push_batch push_of(revision config, std::uint64_t round)
+{
+    push_batch push;
+    push.config = config;
+    push.document.emplace();
+    push.document->defaults["load_bound_permille"] = std::to_string(1000 + config);
+    push.lease = seconds(3);
+    push.rows = {{7, round}};
+    return push;
+}
+
+follower_state pushed(follower_state st, microseconds t, const push_batch& push)
+{
+    return follow(std::move(st), at(t), node_at("router", 0, node_role::router), push).next;
+}
+
+/// A machine with routers 1..n and as many agents, all of one region, and their directory.
+struct fleet {
+    machine_state machine;
+    directory members;
+    dissemination spread;
+    fleet_config config;
+
+    explicit fleet(int n)
+    {
+        register_nodes start;
+        for (int i = 0; i < n; ++i) {
+            start.nodes.push_back({node_at("router", i, node_role::router), {}});
+            agent_offer offer{{model_id::from_trusted("m")}, {}, 4, true};
+            start.nodes.push_back({node_at("agent", i, node_role::agent), offer});
+        }
+        machine = apply(machine_state{}, start).next;
+        spread = begin(at({}), 1);
+    }
+    [[nodiscard]] leader_view view(microseconds t) const
+    {
+        return {members, machine, config, at(t)};
+    }
+
+    /// All nodes beat directly, one round later than before.
+    void beat_all(microseconds t, std::uint64_t round, revision config_of_all)
+    {
+        for (const auto& [handle, node] : machine.registry.nodes) {
+            beat_row row;
+            row.handle = handle;
+            row.round = round;
+            row.config = config_of_all;
+            members = take(std::move(members), machine.registry, at(t), node.node.id, {{row}});
+        }
+        members = review(std::move(members), machine.registry, at(t));
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(dissemination_suite)
+
+BOOST_AUTO_TEST_CASE(a_nodes_revision_never_falls)
+{
+    BOOST_TEST(rc::check("never falls", [] {
+        follower_state st = placed_follower();
+        for (int i = 0; i < 40; ++i) {
+            const revision before = st.config_revision;
+            const auto config = static_cast<revision>(*rc::gen::inRange(0, 20));
+            st = pushed(std::move(st), {}, push_of(config, 0));
+            RC_ASSERT(st.config_revision == std::max(before, config));
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(a_lease_counts_from_the_echoed_beat_and_needs_the_newest_revision)
+{
+    follower_state st = placed_follower();
+    BOOST_TEST(!may_serve(st, at({}), false));
+    st = pushed(std::move(st), seconds(2), push_of(1, st.round));
+    BOOST_TEST((st.lease_until == at(seconds(3)))); // not from the push's arrival
+    st = pushed(std::move(st), seconds(2), push_of(2, 999));
+    BOOST_TEST((st.lease_until == at(seconds(3)))); // a round that it never sent
+    const auto held = st.lease_until;
+    st =
+        follow(std::move(st), at(seconds(2)), node_at("router", 0, node_role::router), {}, {}).next;
+    st = pushed(std::move(st), seconds(2), push_of(1, st.round));
+    BOOST_TEST((st.lease_until == held)); // an older leader's revision
+    BOOST_TEST(!may_serve(st, at(seconds(3)), false));
+}
+
+BOOST_AUTO_TEST_CASE(a_drained_node_gets_no_lease)
+{
+    follower_state st = placed_follower();
+    push_batch push = push_of(1, st.round);
+    push.drained = {7};
+    st = pushed(std::move(st), {}, push);
+    BOOST_TEST(!may_serve(st, at({}), false));
+}
+
+BOOST_AUTO_TEST_CASE(lease_lost_serve_goes_on_but_not_for_calls_that_run_once)
+{
+    follower_state st = placed_follower();
+    push_batch push = push_of(1, st.round);
+    push.document->defaults["lease_lost"] = "serve";
+    st = pushed(std::move(st), {}, push);
+    BOOST_TEST(may_serve(st, at(seconds(60)), false));
+    BOOST_TEST(!may_serve(st, at(seconds(60)), true));
+}
+
+BOOST_AUTO_TEST_CASE(a_digest_at_a_node_equals_what_was_sent_at_that_sequence)
+{
+    BOOST_TEST(rc::check("late and doubled deltas", [] {
+        fleet f(3);
+        follower_state st = placed_follower();
+        std::vector<push_batch> sent;
+        std::map<std::uint64_t, std::map<node_handle, load_row>> truth;
+        for (std::uint64_t round = 1; round <= 12; ++round) {
+            const auto t = microseconds(seconds(static_cast<int>(round)));
+            f.beat_all(t, round, 0);
+            for (auto& [handle, m] : f.members.members)
+                m.last.active = *rc::gen::inRange<std::uint32_t>(0, 4);
+            spread done = send_digests(std::move(f.spread), f.view(t));
+            f.spread = std::move(done.next);
+            const auto& msg = std::get<send_message>(done.out.at(0));
+            sent.push_back(std::get<push_batch>(std::get<control_message>(msg.what)));
+            for (const auto& e : done.out) {
+                const auto& other = std::get<send_message>(e);
+                if (other.to == named("router", 0))
+                    sent.back() = std::get<push_batch>(std::get<control_message>(other.what));
+            }
+            const auto& region = f.spread.regions.begin()->second;
+            for (const auto& [handle, agent] : region.agents)
+                truth[region.digest][handle] = agent.load;
+        }
+        for (int i = 0; i < 60; ++i) {
+            const auto& push = sent[*rc::gen::inRange<std::size_t>(0, sent.size())];
+            const auto before = st.digest;
+            st = pushed(std::move(st), {}, push);
+            RC_ASSERT(st.digest >= before);
+            if (st.digest == 0)
+                continue;
+            RC_ASSERT(st.agents.size() == truth[st.digest].size());
+            for (const auto& [handle, agent] : st.agents)
+                RC_ASSERT(agent.load.active == truth[st.digest][handle].active);
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(a_change_is_in_force_when_all_confirmed_or_their_leases_have_run_out)
+{
+    fleet f(2);
+    f.beat_all(seconds(4), 1, 0);
+    spread done = answer(std::move(f.spread), f.view(seconds(4)));
+    f.spread = std::move(done.next);
+    f.members = std::move(done.members);
+    f.machine.configuration.number = 1;
+    BOOST_TEST(!in_force(f.spread, f.view(seconds(4)), 1));
+    BOOST_TEST(lagging(f.spread, f.view(seconds(4)), 1).size() == 4u);
+    const microseconds bound = seconds(4) + lease_bound(f.config.config_lease);
+    BOOST_TEST(!in_force(f.spread, f.view(bound - microseconds(1)), 1));
+    BOOST_TEST(in_force(f.spread, f.view(bound), 1));
+    f.beat_all(seconds(5), 2, 1);
+    BOOST_TEST(in_force(f.spread, f.view(seconds(5)), 1));
+    BOOST_TEST((bound < seconds(8)));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_waits_for_leases_of_the_one_before)
+{
+    fleet f(1);
+    BOOST_TEST(!in_force(f.spread, f.view(seconds(3)), 0));
+    BOOST_TEST(in_force(f.spread, f.view(lease_bound(longest_lease)), 0));
+}
+
+BOOST_AUTO_TEST_CASE(the_tree_has_bounded_fan_out_and_no_cycle_when_relays_are_lost)
+{
+    BOOST_TEST(rc::check("tree", [] {
+        fleet f(60);
+        f.beat_all({}, 1, 0);
+        for (const auto& [handle, node] : f.machine.registry.nodes)
+            f.spread = place(std::move(f.spread), f.view({}), handle).next;
+        for (int i = 0; i < 20; ++i) {
+            const auto moved = *rc::gen::inRange<node_handle>(1, 121);
+            const auto lost = f.spread.parents[moved];
+            placed done = place(std::move(f.spread), f.view({}), moved);
+            f.spread = std::move(done.next);
+            RC_ASSERT(lost == 0 || done.parent != lost);
+        }
+        std::map<node_handle, std::size_t> fan_out;
+        for (const auto& [handle, parent] : f.spread.parents) {
+            fan_out[parent] += 1;
+            node_handle up = handle;
+            for (int depth = 0; up != 0; ++depth) {
+                RC_ASSERT(depth < 120);
+                up = f.spread.parents.at(up);
+            }
+        }
+        for (const auto& [parent, n] : fan_out)
+            RC_ASSERT(parent == 0 || n <= relay_routers + relay_agents);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(a_minority_of_routers_removes_no_engine)
+{
+    fleet f(5);
+    f.beat_all({}, 1, 0);
+    const node_info engine = node_at("agent", 0, node_role::agent);
+    for (int i = 0; i < 2; ++i)
+        f.members = take(std::move(f.members), at({}), named("router", i), {engine.id, false});
+    BOOST_TEST(!is_suspected(f.members, f.machine.registry, at({}), engine));
+    f.members = take(std::move(f.members), at({}), named("router", 2), {engine.id, false});
+    BOOST_TEST(is_suspected(f.members, f.machine.registry, at({}), engine));
+    BOOST_TEST(!is_suspected(f.members, f.machine.registry, at(seconds(11)), engine));
+}
+
+BOOST_AUTO_TEST_CASE(a_flapping_node_is_held_back_for_longer_each_time)
+{
+    fleet f(1);
+    microseconds t{0};
+    std::uint64_t round = 0;
+    microseconds last_hold{0};
+    for (int i = 0; i < 4; ++i) {
+        f.beat_all(t, ++round, 0);
+        const member& m = f.members.members.begin()->second;
+        t = std::max(t, m.held_until - at({}));
+        f.beat_all(t, ++round, 0);
+        BOOST_TEST(f.members.members.begin()->second.present);
+        t += member_timeout + seconds(1);
+        f.members = review(std::move(f.members), f.machine.registry, at(t));
+        BOOST_TEST(!f.members.members.begin()->second.present);
+        BOOST_TEST((f.members.members.begin()->second.hold > last_hold));
+        last_hold = f.members.members.begin()->second.hold;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(placement_loads_are_bounded_and_hold_still_between_changes)
+{
+    fleet f(6);
+    f.config.placement_enabled = true;
+    f.config.model_min_engines = {{"x", 3}, {"y", 2}};
+    f.beat_all({}, 1, 0);
+    const auto first = plan(f.view({}), {});
+    std::size_t loads = 0;
+    for (const auto& o : first)
+        loads += std::holds_alternative<load_model>(o.what) ? 1 : 0;
+    BOOST_TEST(loads == f.config.placement_loads_per_region);
+    for (const auto& o : first)
+        f.machine = apply(std::move(f.machine), give_order{"", {}, o.agent, o.what, o.why}).next;
+    for (const auto& o : plan(f.view({}), {}))
+        BOOST_TEST(!std::holds_alternative<load_model>(o.what));
+    const placement_times held{{"austral x", at({})}, {"austral y", at({})}, {"austral m", at({})}};
+    BOOST_TEST(plan(f.view(seconds(1)), held).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libcore/follower.cpp
+++ b/src/libcore/follower.cpp
@@ -110,7 +110,8 @@
 /// Is the delta the next one for this node? A missing one is remembered.
 bool is_next(follower_state& st, const digest_delta& delta, bool routes)
 {
-    if (delta.sequence <= st.digest && !st.digest_lost)
+    const bool whole_again = st.digest_lost && delta.base == 0 && delta.sequence == st.digest;
+    if (delta.sequence <= st.digest && !whole_again)
         return false;
     if (delta.base == 0 || !routes || delta.base == st.digest)
         return delta.base == 0 || !st.digest_lost;
@@ -221,6 +222,8 @@
     next.leader = from;
     next.parent = place.parent;
     next.answered_at = now;
+    std::erase_if(next.relay.children,
+                  [&](const auto& entry) { return entry.second.via == place.parent; });
     if (!place.parent.empty())
         out.emplace_back(connect_peer{place.parent, place.address});
     return {std::move(next), std::move(out), {}};
@@ -233,13 +236,18 @@
     effects out;
     adopt(next, now, push, out);
     renew(next, now, push);
+    push_batch below = push;
+    if (push.digest && push.digest->sequence <= next.digest)
+        below.digest.reset(); // its children have it, too
     std::optional<fleet_digest> news;
     if (push.digest)
         news = apply_digest(next, *push.digest, self.role == node_role::router);
     const bool newest = push.config == next.config_revision;
-    auto below = pass_on(next.relay, push, newest ? next.document : std::nullopt, next.agents);
-    out.insert(out.end(), std::make_move_iterator(below.begin()),
-               std::make_move_iterator(below.end()));
+    relay_pass passed =
+        pass_on(std::move(next.relay), below, newest ? next.document : std::nullopt, next.agents);
+    next.relay = std::move(passed.next);
+    out.insert(out.end(), std::make_move_iterator(passed.out.begin()),
+               std::make_move_iterator(passed.out.end()));
     out.emplace_back(wake_at{next.next_heartbeat});
     return {std::move(next), std::move(out), std::move(news)};
 }
--- a/src/libcore/relay.cpp
+++ b/src/libcore/relay.cpp
@@ -13,9 +13,9 @@
         if (row.handle == self || row.handle == 0)
             continue;
         relay_child& child = current.children[row.handle];
-        if (child.last.round >= row.round && child.via == from)
+        if (child.last.round >= row.round)
             continue;
-        child = {from, row, true, now};
+        child = {from, row, true, child.answered, 0, now};
         current.flush_at = std::min(current.flush_at, now + relay_hold);
     }
     return current;
@@ -47,26 +47,31 @@
     return reduced;
 }
 
-effects pass_on(const relay_state& relay, const push_batch& push,
-                const std::optional<config_document>& newest,
-                const std::map<node_handle, agent_entry>& agents)
+relay_pass pass_on(relay_state current, const push_batch& push,
+                   const std::optional<config_document>& newest,
+                   const std::map<node_handle, agent_entry>& agents)
 {
     std::map<node_id, push_batch> below;
-    for (const auto& [handle, child] : relay.children) {
+    for (auto& [handle, child] : current.children) {
         push_batch& part = below[child.via];
         part.config = push.config;
         part.lease = push.lease;
-        if (child.last.config < push.config)
+        if (newest && child.last.config < push.config && child.told < push.config) {
             part.document = newest;
-        if (push.digest && !part.digest)
-            part.digest = agents.contains(handle) ? pools_only(*push.digest) : *push.digest;
-        else if (push.digest && !agents.contains(handle))
+            child.told = push.config;
+        }
+        if (!push.digest)
+            continue;
+        if (!agents.contains(handle))
             part.digest = *push.digest;
+        else if (!part.digest)
+            part.digest = pools_only(*push.digest);
     }
     for (const auto& row : push.rows) {
-        const auto child = relay.children.find(row.handle);
-        if (child == relay.children.end())
+        const auto child = current.children.find(row.handle);
+        if (child == current.children.end() || child->second.answered >= row.round)
             continue;
+        child->second.answered = row.round;
         push_batch& part = below[child->second.via];
         part.rows.push_back(row);
         if (std::find(push.drained.begin(), push.drained.end(), row.handle) != push.drained.end())
@@ -77,7 +82,7 @@
         if (part.document || part.digest || !part.rows.empty())
             out.emplace_back(send_message{to, control_message(std::move(part))});
     }
-    return out;
+    return {std::move(current), std::move(out)};
 }
 
 } // namespace bluebell::core
