--- a/src/include/bluebell/core/replication.h
+++ b/src/include/bluebell/core/replication.h
@@ -24,22 +24,24 @@
 /// How long a round that a quorum confirmed lets its leader answer reads, from its sending.
 inline constexpr microseconds leader_lease{election_timeout_min.count() *
                                            (1000 - clock_drift_permille) / 1000};
-/// Largest weight of the entries of one append, in bytes.
-inline constexpr std::size_t max_append_bytes = std::size_t{64} * 1024;
 /// Largest weight sent to one replica and not confirmed, in bytes.
 inline constexpr std::size_t max_inflight_bytes = std::size_t{1024} * 1024;
 /// Largest weight of proposals that are not committed, in bytes; more are refused.
 inline constexpr std::size_t max_uncommitted_bytes = std::size_t{8} * 1024 * 1024;
 /// What is sent and not confirmed for so long is sent again.
 inline constexpr microseconds resend_timeout{450'000};
-/// Committed entries between two snapshots.
-inline constexpr log_index snapshot_interval = 4096;
-/// Entries kept in memory behind a snapshot for replicas that lag a little.
-inline constexpr log_index entries_kept = 1024;
 /// A new replica may be made a voter when it lacks at most so many entries.
 inline constexpr log_index catch_up_margin = 64;
-/// Bytes of one part of a snapshot on its way to a replica.
-inline constexpr std::uint32_t snapshot_part_size = 256 * 1024;
+
+/// Sizes of what is sent and saved at once.
+struct replication_limits {
+    std::size_t append_bytes = std::size_t{64} * 1024; ///< weight of the entries of one append
+    log_index snapshot_interval = 4096;                ///< committed entries between two snapshots
+    log_index entries_kept = 1024;                     ///< held behind a snapshot for short lags
+    std::uint32_t snapshot_part = 256 * 1024; ///< bytes of one part on its way to a replica
+
+    friend bool operator==(const replication_limits&, const replication_limits&) = default;
+};
 
 /// Checks that only tests turn off, to show that each is needed.
 struct replication_guards {
@@ -114,6 +116,7 @@
     log_index match = 0;     ///< durable there and equal to the leader's log
     log_index next = 1;      ///< first entry not yet sent
     std::uint64_t round = 0; ///< last round confirmed
+    bool probing = false;    ///< one append at a time until the logs are known to meet
     std::deque<sent_batch> sent;
     std::size_t inflight = 0; ///< weight of `sent`
     std::optional<snapshot_progress> snapshot;
@@ -211,6 +214,7 @@
     std::deque<pending_write> writes;
     std::deque<held_message> held;
     instant wake_due = instant::max(); ///< earliest wake_at that was asked for
+    replication_limits limits;
     replication_guards guards;
 
     friend bool operator==(const replication_state&, const replication_state&) = default;
--- a/src/libcore/replication_append.cpp
+++ b/src/libcore/replication_append.cpp
@@ -15,7 +15,7 @@
     for (log_index n = first; n <= t.st.log.last(); ++n) {
         const auto& entry = t.st.log.at(n);
         const std::size_t more = weight_of(entry.what);
-        if (!batch.empty() && weight + more > max_append_bytes)
+        if (!batch.empty() && weight + more > t.st.limits.append_bytes)
             break;
         weight += more;
         batch.push_back(entry);
@@ -36,7 +36,7 @@
 std::size_t send_batches(turn& t, const node_id& peer, replica_progress& p)
 {
     std::size_t n = 0;
-    while (p.next <= t.st.log.last() && p.inflight < max_inflight_bytes) {
+    while (!p.probing && p.next <= t.st.log.last() && p.inflight < max_inflight_bytes) {
         std::size_t weight = 0;
         auto batch = take_batch(t, p.next, weight);
         const log_index previous = p.next - 1;
@@ -49,29 +49,48 @@
     return n;
 }
 
-void restart_sending(replica_progress& p, log_index next)
+/// Goes back to an entry; nothing but probes is sent until the replica accepts one.
+void probe_from(replica_progress& p, log_index next)
 {
     p.sent.clear();
     p.inflight = 0;
+    p.probing = true;
     p.next = std::max(next, p.match + 1);
 }
 
+void send_probe(turn& t, const node_id& peer, const replica_progress& p)
+{
+    send_append(t, peer, std::max(p.next - 1, t.st.log.base), {});
+}
+
+/// A refusal answers a probe only when it leads further back; others answer what was sent before.
+void note_refusal(turn& t, const node_id& peer, replica_progress& p, log_index hint)
+{
+    const log_index next = std::max(std::min(hint + 1, p.next), p.match + 1);
+    if (p.snapshot || (p.probing && next >= p.next))
+        return;
+    probe_from(p, next);
+    if (p.next > t.st.log.base)
+        send_probe(t, peer, p);
+}
+
 /// Sends again what was not confirmed in time, and a sign of the leader in any case.
 void send_round(turn& t, const node_id& peer, replica_progress& p)
 {
     const bool lost = !p.sent.empty() && t.ctx.now - p.sent.front().at >= resend_timeout;
     if (lost)
-        restart_sending(p, p.match + 1);
+        probe_from(p, p.match + 1);
     if (p.next <= t.st.log.base && !p.snapshot)
         begin_transfer(t, peer, p);
     if (p.snapshot)
         resume_transfer(t, peer, p);
     if (p.snapshot || send_batches(t, peer, p) == 0)
-        send_append(t, peer, std::max(p.next - 1, t.st.log.base), {});
+        send_probe(t, peer, p);
 }
 
 void note_match(replica_progress& p, log_index match)
 {
+    p.probing = false;
     p.match = std::max(p.match, match);
     p.next = std::max(p.next, p.match + 1);
     while (!p.sent.empty() && p.sent.front().last <= p.match) {
@@ -82,13 +101,24 @@
         p.snapshot.reset();
 }
 
+/// The voters and those who will be.
+std::vector<node_info> everyone(const replica_set& r)
+{
+    std::vector<node_info> all = r.voters;
+    std::copy_if(r.target.begin(), r.target.end(), std::back_inserter(all),
+                 [&](const node_info& n) {
+                     return std::find(r.voters.begin(), r.voters.end(), n) == r.voters.end();
+                 });
+    return all;
+}
+
 /// Returns the value that a quorum of the voters has reached. own is this replica's.
 template <class Get>
 std::uint64_t reached_by_quorum(const turn& t, const leader_part& leader, std::uint64_t own,
                                 Get get)
 {
     const auto& in_force = t.st.replicas.back().replicas;
-    const auto& counted = t.st.guards.voters_only ? in_force.voters : in_force.target;
+    const auto counted = t.st.guards.voters_only ? in_force.voters : everyone(in_force);
     std::vector<std::uint64_t> values;
     for (const auto& v : counted) {
         if (v.id == t.self()) {
@@ -232,7 +262,8 @@
 void on(turn& t, const node_id& from, const append_request& m)
 {
     if (m.at_term < t.st.current_term && t.st.guards.check_term) {
-        send(t, from, append_reply{t.st.current_term, false, 0, m.round, t.st.life});
+        // The round is of the earlier term: told back, it would confirm a round of this one.
+        send(t, from, append_reply{t.st.current_term, false, 0, 0, t.st.life});
         return;
     }
     if (m.at_term > t.st.current_term || t.following() == nullptr)
@@ -278,8 +309,8 @@
     p.round = std::max(p.round, m.round);
     if (m.accepted)
         note_match(p, m.match);
-    else if (!p.snapshot)
-        restart_sending(p, std::min(p.next - 1, m.match + 1));
+    else
+        note_refusal(t, from, p, m.match);
     count_confirmations(t);
     replicate_to(t, from);
     advance_change(t);
--- a/src/libcore/replication_log.cpp
+++ b/src/libcore/replication_log.cpp
@@ -81,7 +81,7 @@
 void compact(turn& t)
 {
     auto& log = t.st.log;
-    while (!log.entries.empty() && log.base + entries_kept < t.st.snapshot.index) {
+    while (!log.entries.empty() && log.base + t.st.limits.entries_kept < t.st.snapshot.index) {
         log.base = log.entries.front().index;
         log.base_term = log.entries.front().at_term;
         log.entries.pop_front();
--- a/src/libcore/replication_members.cpp
+++ b/src/libcore/replication_members.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// A replica answers if it confirmed one of so many newest rounds.
+constexpr std::uint64_t recent_rounds = 3;
+
 bool same_member(const node_info& a, const node_info& b)
 {
     return a.id == b.id && a.life == b.life;
@@ -41,18 +44,37 @@
     return t.st.commit >= leader.first_own && t.st.replicas.back().index <= t.st.commit;
 }
 
-bool caught_up(const turn& t, const leader_part& leader, const node_info& learner)
+/// Does the member answer, and does it hold nearly all of the log?
+bool caught_up(const turn& t, const leader_part& leader, const node_info& member)
 {
-    if (learner.id == t.self())
-        return learner.life == t.st.life;
-    const auto it = leader.others.find(learner.id);
-    if (it == leader.others.end() || learner.life == 0 || it->second.life != learner.life)
+    if (member.id == t.self())
+        return member.life == t.st.life;
+    const auto it = leader.others.find(member.id);
+    if (it == leader.others.end() || member.life == 0 || it->second.life != member.life)
         return false;
-    return it->second.match >= t.st.commit && it->second.match + catch_up_margin >= t.st.log.last();
+    const auto& p = it->second;
+    const bool answers = p.round != 0 && p.round + recent_rounds >= leader.last_round;
+    return answers && p.match + catch_up_margin >= t.st.log.last();
+}
+
+/// Would these voters have a quorum now? No step may leave the fleet without one.
+bool would_work(const turn& t, const leader_part& leader, const std::vector<node_info>& voters)
+{
+    const auto n = std::count_if(voters.begin(), voters.end(),
+                                 [&](const node_info& v) { return caught_up(t, leader, v); });
+    return static_cast<std::size_t>(n) >= quorum_of(t, voters.size());
+}
+
+std::vector<node_info> sorted(std::vector<node_info> nodes)
+{
+    std::sort(nodes.begin(), nodes.end(),
+              [](const node_info& a, const node_info& b) { return a.id < b.id; });
+    return nodes;
 }
 
 void append_replicas(turn& t, replica_set next)
 {
+    next = {sorted(std::move(next.voters)), sorted(std::move(next.target))};
     append_command(t, set_replicas{std::move(next.voters), std::move(next.target)});
     fit_progress(t);
     replicate_to_all(t);
@@ -68,6 +90,8 @@
         auto voters = without(now.voters, n.id);
         if (voters.size() == now.voters.size())
             voters.push_back(n);
+        else if (!would_work(t, leader, voters))
+            continue;
         append_replicas(t, {std::move(voters), now.target});
         return true;
     }
@@ -81,15 +105,18 @@
 }
 
 /// Removes one voter that shall leave; the leader itself goes last.
-void remove_voter(turn& t, const replica_set& now)
+void remove_voter(turn& t, const leader_part& leader, const replica_set& now)
 {
     const node_info* leaving = nullptr;
     for (const auto& n : now.voters) {
         if (find_id(now.target, n.id) == nullptr && (leaving == nullptr || n.id != t.self()))
             leaving = &n;
     }
-    if (leaving != nullptr)
-        append_replicas(t, {without(now.voters, leaving->id), now.target});
+    if (leaving == nullptr)
+        return;
+    auto voters = without(now.voters, leaving->id);
+    if (would_work(t, leader, voters))
+        append_replicas(t, {std::move(voters), now.target});
 }
 
 bool allowed_count(std::size_t n)
@@ -126,8 +153,11 @@
 {
     if (is_blank(t.st))
         return find_id(t.ctx.fleet.controls, t.self()) != nullptr;
-    const auto* own = find_id(t.st.replicas.back().replicas.voters, t.self());
-    return own != nullptr && (own->life == t.st.life || !t.st.guards.check_life);
+    // While the entry that removes a voter isn't committed, it may be needed to commit it.
+    return std::any_of(t.st.replicas.begin(), t.st.replicas.end(), [&](const replica_record& r) {
+        const auto* own = find_id(r.replicas.voters, t.self());
+        return own != nullptr && (own->life == t.st.life || !t.st.guards.check_life);
+    });
 }
 
 std::vector<node_info> peers(const turn& t)
@@ -188,7 +218,7 @@
     }
     if (promote_learner(t, *leader, now) || has_learners(now))
         return;
-    remove_voter(t, now);
+    remove_voter(t, *leader, now);
 }
 
 void note_life(turn& t, const node_id& who, incarnation life)
--- a/src/libcore/replication_snapshot.cpp
+++ b/src/libcore/replication_snapshot.cpp
@@ -11,7 +11,7 @@
 void ask_part(turn& t, const node_id& peer, snapshot_progress& s)
 {
     s.asked_at = t.ctx.now;
-    t.out.emplace_back(snapshot_read{peer, s.index, s.offset, snapshot_part_size});
+    t.out.emplace_back(snapshot_read{peer, s.index, s.offset, t.st.limits.snapshot_part});
 }
 
 /// Returns the progress of a transfer to the peer, or null.
@@ -38,7 +38,7 @@
 
 void save_if_due(turn& t)
 {
-    const bool due = t.st.commit >= t.st.snapshot.index + snapshot_interval;
+    const bool due = t.st.commit >= t.st.snapshot.index + t.st.limits.snapshot_interval;
     if (!due || t.st.snapshot_write || t.st.installing)
         return;
     t.st.last_ticket += 1;
--- /dev/null
+++ b/src/libcore/replication_test.cpp
@@ -0,0 +1,218 @@
+// Properties of replication over random interleavings, the need for each guard, and focused cases.
+
+#include "replication_fleet_test.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace bluebell::core;
+using bluebell::core::test::fault_plan;
+using bluebell::core::test::plan_of;
+using bluebell::core::test::replica_fleet;
+
+namespace {
+
+constexpr std::int64_t second = 1'000'000; ///< microseconds
+
+fault_plan calm_plan(std::size_t replicas, std::size_t spares = 0)
+{
+    fault_plan plan;
+    plan.replicas = replicas;
+    plan.spares = spares;
+    plan.drop = plan.duplicate = plan.slow = 0;
+    plan.disturb_every_ms = 0;
+    return plan;
+}
+
+fault_plan random_plan()
+{
+    fault_plan plan;
+    plan.replicas = *rc::gen::element<std::size_t>(1, 3, 3, 5);
+    plan.spares = *rc::gen::inRange<std::size_t>(0, 3);
+    plan.virtual_ms = 8'000;
+    plan.drop = *rc::gen::element(0U, 20U, 200U);
+    plan.duplicate = *rc::gen::element(0U, 50U);
+    plan.slow = *rc::gen::element(0U, 50U, 300U);
+    plan.disturb_every_ms = *rc::gen::element(150U, 400U, 1'000U);
+    plan.sync_us = *rc::gen::element<std::int64_t>(100, 2'000, 30'000);
+    return plan;
+}
+
+/// Runs with one guard off until an invariant breaks; returns what broke, or nothing.
+std::optional<std::string> break_guard(bool replication_guards::*guard, std::uint64_t first,
+                                       std::uint64_t runs)
+{
+    replication_guards guards;
+    guards.*guard = false;
+    for (std::uint64_t seed = first; seed < first + runs; ++seed) {
+        replica_fleet fleet(seed, plan_of(seed), guards);
+        fleet.run();
+        if (fleet.violation() && !fleet.stuck())
+            return fleet.violation();
+    }
+    return std::nullopt;
+}
+
+/// Runs until a leader answers reads; returns it.
+std::size_t wait_for_leader(replica_fleet& fleet)
+{
+    const std::int64_t end = fleet.now_us() + 20 * second;
+    while (!fleet.leader() && fleet.now_us() < end)
+        fleet.run_until(fleet.now_us() + 10'000);
+    BOOST_REQUIRE(fleet.leader().has_value());
+    return *fleet.leader();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(replication)
+
+RC_BOOST_PROP(invariants_hold_over_random_interleavings, ())
+{
+    const auto plan = random_plan();
+    const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
+    replica_fleet fleet(seed, plan, {});
+    fleet.run();
+    if (fleet.violation())
+        RC_FAIL("seed " + std::to_string(seed) + ": " + *fleet.violation());
+}
+
+BOOST_AUTO_TEST_CASE(equal_seeds_give_equal_runs)
+{
+    replica_fleet a(7, {}, {});
+    replica_fleet b(7, {}, {});
+    a.run();
+    b.run();
+    BOOST_TEST((a.counts() == b.counts()));
+    BOOST_TEST(a.counts().committed > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(one_replica_leads_and_commits_after_the_sync)
+{
+    replica_fleet fleet(1, calm_plan(1), {});
+    const auto n = wait_for_leader(fleet);
+    const auto before = fleet.committed();
+    fleet.propose_at_leader(3);
+    BOOST_TEST(fleet.committed() == before);
+    fleet.run_until(fleet.now_us() + second);
+    BOOST_TEST(fleet.committed() >= before + 3);
+    BOOST_TEST(n == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_leader_that_is_cut_off_stops_and_another_takes_over)
+{
+    replica_fleet fleet(2, calm_plan(3), {});
+    const auto old = wait_for_leader(fleet);
+    fleet.cut_off(old, 60 * second);
+    fleet.run_until(fleet.now_us() + 4 * second);
+    const auto now = fleet.leader();
+    BOOST_REQUIRE(now.has_value());
+    BOOST_TEST(*now != old);
+    const bool old_leads = std::holds_alternative<leader_part>(fleet.state(old).role);
+    BOOST_TEST(!old_leads);
+    const auto at = fleet.state(*now).current_term;
+    fleet.run_until(fleet.now_us() + 70 * second);
+    BOOST_TEST(fleet.state(*now).current_term == at); // its return disturbs nobody
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_with_a_lost_disk_becomes_a_voter_in_a_new_life)
+{
+    replica_fleet fleet(3, calm_plan(3), {});
+    const auto leader = wait_for_leader(fleet);
+    fleet.run_until(fleet.now_us() + 3 * second);
+    const auto lost = (leader + 1) % 3;
+    const auto old_life = fleet.state(lost).life;
+    fleet.wipe(lost);
+    fleet.restart(lost);
+    BOOST_TEST(fleet.state(lost).life > old_life);
+    fleet.run_until(fleet.now_us() + 3 * second);
+    const auto now = replicas_of(fleet.state(leader));
+    BOOST_TEST(now.voters.size() == 3U);
+    BOOST_TEST((now.voters == now.target));
+    const auto voter = std::any_of(now.voters.begin(), now.voters.end(),
+                                   [&](const auto& v) { return v.life == fleet.state(lost).life; });
+    BOOST_TEST(voter);
+    // The second failure right after the repair: the leader's disk is lost.
+    const auto before = fleet.committed();
+    fleet.wipe(leader);
+    fleet.run_until(fleet.now_us() + 5 * second);
+    BOOST_TEST(fleet.committed() > before);
+    BOOST_TEST(!fleet.violation());
+}
+
+BOOST_AUTO_TEST_CASE(replicas_change_from_three_to_five_to_one_under_load)
+{
+    replica_fleet fleet(4, calm_plan(3, 2), {});
+    wait_for_leader(fleet);
+    fleet.change_replicas({0, 1, 2, 3, 4});
+    fleet.run_until(fleet.now_us() + 4 * second);
+    BOOST_TEST(replicas_of(fleet.state(wait_for_leader(fleet))).voters.size() == 5U);
+    fleet.change_replicas({4});
+    fleet.run_until(fleet.now_us() + 8 * second);
+    BOOST_TEST(wait_for_leader(fleet) == 4U);
+    BOOST_TEST(replicas_of(fleet.state(4)).voters.size() == 1U);
+    BOOST_TEST(!fleet.violation());
+}
+
+BOOST_AUTO_TEST_CASE(without_a_quorum_nobody_leads_and_nothing_is_committed)
+{
+    replica_fleet fleet(5, calm_plan(3), {});
+    const auto leader = wait_for_leader(fleet);
+    fleet.crash((leader + 1) % 3);
+    fleet.crash((leader + 2) % 3);
+    fleet.run_until(fleet.now_us() + 2 * second);
+    const auto before = fleet.committed();
+    fleet.run_until(fleet.now_us() + 20 * second);
+    BOOST_TEST(!fleet.leader().has_value());
+    BOOST_TEST(fleet.committed() == before);
+}
+
+BOOST_AUTO_TEST_CASE(a_failed_sync_ends_the_replica_s_part)
+{
+    replica_fleet fleet(6, calm_plan(1), {});
+    wait_for_leader(fleet);
+    const node_info self = {node_id::from_trusted("r0"), node_role::control, {}, {}, {}, 1};
+    const follower_state settings;
+    const context ctx{instant(seconds(5)), 1, self, settings};
+    auto done = reduce(fleet.state(0), ctx,
+                       disk_event(disk_failed{1, {error_code::io_failure, "sync", "", "EIO"}}));
+    BOOST_TEST(!leads(done.next, ctx.now));
+    done = reduce(std::move(done.next), ctx, disk_event(disk_synced{1'000'000}));
+    BOOST_TEST(done.committed.empty());
+    auto asked = propose(std::move(done.next), ctx, {no_operation{}});
+    BOOST_TEST(std::holds_alternative<proposed_elsewhere>(asked.outcome));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Each guard is needed: with it off, an invariant breaks.
+BOOST_AUTO_TEST_SUITE(replication_guards_are_needed)
+
+namespace {
+
+/// A guard, and seeds among which one is known to need it.
+struct guard_case {
+    const char* name;
+    bool replication_guards::*guard;
+    std::uint64_t first_seed;
+    std::uint64_t runs;
+};
+
+constexpr guard_case guard_cases[] = {
+    {"majority_quorum", &replication_guards::majority_quorum, 1, 100},
+    {"check_log", &replication_guards::check_log, 1, 100},
+    {"check_life", &replication_guards::check_life, 1, 200},
+    {"check_lease", &replication_guards::check_lease, 1, 100},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_invariant_breaks_without_each)
+{
+    for (const auto& c : guard_cases) {
+        const auto found = break_guard(c.guard, c.first_seed, c.runs);
+        BOOST_TEST(found.has_value(), c.name << " isn't missed");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
