--- a/src/include/bluebell/core/dissemination.h
+++ b/src/include/bluebell/core/dissemination.h
@@ -12,10 +12,10 @@
 namespace bluebell::core {
 
 /// Routers of one region that the leader talks to itself.
-inline constexpr std::size_t heads_per_region = 1;
+inline constexpr std::size_t heads_per_region = 2;
 /// Routers, and agents, that one router relays for.
-inline constexpr std::size_t relay_routers = 8;
-inline constexpr std::size_t relay_agents = 16;
+inline constexpr std::size_t relay_routers = 4;
+inline constexpr std::size_t relay_agents = 12;
 /// Nodes that are moved from the leader to a relay at one tick.
 inline constexpr std::size_t moves_per_tick = 16;
 /// Time between two rounds of answers to beats.
