--- a/src/libcore/agent_engine.cpp
+++ b/src/libcore/agent_engine.cpp
@@ -218,7 +218,7 @@
     const auto it = s.next.running.find(ev.attempt);
     if (it == s.next.running.end() || it->second.broken)
         return s;
-    if (!ev.sent) {
+    if (!ev.sent && !it->second.first_event) {
         const body_digest body = crash_digest(it->second.what);
         s = fail_running(std::move(s), ctx, ev.attempt, {run_outcome::not_run, false, ev.why});
         return free_followers(std::move(s), ctx, body);
