--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -44,8 +44,12 @@
     void operator()(const engine_cancel& e) const { node.ports_.engine->run(e); }
     void operator()(const engine_pause& e) const { node.ports_.engine->run(e); }
     void operator()(const engine_order_run& e) const { node.ports_.engine->run(e); }
-    void operator()(const disk_vote&) const {}
-    void operator()(const disk_append&) const {}
+    // Without a store the log is held in memory: what is written counts at once.
+    void operator()(const disk_vote& e) const { node.dispatch(disk_event(disk_synced{e.ticket})); }
+    void operator()(const disk_append& e) const
+    {
+        node.dispatch(disk_event(disk_synced{e.ticket}));
+    }
     void operator()(const disk_snapshot&) const {}
     void operator()(const snapshot_read&) const {}
     void operator()(const snapshot_store&) const {}
@@ -105,6 +109,12 @@
         if (control.id != state_.self.id)
             ports_.peers->connect(control.id, control.address);
     }
+    if (std::holds_alternative<control_state>(state_.role)) {
+        disk_loaded nothing;
+        nothing.fresh = true;
+        LOG(WARNING) << "store: The log is held in memory and lost with this process.";
+        dispatch(disk_event(std::move(nothing)));
+    }
     dispatch(clock_event(tick{}));
 }
 
