--- /dev/null
+++ b/src/bluebell/process.cpp
@@ -0,0 +1,192 @@
+// From settings to a running node.
+
+#include "process.h"
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include <glog/logging.h>
+
+namespace bluebell {
+
+using namespace core;
+
+namespace {
+
+incarnation new_life()
+{
+    const auto t = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<incarnation>(std::chrono::duration_cast<microseconds>(t).count());
+}
+
+node_state initial_state(const settings::node_settings& s)
+{
+    node_state st;
+    st.self = s.self;
+    st.self.life = new_life();
+    st.fleet.controls = s.controls;
+    switch (s.self.role) {
+    case node_role::router:
+        st.role = router_state{};
+        break;
+    case node_role::agent: {
+        agent_state agent;
+        agent.offer = s.offer;
+        st.role = agent;
+        break;
+    }
+    case node_role::control:
+        st.role = control_state{};
+        break;
+    }
+    return st;
+}
+
+result<admin::operator_keys> read_keys(const std::string& file)
+{
+    if (file.empty())
+        return admin::operator_keys{};
+    std::ifstream in(file);
+    if (!in)
+        return fail(error_code::io_failure, "read operator tokens", file, "can't be read");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return admin::operator_keys::make(text.str());
+}
+
+} // namespace
+
+result<std::shared_ptr<process>> process::make(const std::string& settings_file,
+                                               const settings::node_settings& s)
+{
+    std::shared_ptr<process> p(new process(settings_file, s));
+    if (auto opened = p->open(); !opened)
+        return tl::unexpected(opened.error());
+    return p;
+}
+
+result<void> process::open()
+{
+    auto loop = runtime::event_loop::make();
+    if (!loop)
+        return tl::unexpected(loop.error());
+    loop_ = std::move(*loop);
+    auto node = runtime::node_runner::make(loop_, initial_state(settings_));
+    if (!node)
+        return tl::unexpected(node.error());
+    node_ = std::move(*node);
+    node_->telemetry().set_least(settings_.log.least);
+    return open_peers()
+        .and_then([this] { return open_callers(); })
+        .and_then([this] { return open_engine(); })
+        .and_then([this] { return open_admin(); });
+}
+
+result<void> process::open_peers()
+{
+    runtime::peer_bus_options bus;
+    bus.self = settings_.self.id;
+    bus.listen = settings_.self.address;
+    auto peers = runtime::peer_bus::make(
+        loop_, bus,
+        {[this](const node_id& from, message what) {
+             dispatch(peer_event(message_received{from, std::move(what)}));
+         },
+         [](const error& why) { LOG(WARNING) << "peers: " << to_string(why); }});
+    if (!peers)
+        return tl::unexpected(peers.error());
+    ports_.peers = std::move(*peers);
+    return {};
+}
+
+result<void> process::open_callers()
+{
+    if (settings_.self.role != node_role::router)
+        return {};
+    runtime::caller_server_options http;
+    http.host = settings_.http.host;
+    http.port = settings_.http.port;
+    http.max_body = settings_.limits.max_body;
+    http.max_headers = settings_.limits.max_headers;
+    auto callers = runtime::caller_server::make(
+        loop_, http, [this](event_body body) { dispatch(std::move(body)); });
+    if (!callers)
+        return tl::unexpected(callers.error());
+    ports_.callers = std::move(*callers);
+    return {};
+}
+
+result<void> process::open_engine()
+{
+    if (settings_.self.role != node_role::agent)
+        return {};
+    runtime::engine_client_options options;
+    options.host = settings_.engine.host;
+    options.port = settings_.engine.port;
+    options.offer = settings_.offer;
+    auto engine = runtime::engine_client::make(
+        loop_, options, [this](event_body body) { dispatch(std::move(body)); });
+    if (!engine)
+        return tl::unexpected(engine.error());
+    ports_.engine = std::move(*engine);
+    return {};
+}
+
+result<void> process::open_admin()
+{
+    if (settings_.admin.port == 0)
+        return {};
+    auto keys = read_keys(settings_.operator_token_file);
+    if (!keys)
+        return tl::unexpected(keys.error());
+    runtime::admin_server_options options{settings_.admin.host, settings_.admin.port,
+                                          std::move(*keys)};
+    auto admin = runtime::admin_server::make(
+        loop_, std::move(options),
+        {[this]() -> const node_state& { return node_->state(); },
+         [this]() -> runtime::node_telemetry& { return node_->telemetry(); },
+         [this](event_body body) { dispatch(std::move(body)); }});
+    if (!admin)
+        return tl::unexpected(admin.error());
+    ports_.admin = std::move(*admin);
+    return {};
+}
+
+void process::reload()
+{
+    const auto next = settings::load(file_);
+    if (!next) {
+        for (const auto& p : next.error())
+            LOG(ERROR) << "settings: Not re-read. " << settings::to_string(p);
+        return;
+    }
+    const auto done = settings::reload(settings_, *next);
+    settings_ = done.settings;
+    node_->telemetry().set_least(settings_.log.least);
+    if (const auto keys = read_keys(settings_.operator_token_file); keys && ports_.admin)
+        ports_.admin->set_keys(*keys);
+    if (ports_.engine)
+        ports_.engine->set_offer(settings_.offer);
+    for (const auto& key : done.needs_restart)
+        LOG(WARNING) << "settings: A change needs a restart. key=" << key;
+    LOG(INFO) << "settings: Re-read. file=" << file_;
+}
+
+void process::run()
+{
+    const auto on_stop = [this] { dispatch(operator_event(drain_wanted{})); };
+    const auto term = runtime::watcher::signal(*loop_, SIGTERM, on_stop);
+    const auto interrupt = runtime::watcher::signal(*loop_, SIGINT, on_stop);
+    const auto hangup = runtime::watcher::signal(*loop_, SIGHUP, [this] { reload(); });
+    LOG(INFO) << "process: Started. node=" << settings_.self.id.str()
+              << " role=" << to_string(settings_.self.role);
+    node_->start(ports_);
+    if (ports_.engine)
+        ports_.engine->start();
+    loop_->run();
+    LOG(INFO) << "process: Stopped. node=" << settings_.self.id.str();
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/bluebellctl/key_file.cpp
@@ -0,0 +1,36 @@
+// Writes a key file with its owner's permissions only.
+
+#include "key_file.h"
+
+#include <bluebell/runtime/keys.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace bluebell::ctl {
+
+using namespace core;
+
+result<void> write_key_file(const std::string& file)
+{
+    constexpr std::string_view step = "write key file";
+    const auto keys = runtime::make_key_pair();
+    if (!keys)
+        return tl::unexpected(keys.error());
+    const int fd = ::open(file.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0600);
+    if (fd < 0) {
+        const auto code = errno == EEXIST ? error_code::conflict : error_code::io_failure;
+        return fail(code, step, file, std::strerror(errno));
+    }
+    const std::string text = runtime::key_file_text(*keys);
+    const bool good = ::write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()) &&
+                      ::fsync(fd) == 0;
+    if (::close(fd) != 0 || !good)
+        return fail(error_code::io_failure, step, file, std::strerror(errno));
+    return {};
+}
+
+} // namespace bluebell::ctl
--- a/src/include/bluebell/runtime/node_runner.h
+++ b/src/include/bluebell/runtime/node_runner.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <bluebell/core/reducer.h>
+#include <bluebell/runtime/admin_server.h>
 #include <bluebell/runtime/caller_server.h>
 #include <bluebell/runtime/engine_client.h>
 #include <bluebell/runtime/event_loop.h>
+#include <bluebell/runtime/node_telemetry.h>
 #include <bluebell/runtime/peer_bus.h>
 
 #include <deque>
@@ -19,6 +21,7 @@
     std::shared_ptr<peer_bus> peers;
     std::shared_ptr<caller_server> callers; ///< routers
     std::shared_ptr<engine_client> engine;  ///< agents
+    std::shared_ptr<admin_server> admin;    ///< all roles, if the settings want it
 };
 
 /// Owns the node's state. dispatch() may be called from inside an effect: events queue up.
@@ -37,6 +40,7 @@
     void dispatch(core::event_body body);
 
     [[nodiscard]] const core::node_state& state() const { return state_; }
+    [[nodiscard]] node_telemetry& telemetry() { return telemetry_; }
 
 private:
     node_runner(std::shared_ptr<event_loop> loop, core::node_state initial);
@@ -47,6 +51,7 @@
 
     std::shared_ptr<event_loop> loop_;
     core::node_state state_;
+    node_telemetry telemetry_;
     node_ports ports_;
     std::deque<core::event_body> queue_; ///< events not yet reduced, oldest first
     bool running_ = false;               ///< an event is being reduced or its effects carried out
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -8,20 +8,6 @@
 
 using namespace core;
 
-namespace {
-
-std::string format(const log_line& line)
-{
-    std::string text = line.part + ": " + line.text;
-    if (!line.request.empty())
-        text += " request=" + line.request.str();
-    for (const auto& f : line.fields)
-        text += " " + f.name + "=" + f.value;
-    return text;
-}
-
-} // namespace
-
 /// Carries out one effect; one overload per kind.
 struct effect_runner {
     node_runner& node;
@@ -47,25 +33,18 @@
     void operator()(const disk_vote&) const {}
     void operator()(const disk_append&) const {}
     void operator()(const disk_snapshot&) const {}
-    void operator()(const operator_reply&) const {}
-    void operator()(const wake_at& e) const { node.wake(e.at); }
-    void operator()(const log_line& e) const
+    void operator()(const operator_reply& e) const
     {
-        switch (e.level) {
-        case log_level::info:
-            LOG(INFO) << format(e);
-            break;
-        case log_level::warning:
-            LOG(WARNING) << format(e);
-            break;
-        case log_level::error:
-            LOG(ERROR) << format(e);
-            break;
-        }
+        if (node.ports_.admin)
+            node.ports_.admin->run(e);
     }
-    void operator()(const observe&) const {}
+    void operator()(const wake_at& e) const { node.wake(e.at); }
+    void operator()(const log_line& e) const { node.telemetry_.take(e); }
+    void operator()(const observe& e) const { node.telemetry_.take(node.loop_->now(), e); }
     void operator()(const set_ready& e) const
     {
+        if (node.ports_.admin)
+            node.ports_.admin->set_ready(e.ready);
         if (node.ports_.callers)
             node.ports_.callers->set_ready(e.ready);
     }
@@ -88,7 +67,8 @@
 }
 
 node_runner::node_runner(std::shared_ptr<event_loop> loop, node_state initial)
-    : loop_(std::move(loop)), state_(std::move(initial)), random_(std::random_device{}())
+    : loop_(std::move(loop)), state_(std::move(initial)),
+      telemetry_(node_telemetry::make(loop_->now())), random_(std::random_device{}())
 {
     timer_ = watcher::timer(*loop_, [this] {
         next_wake_ = instant::max();
