--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -89,12 +89,25 @@
     runtime::peer_bus_options bus;
     bus.self = settings_.self.id;
     bus.listen = settings_.self.address;
-    auto peers = runtime::peer_bus::make(
-        loop_, bus,
-        {[this](const node_id& from, message what) {
-             dispatch(peer_event(message_received{from, std::move(what)}));
-         },
-         [](const error& why) { LOG(WARNING) << "peers: " << to_string(why); }});
+    if (!settings_.key_file.empty()) {
+        auto keys = runtime::read_key_file(settings_.key_file);
+        if (!keys)
+            return tl::unexpected(keys.error());
+        bus.keys = std::move(*keys);
+    }
+    runtime::peer_bus::callbacks calls;
+    calls.message = [this](const node_id& from, message what) {
+        dispatch(peer_event(message_received{from, std::move(what)}));
+    };
+    calls.unreachable = [this](const node_id& peer) {
+        dispatch(peer_event(peer_unreachable{peer}));
+    };
+    calls.bad = [](const error& why, std::uint64_t dropped) {
+        LOG(WARNING) << "peers: Refused. step=\"" << why.step << "\" peer=" << why.peer
+                     << " code=" << to_string(why.code) << " text=\"" << why.text
+                     << "\" others=" << dropped;
+    };
+    auto peers = runtime::peer_bus::make(loop_, bus, std::move(calls));
     if (!peers)
         return tl::unexpected(peers.error());
     ports_.peers = std::move(*peers);
@@ -110,6 +123,8 @@
     http.port = settings_.http.port;
     http.max_body = settings_.limits.max_body;
     http.max_headers = settings_.limits.max_headers;
+    http.idle_seconds = static_cast<int>(settings_.limits.idle_timeout_s);
+    http.max_connections = settings_.limits.max_connections;
     auto callers = runtime::caller_server::make(
         loop_, http, [this](event_body body) { dispatch(std::move(body)); });
     if (!callers)
