--- a/src/include/bluebell/core/view.h
+++ b/src/include/bluebell/core/view.h
@@ -19,6 +19,7 @@
 
 /// Single values and tables.
 struct node_view {
+    node_id self;
     std::vector<log_field> values;
     std::vector<view_table> tables;
 
--- a/src/include/bluebell/runtime/engine_client.h
+++ b/src/include/bluebell/runtime/engine_client.h
@@ -53,6 +53,9 @@
     /// Begins the periodic reads of the engine's report.
     void start();
 
+    /// Changes what the backend server is reported to serve, from the next report on.
+    void set_offer(const core::agent_offer& offer) { options_.offer = offer; }
+
     void run(const core::engine_run& e);
     void run(const core::engine_cancel& e);
     void run(const core::engine_pause& e);
--- a/src/libcore/view.cpp
+++ b/src/libcore/view.cpp
@@ -41,16 +41,33 @@
     v.values.push_back({"draining", yes_no(st.draining)});
 }
 
+std::vector<log_field> row_of(const node_status& n)
+{
+    return {{"node", n.node.id.str()},
+            {"role", std::string(to_string(n.node.role))},
+            {"region", n.node.region.str()},
+            {"availability_zone", n.node.zone.str()},
+            {"present", yes_no(n.present)},
+            {"drained", yes_no(n.drained)},
+            {"in_force", std::to_string(n.in_force)},
+            {"silence_ms", in_ms(n.silence)}};
+}
+
 void add_role(node_view& v, const control_state& st, instant now)
 {
-    view_table members{"members", {}};
-    for (const auto& [id, m] : st.members)
-        members.rows.push_back({{"node", id.str()},
-                                {"role", std::string(to_string(m.last.from.role))},
-                                {"availability_zone", m.last.from.zone.str()},
-                                {"config_revision", std::to_string(m.last.config)},
-                                {"heard_ms_ago", in_ms(now - m.heard_at)}});
-    v.tables.push_back(std::move(members));
+    const control_view c = view_of(st, v.self, now);
+    v.values.push_back({"leads", yes_no(c.leads)});
+    v.values.push_back({"leader", c.leader.str()});
+    v.values.push_back({"accepted_revision", std::to_string(c.config)});
+    v.values.push_back({"in_force_everywhere", yes_no(c.everywhere)});
+    view_table lagging{"lagging", {}};
+    for (const auto& id : c.lagging)
+        lagging.rows.push_back({{"node", id.str()}});
+    view_table nodes{"nodes", {}};
+    for (const auto& n : c.nodes)
+        nodes.rows.push_back(row_of(n));
+    v.tables.push_back(std::move(lagging));
+    v.tables.push_back(std::move(nodes));
 }
 
 } // namespace
@@ -58,6 +75,7 @@
 node_view view(const node_state& st, instant now)
 {
     node_view v;
+    v.self = st.self.id;
     v.values = {{"node", st.self.id.str()},
                 {"role", std::string(to_string(st.self.role))},
                 {"region", st.self.region.str()},
