--- a/src/bluebell/main.cpp
+++ b/src/bluebell/main.cpp
@@ -1,12 +1,12 @@
 // The long-running program: router, agent or control, as its settings say.
 
-#include <csignal>
-#include <iostream>
+#include "process.h"
 
 #include <cxxopts.hpp>
 #include <glog/logging.h>
 
-#include "process.h"
+#include <csignal>
+#include <iostream>
 
 using namespace bluebell;
 
--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -2,13 +2,13 @@
 
 #include "process.h"
 
+#include <glog/logging.h>
+
 #include <chrono>
 #include <csignal>
 #include <fstream>
 #include <sstream>
 
-#include <glog/logging.h>
-
 namespace bluebell {
 
 using namespace core;
--- a/src/bluebellctl/actions.cpp
+++ b/src/bluebellctl/actions.cpp
@@ -2,16 +2,16 @@
 
 #include "actions.h"
 
-#include <bluebell/core/visit.h>
+#include "http_client.h"
+#include "key_file.h"
+#include "table.h"
 
-#include <algorithm>
-#include <iostream>
+#include <bluebell/core/visit.h>
 
 #include <nlohmann/json.hpp>
 
-#include "http_client.h"
-#include "key_file.h"
-#include "table.h"
+#include <algorithm>
+#include <iostream>
 
 namespace bluebell::ctl {
 
--- a/src/bluebellctl/command_line.cpp
+++ b/src/bluebellctl/command_line.cpp
@@ -2,13 +2,13 @@
 
 #include "command_line.h"
 
+#include <cxxopts.hpp>
+
 #include <chrono>
 #include <fstream>
 #include <random>
 #include <sstream>
 
-#include <cxxopts.hpp>
-
 namespace bluebell::ctl {
 
 using namespace core;
@@ -212,7 +212,8 @@
     return options.help() +
            "\nCommands:\n"
            "  status                          members, leader, revision in force, who lags\n"
-           "  explain REQUEST_ID              what was decided on a request, by which process, why\n"
+           "  explain REQUEST_ID              what was decided on a request, by which process, "
+           "why\n"
            "  config get                      the configuration in force and its revision\n"
            "  config set KEY=VALUE ...        change defaults; KEY= puts the built-in one back\n"
            "  config history                  who changed what, when and why\n"
@@ -227,9 +228,12 @@
            "                                  change_role\n"
            "  keygen FILE                     write a new key for messages between processes\n"
            "  check FILE                      check a process's settings\n\n"
-           "A change is accepted when it is durable on a majority of control replicas and in force\n"
-           "on every node that can take work. The same --operation finds the first result again.\n\n"
-           "Exit status: 0 done; 2 wrong usage or settings; 3 no control replica could be reached;\n"
+           "A change is accepted when it is durable on a majority of control replicas and in "
+           "force\n"
+           "on every node that can take work. The same --operation finds the first result "
+           "again.\n\n"
+           "Exit status: 0 done; 2 wrong usage or settings; 3 no control replica could be "
+           "reached;\n"
            "4 refused (conflict, wrong values, not authenticated); 5 sent, but the result is not\n"
            "known: run it again with the --operation printed.\n";
 }
--- a/src/bluebellctl/command_line.h
+++ b/src/bluebellctl/command_line.h
@@ -59,10 +59,10 @@
 struct show_help {};
 struct show_version {};
 
-using action = std::variant<show_status, explain_request, get_config, set_config, show_history,
-                            list_exceptions, add_exception, remove_exception, drain_node,
-                            show_orders, give_order, make_keys, check_settings, show_help,
-                            show_version>;
+using action =
+    std::variant<show_status, explain_request, get_config, set_config, show_history,
+                 list_exceptions, add_exception, remove_exception, drain_node, show_orders,
+                 give_order, make_keys, check_settings, show_help, show_version>;
 
 /// How an action is carried out.
 struct fleet_access {
--- a/src/bluebellctl/key_file.cpp
+++ b/src/bluebellctl/key_file.cpp
@@ -4,12 +4,12 @@
 
 #include <bluebell/runtime/keys.h>
 
-#include <cerrno>
-#include <cstring>
-
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <cerrno>
+#include <cstring>
+
 namespace bluebell::ctl {
 
 using namespace core;
--- a/src/bluebellctl/main.cpp
+++ b/src/bluebellctl/main.cpp
@@ -1,9 +1,9 @@
 // The operators' command line.
 
-#include <iostream>
-
 #include "actions.h"
 
+#include <iostream>
+
 int main(int argc, char** argv)
 {
     using namespace bluebell;
--- a/src/libruntime/admin_server.cpp
+++ b/src/libruntime/admin_server.cpp
@@ -1,14 +1,14 @@
 // The operators' pages over evhttp.
 
+#include "caller_http_pvt.h"
+
 #include <bluebell/core/visit.h>
 #include <bluebell/runtime/admin_server.h>
 
-#include <chrono>
-
 #include <event2/buffer.h>
 #include <event2/http.h>
 
-#include "caller_http_pvt.h"
+#include <chrono>
 
 namespace bluebell::runtime {
 
@@ -192,7 +192,8 @@
                                      "only control replicas take this change"});
         return;
     }
-    waiting_.emplace(what.operation, admin_session::make(weak_from_this(), request, what.operation));
+    waiting_.emplace(what.operation,
+                     admin_session::make(weak_from_this(), request, what.operation));
     source_.on_event(what.what);
 }
 
--- a/src/libruntime/node_telemetry.cpp
+++ b/src/libruntime/node_telemetry.cpp
@@ -2,10 +2,10 @@
 
 #include <bluebell/runtime/node_telemetry.h>
 
-#include <chrono>
-
 #include <glog/logging.h>
 
+#include <chrono>
+
 namespace bluebell::runtime {
 
 using core::log_level;
--- a/testsuite/history/checker.cpp
+++ b/testsuite/history/checker.cpp
@@ -122,8 +122,7 @@
         const auto late = std::count_if(change_times.begin(), change_times.end(),
                                         [](auto t) { return t > in_force_us; });
         std::cout << " change_median_ms=" << change_times[change_times.size() / 2] / 1000
-                  << " change_max_ms=" << change_times.back() / 1000
-                  << " changes_over_4s=" << late;
+                  << " change_max_ms=" << change_times.back() / 1000 << " changes_over_4s=" << late;
     }
     std::cout << "\n";
     return counts["claim.done"];
--- a/testsuite/history/client.cpp
+++ b/testsuite/history/client.cpp
@@ -1,12 +1,6 @@
 // Concurrent callers, operators and observers of one run; writes down what each was told.
 
-#include <cstdlib>
-#include <fstream>
-#include <functional>
-#include <iostream>
-#include <memory>
-#include <random>
-#include <sstream>
+#include "history.h"
 
 #include <cxxopts.hpp>
 #include <event2/buffer.h>
@@ -14,7 +8,13 @@
 #include <event2/http.h>
 #include <nlohmann/json.hpp>
 
-#include "history.h"
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <sstream>
 
 namespace {
 
@@ -38,7 +38,8 @@
     std::istringstream in(text);
     for (std::string w; in >> w;) {
         const auto colon = w.rfind(':');
-        all.push_back({w.substr(0, colon), static_cast<std::uint16_t>(std::stoi(w.substr(colon + 1)))});
+        all.push_back(
+            {w.substr(0, colon), static_cast<std::uint16_t>(std::stoi(w.substr(colon + 1)))});
     }
     return all;
 }
@@ -159,7 +160,8 @@
     std::string post(const on_reply& done)
     {
         const std::string request = client_.run + "-q" + std::to_string(++client_.made);
-        ask(client_, client_.any(client_.routers), "/v1/services/lots/claims?" + key_, "{\"lot\":7}",
+        ask(client_, client_.any(client_.routers), "/v1/services/lots/claims?" + key_,
+            "{\"lot\":7}",
             {{"X-Bluebell-Workspace", "w" + std::to_string(number_ % 4)},
              {"Idempotency-Key", key_},
              {"X-Request-Id", request},
--- a/testsuite/history/history.cpp
+++ b/testsuite/history/history.cpp
@@ -2,22 +2,22 @@
 
 #include "history.h"
 
+#include <nlohmann/json.hpp>
+
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 
-#include <nlohmann/json.hpp>
-
 namespace history {
 
 using nlohmann::json;
 
 std::string to_line(const entry& e)
 {
-    const json doc{{"kind", e.kind},         {"call", e.call},       {"end", e.end},
-                   {"key", e.key},           {"request", e.request}, {"node", e.node},
-                   {"outcome", e.outcome},   {"body", e.body},       {"revision", e.revision},
+    const json doc{{"kind", e.kind},       {"call", e.call},       {"end", e.end},
+                   {"key", e.key},         {"request", e.request}, {"node", e.node},
+                   {"outcome", e.outcome}, {"body", e.body},       {"revision", e.revision},
                    {"serves", e.serves}};
     return doc.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/testsuite/history/history.h
+++ b/testsuite/history/history.h
@@ -11,12 +11,13 @@
 struct entry {
     std::string kind; ///< claim, change, poll or run
     std::int64_t call = 0;
-    std::int64_t end = 0;    ///< 0: never told
-    std::string key;         ///< claim, run: idempotency key; change: operation
-    std::string request;     ///< claim, run: request id
-    std::string node;        ///< poll: who was asked
-    std::string outcome;     ///< claim: done, not_run, run, unknown, none; change: accepted, refused, none
-    std::string body;        ///< claim: what a done answer said; run: what was answered
+    std::int64_t end = 0; ///< 0: never told
+    std::string key;      ///< claim, run: idempotency key; change: operation
+    std::string request;  ///< claim, run: request id
+    std::string node;     ///< poll: who was asked
+    std::string
+        outcome;      ///< claim: done, not_run, run, unknown, none; change: accepted, refused, none
+    std::string body; ///< claim: what a done answer said; run: what was answered
     std::uint64_t revision = 0; ///< change: accepted; poll: in force
     bool serves = false;        ///< poll: takes new work
 };
--- a/testsuite/history/witness.cpp
+++ b/testsuite/history/witness.cpp
@@ -1,15 +1,15 @@
 // The witness: a plain service that registers claims and writes down each run.
 
-#include <cstdlib>
-#include <fstream>
-#include <iostream>
+#include "history.h"
 
 #include <cxxopts.hpp>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
 
-#include "history.h"
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
 
 namespace {
 
