--- a/src/libcore/view.cpp
+++ b/src/libcore/view.cpp
@@ -41,33 +41,53 @@
     v.values.push_back({"draining", yes_no(st.draining)});
 }
 
-std::vector<log_field> row_of(const node_status& n)
+std::string names_of(const std::vector<node_id>& nodes)
 {
-    return {{"node", n.node.id.str()},
-            {"role", std::string(to_string(n.node.role))},
-            {"region", n.node.region.str()},
-            {"availability_zone", n.node.zone.str()},
-            {"present", yes_no(n.present)},
-            {"drained", yes_no(n.drained)},
-            {"in_force", std::to_string(n.in_force)},
-            {"silence_ms", in_ms(n.silence)}};
+    std::string text;
+    for (const auto& n : nodes)
+        text += (text.empty() ? "" : " ") + n.str();
+    return text;
 }
 
-void add_role(node_view& v, const control_state& st, instant now)
+std::string text_of(const order& what)
 {
-    const control_view c = view_of(st, v.self, now);
-    v.values.push_back({"leads", yes_no(c.leads)});
-    v.values.push_back({"leader", c.leader.str()});
-    v.values.push_back({"accepted_revision", std::to_string(c.config)});
-    v.values.push_back({"in_force_everywhere", yes_no(c.everywhere)});
-    view_table lagging{"lagging", {}};
-    for (const auto& id : c.lagging)
-        lagging.rows.push_back({{"node", id.str()}});
-    view_table nodes{"nodes", {}};
-    for (const auto& n : c.nodes)
-        nodes.rows.push_back(row_of(n));
-    v.tables.push_back(std::move(lagging));
-    v.tables.push_back(std::move(nodes));
+    return match(
+        what, [](const load_model& o) { return "load_model " + o.model.str() + " " + o.version; },
+        [](const unload_model& o) { return "unload_model " + o.model.str(); },
+        [](const load_adapter& o) {
+            return "load_adapter " + o.adapter.str() + " on " + o.model.str();
+        },
+        [](const change_role& o) { return "change_role " + o.role; });
+}
+
+void add_role(node_view& v, const control_state& st, const node_id& self, instant now)
+{
+    const control_view seen = view_of(st, self, now);
+    v.values.push_back({"leads", yes_no(seen.leads)});
+    v.values.push_back({"leader", seen.leader.str()});
+    v.values.push_back({"newest_revision", std::to_string(seen.config)});
+    v.values.push_back({"in_force_everywhere", yes_no(seen.everywhere)});
+    v.values.push_back({"lagging", names_of(seen.lagging)});
+    view_table members{"members", {}};
+    for (const auto& n : seen.nodes)
+        members.rows.push_back({{"node", n.node.id.str()},
+                                {"role", std::string(to_string(n.node.role))},
+                                {"region", n.node.region.str()},
+                                {"availability_zone", n.node.zone.str()},
+                                {"present", yes_no(n.present)},
+                                {"drained", yes_no(n.drained)},
+                                {"config_revision", std::to_string(n.in_force)},
+                                {"heard_ms_ago", in_ms(n.silence)}});
+    v.tables.push_back(std::move(members));
+    view_table orders{"orders", {}};
+    for (const auto& o : seen.orders)
+        orders.rows.push_back({{"fence", std::to_string(o.fence)},
+                               {"agent", o.agent.str()},
+                               {"order", text_of(o.what)},
+                               {"status", std::string(to_string(o.status))},
+                               {"who", o.who.empty() ? "control" : o.who.str()},
+                               {"why", o.why}});
+    v.tables.push_back(std::move(orders));
 }
 
 } // namespace
@@ -75,7 +95,6 @@
 node_view view(const node_state& st, instant now)
 {
     node_view v;
-    v.self = st.self.id;
     v.values = {{"node", st.self.id.str()},
                 {"role", std::string(to_string(st.self.role))},
                 {"region", st.self.region.str()},
@@ -83,7 +102,10 @@
                 {"life", std::to_string(st.self.life)},
                 {"config_revision", std::to_string(st.fleet.config_revision)},
                 {"lease_left_ms", in_ms(std::max(microseconds{0}, st.fleet.lease_until - now))}};
-    std::visit([&](const auto& role) { add_role(v, role, now); }, st.role);
+    match(
+        st.role, [&](const router_state& role) { add_role(v, role, now); },
+        [&](const agent_state& role) { add_role(v, role, now); },
+        [&](const control_state& role) { add_role(v, role, st.self.id, now); });
     return v;
 }
 
