Let routers remember and resume where work ran

Cause: any router may see a return, and a caller may resume through any router, but only the router that sent the work knows its agent. Change: remember_place tells the home agent of a chat or request where it ran; resume_call states its credit; chat_key and answer_key are the same everywhere.

--- a/src/include/bluebell/core/call.h
+++ b/src/include/bluebell/core/call.h
@@ -75,4 +75,10 @@
 /// Name of the pool that serves the target: the model, or the service.
 [[nodiscard]] const std::string& pool_of(const call_target& target);
 
+/// Key of a returning chat, the same at every node; 0 for calls that don't return.
+[[nodiscard]] hash64 chat_key(const call& what);
+
+/// Key under which the place of a request's answer is remembered.
+[[nodiscard]] hash64 answer_key(const request_id& request);
+
 } // namespace bluebell::core
--- a/src/include/bluebell/core/work_message.h
+++ b/src/include/bluebell/core/work_message.h
@@ -25,6 +25,9 @@
 
 // Router to agent.
 
+/// Bytes of an answer that an agent may send before it needs answer_credit.
+inline constexpr std::uint32_t answer_window = 256 * 1024;
+
 /// Asks the agent to run the call once.
 struct run_call {
     attempt_id attempt;
@@ -52,15 +55,28 @@
     friend bool operator==(const answer_credit&, const answer_credit&) = default;
 };
 
-/// Asks for the rest of an answer that another attempt or another router began.
+/// Asks for the rest of an answer that another attempt or another router began. The agent answers
+/// at once: call_admitted under the new attempt, then the head and the events after last_event;
+/// or call_refused with unknown_request, or with redirect when it remembers the place.
 struct resume_call {
-    attempt_id attempt;           ///< the new attempt under which the rest is sent
-    workspace_id workspace;       ///< must be the one that made the request
-    std::uint64_t last_event = 0; ///< the last event the caller has; 0: none
+    attempt_id attempt;                   ///< the new attempt under which the rest is sent
+    workspace_id workspace;               ///< must be the one that made the request
+    std::uint64_t last_event = 0;         ///< the last event the caller has; 0: none
+    std::uint32_t credit = answer_window; ///< bytes the agent may send before answer_credit
 
     friend bool operator==(const resume_call&, const resume_call&) = default;
 };
 
+/// Tells the home of a chat (chat_key) or of a request (answer_key) where its work ran, so that
+/// the home can redirect a router that doesn't know. The agent keeps a bounded table of these.
+struct remember_place {
+    hash64 key = 0;
+    node_id agent; ///< where the work ran
+    microseconds keep{0};
+
+    friend bool operator==(const remember_place&, const remember_place&) = default;
+};
+
 // Agent to router.
 
 enum class refusal : std::uint8_t {
@@ -139,7 +155,7 @@
 };
 
 using work_message =
-    std::variant<run_call, cancel_call, answer_credit, resume_call, call_refused, call_admitted,
-                 answer_head, answer_chunk, answer_end, answer_failed>;
+    std::variant<run_call, cancel_call, answer_credit, resume_call, remember_place, call_refused,
+                 call_admitted, answer_head, answer_chunk, answer_end, answer_failed>;
 
 } // namespace bluebell::core
--- a/src/libcore/values.cpp
+++ b/src/libcore/values.cpp
@@ -133,6 +133,20 @@
         [](const service_target& t) -> const std::string& { return t.service.str(); });
 }
 
+hash64 chat_key(const call& what)
+{
+    const auto* chat = std::get_if<chat_target>(&what.target);
+    if (chat == nullptr || chat->chat.empty())
+        return 0;
+    const hash64 scope = hash_of(what.workspace.str(), hash_of(pool_of(what.target)));
+    return std::max<hash64>(1, hash_of(chat->chat.str(), scope));
+}
+
+hash64 answer_key(const request_id& request)
+{
+    return hash_of(request.str());
+}
+
 log_line make_log(log_level level, std::string_view part, std::string_view text,
                   const request_id& request, std::vector<log_field> fields)
 {
--- a/src/libwire/envelope_test.cpp
+++ b/src/libwire/envelope_test.cpp
@@ -48,7 +48,8 @@
     survives(work_message(answer_failed{
         attempt(), run_outcome::unknown, true, {error_code::engine_crashed, "run", "e", "t"}, {}}));
     survives(work_message(answer_credit{attempt(), 100}));
-    survives(work_message(resume_call{attempt(), workspace_id::from_trusted("w"), 5}));
+    survives(work_message(resume_call{attempt(), workspace_id::from_trusted("w"), 5, 6}));
+    survives(work_message(remember_place{7, sender, microseconds(8)}));
 }
 
 BOOST_AUTO_TEST_CASE(control_messages_survive)
--- a/src/libwire/work_codec.cpp
+++ b/src/libwire/work_codec.cpp
@@ -177,6 +177,14 @@
         wire::put(m.attempt, *b.mutable_attempt());
         b.set_workspace(m.workspace.str());
         b.set_last_event(m.last_event);
+        b.set_credit(m.credit);
+    }
+    void operator()(const remember_place& m) const
+    {
+        auto& b = *to.mutable_remember_place();
+        b.set_key(m.key);
+        b.set_agent(m.agent.str());
+        b.set_keep_us(m.keep.count());
     }
     void operator()(const call_refused& m) const
     {
@@ -286,7 +294,11 @@
     case pb::WorkMessage::kResumeCall:
         return resume_call{get(from.resume_call().attempt()),
                            get_id<workspace_id>(from.resume_call().workspace()),
-                           from.resume_call().last_event()};
+                           from.resume_call().last_event(), from.resume_call().credit()};
+    case pb::WorkMessage::kRememberPlace:
+        return remember_place{from.remember_place().key(),
+                              get_id<node_id>(from.remember_place().agent()),
+                              microseconds(from.remember_place().keep_us())};
     case pb::WorkMessage::kCallRefused:
         return get(from.call_refused());
     case pb::WorkMessage::kCallAdmitted:
