--- a/src/libwire/work_codec.cpp
+++ b/src/libwire/work_codec.cpp
@@ -160,6 +160,9 @@
         b.set_warm(m.warm.str());
         b.set_redirected(m.redirected);
         b.set_retry(m.retry);
+        b.mutable_sight()->set_engines(m.sight.engines);
+        b.mutable_sight()->set_active(m.sight.active);
+        b.mutable_sight()->set_age_us(m.sight.age.count());
     }
     void operator()(const cancel_call& m) const
     {
@@ -179,12 +182,11 @@
         b.set_last_event(m.last_event);
         b.set_credit(m.credit);
     }
-    void operator()(const remember_place& m) const
+    void operator()(const answer_placed& m) const
     {
-        auto& b = *to.mutable_remember_place();
-        b.set_key(m.key);
+        auto& b = *to.mutable_answer_placed();
+        b.set_request(m.request.str());
         b.set_agent(m.agent.str());
-        b.set_keep_us(m.keep.count());
     }
     void operator()(const call_refused& m) const
     {
@@ -233,6 +235,13 @@
         wire::put(m.why, *b.mutable_why());
         wire::put(m.load, *b.mutable_load());
     }
+    void operator()(const chat_moved& m) const
+    {
+        auto& b = *to.mutable_chat_moved();
+        b.set_workspace(m.workspace.str());
+        b.set_chat(m.chat.str());
+        b.set_agent(m.agent.str());
+    }
 };
 
 result<work_message> get(const pb::RunCall& b)
@@ -247,6 +256,7 @@
     m.warm = get_id<node_id>(b.warm());
     m.redirected = b.redirected();
     m.retry = b.retry();
+    m.sight = {b.sight().engines(), b.sight().active(), microseconds(b.sight().age_us())};
     return m;
 }
 
@@ -295,10 +305,9 @@
         return resume_call{get(from.resume_call().attempt()),
                            get_id<workspace_id>(from.resume_call().workspace()),
                            from.resume_call().last_event(), from.resume_call().credit()};
-    case pb::WorkMessage::kRememberPlace:
-        return remember_place{from.remember_place().key(),
-                              get_id<node_id>(from.remember_place().agent()),
-                              microseconds(from.remember_place().keep_us())};
+    case pb::WorkMessage::kAnswerPlaced:
+        return answer_placed{get_id<request_id>(from.answer_placed().request()),
+                             get_id<node_id>(from.answer_placed().agent())};
     case pb::WorkMessage::kCallRefused:
         return get(from.call_refused());
     case pb::WorkMessage::kCallAdmitted:
@@ -313,6 +322,10 @@
                           from.answer_end().cached_tokens(), get(from.answer_end().load())};
     case pb::WorkMessage::kAnswerFailed:
         return get(from.answer_failed());
+    case pb::WorkMessage::kChatMoved:
+        return chat_moved{get_id<workspace_id>(from.chat_moved().workspace()),
+                          get_id<chat_id>(from.chat_moved().chat()),
+                          get_id<node_id>(from.chat_moved().agent())};
     case pb::WorkMessage::BODY_NOT_SET:
         break;
     }
