Split the router into parts: index, memory, budget, awaited calls

Cause: one file held every decision, homes were found by a walk over all agents, and refusals, failures, lost contact, leases and drains had no rules.

--- a/src/include/bluebell/core/router.h
+++ b/src/include/bluebell/core/router.h
@@ -3,39 +3,22 @@
 /// can be rebuilt from control and the agents at any time.
 #pragma once
 
-#include <bluebell/core/context.h>
-
-#include <map>
-#include <set>
-#include <unordered_map>
+#include <bluebell/core/agent_index.h>
+#include <bluebell/core/awaited_call.h>
+#include <bluebell/core/chat_memory.h>
+#include <bluebell/core/refused_bodies.h>
+#include <bluebell/core/retry.h>
 
 namespace bluebell::core {
 
-/// What a router knows of one agent.
-struct agent_view {
-    node_info node;
-    agent_offer offer;
-    load_report load;
-
-    friend bool operator==(const agent_view&, const agent_view&) = default;
-};
-
-/// A call that a caller awaits at this router.
-struct awaited_call {
-    call what;
-    attempt_id attempt; ///< the only attempt whose messages count
-    node_id agent;
-    std::set<node_id> tried;      ///< agents that refused it
-    std::uint64_t last_event = 0; ///< last event passed on to the caller
-    bool head_sent = false;
-    bool streamed = true;
-
-    friend bool operator==(const awaited_call&, const awaited_call&) = default;
-};
-
+/// The parts that the router's reducer visits, each with its own state.
 struct router_state {
-    std::map<node_id, agent_view> agents;
-    std::unordered_map<request_id, awaited_call> awaited;
+    agent_index agents;
+    chat_memory chats;              ///< where this router's recent chats ran
+    chat_memory prefixes{4096, {}}; ///< which agents hold the beginnings of prompts
+    awaited_calls waiting;
+    retry_budget retries;
+    refused_bodies bodies;
     bool draining = false;
 
     friend bool operator==(const router_state&, const router_state&) = default;
--- a/src/libcore/reducer_test.cpp
+++ b/src/libcore/reducer_test.cpp
@@ -32,18 +32,21 @@
 
 node_state router_with_agents(int n)
 {
-    router_state r;
+    fleet_digest digest;
     for (int i = 0; i < n; ++i) {
-        agent_view view;
-        view.node.id = node_id::from_trusted("agent-" + std::to_string(i));
-        view.offer.models = {model_id::from_trusted("m1")};
-        view.offer.engine_up = true;
-        r.agents.emplace(view.node.id, view);
+        agent_entry entry;
+        entry.node.id = node_id::from_trusted("agent-" + std::to_string(i));
+        entry.offer.models = {model_id::from_trusted("m1")};
+        entry.offer.engine_up = true;
+        digest.changed.push_back(entry);
     }
     node_state st;
     st.self.id = node_id::from_trusted("router-1");
-    st.role = std::move(r);
-    return st;
+    st.fleet.lease_until = instant::max();
+    st.role = router_state{};
+    const peer_event told =
+        message_received{node_id::from_trusted("control-1"), control_message(digest)};
+    return reduce(std::move(st), {instant(seconds(1)), 7, told}).next;
 }
 
 event at(event_body body)
--- /dev/null
+++ b/src/libcore/router_test.cpp
@@ -0,0 +1,269 @@
+// Invariants of the router over random histories of callers, agents, links and time.
+
+#include <bluebell/core/router.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <map>
+
+using namespace bluebell::core;
+
+namespace {
+
+constexpr int agent_count = 4;
+
+/// One attempt that the router sent to an agent.
+struct sent_attempt {
+    attempt_id attempt;
+    node_id agent;
+    bool run = false;         ///< a run_call, else a resume_call
+    bool not_run = false;     ///< the agent said so while the attempt was current
+    std::uint64_t events = 0; ///< events that the agent has sent
+};
+
+/// What was seen of one request.
+struct seen_request {
+    bool idempotent = true;
+    std::uint64_t passed = 0;
+    bool told = false;
+    bool crashed = false;
+    std::vector<sent_attempt> attempts;
+};
+
+/// A router among agents that say anything in any order, with the checks after each event.
+class history {
+public:
+    history()
+    {
+        fleet_.lease_until = instant::max();
+        self_.id = node_id::from_trusted("router-1");
+        fleet_digest digest;
+        for (int i = 0; i < agent_count; ++i) {
+            agent_entry e;
+            e.node.id = agent(i);
+            e.offer.models = {model_id::from_trusted("m1")};
+            e.offer.services = {service_id::from_trusted("s1")};
+            e.offer.engine_up = true;
+            digest.changed.push_back(e);
+        }
+        happen(peer_event(message_received{agent(0), control_message(digest)}));
+    }
+
+    static node_id agent(int n) { return node_id::from_trusted("agent-" + std::to_string(n)); }
+
+    void step()
+    {
+        const int kind = *rc::gen::inRange(0, 14);
+        if (kind < 2)
+            arrive();
+        else if (kind < 11)
+            hear();
+        else if (kind == 11)
+            happen(peer_event(peer_unreachable{agent(*rc::gen::inRange(0, agent_count))}));
+        else if (kind == 12)
+            wait(milliseconds(*rc::gen::inRange(1, 4000)));
+        else
+            caller_acts();
+    }
+
+    /// Silence from now on: every call must end by itself.
+    void finish()
+    {
+        for (int i = 0; i < 100; ++i)
+            wait(seconds(2));
+        RC_ASSERT(state_.waiting.calls.empty());
+        RC_ASSERT(state_.waiting.due.empty());
+        RC_ASSERT(state_.waiting.queued.empty());
+        for (const auto& view : state_.agents.agents)
+            RC_ASSERT(view.awaited == 0U && view.unreported == 0U);
+        for (const auto& [id, seen] : requests_)
+            RC_ASSERT(seen.told);
+    }
+
+private:
+    void arrive()
+    {
+        call c;
+        c.id = request_id::from_trusted("r" + std::to_string(requests_.size()));
+        c.workspace = workspace_id::from_trusted("w");
+        c.idempotent = *rc::gen::arbitrary<bool>();
+        c.target = service_target{service_id::from_trusted("s1"), "POST", "/claims", ""};
+        requests_[c.id].idempotent = c.idempotent;
+        happen(caller_event(request_arrived{c, true}));
+    }
+
+    void caller_acts()
+    {
+        if (requests_.empty())
+            return;
+        auto& [id, seen] = *std::next(
+            requests_.begin(), *rc::gen::inRange<int>(0, static_cast<int>(requests_.size())));
+        if (*rc::gen::arbitrary<bool>()) {
+            happen(caller_event(caller_drained{id, 100}));
+            return;
+        }
+        seen.told = true;
+        happen(caller_event(caller_gone{id}));
+    }
+
+    /// An agent says something about one of the attempts it was sent, current or not.
+    void hear()
+    {
+        std::vector<sent_attempt*> all;
+        for (auto& [id, seen] : requests_) {
+            for (auto& a : seen.attempts)
+                all.push_back(&a);
+        }
+        if (all.empty())
+            return;
+        sent_attempt& a = *all[*rc::gen::inRange<std::size_t>(0, all.size())];
+        seen_request& seen = requests_[a.attempt.request];
+        const bool current = a.attempt == seen.attempts.back().attempt;
+        const node_id from = a.agent;
+        last_end_ = 0;
+        work_message msg = call_admitted{a.attempt, {}};
+        switch (*rc::gen::inRange(0, 8)) {
+        case 0: {
+            const auto why = static_cast<refusal>(*rc::gen::inRange(0, 12));
+            const node_id other = agent(*rc::gen::inRange(0, agent_count));
+            msg = call_refused{a.attempt, why, milliseconds(500), other, {}};
+            a.not_run = a.not_run || (current && a.run);
+            break;
+        }
+        case 1:
+            msg = answer_head{a.attempt, 200, "text/plain", true};
+            break;
+        case 2:
+        case 3:
+        case 4:
+            a.events += *rc::gen::inRange(0U, 8U) == 0 ? 2 : 1;
+            msg = answer_chunk{a.attempt, a.events, content(a)};
+            break;
+        case 5:
+            msg = answer_end{a.attempt, a.events, 0, {}};
+            last_end_ = a.attempt.nonce;
+            last_end_event_ = a.events;
+            break;
+        case 6: {
+            const auto outcome = static_cast<run_outcome>(*rc::gen::inRange(0, 3));
+            const bool crashed = *rc::gen::arbitrary<bool>();
+            msg = answer_failed{a.attempt, outcome, crashed, {}, {}};
+            // A refused attempt was in no engine; what is said of it later is void.
+            seen.crashed = seen.crashed || (current && !a.not_run && crashed);
+            a.not_run = a.not_run || (current && a.run && outcome == run_outcome::not_run);
+            break;
+        }
+        default:
+            break;
+        }
+        happen(peer_event(message_received{from, msg}));
+    }
+
+    static bytes content(const sent_attempt& a)
+    {
+        return bytes::from(std::to_string(a.attempt.nonce) + ":" + std::to_string(a.events));
+    }
+
+    void wait(microseconds time)
+    {
+        now_ += time;
+        happen(clock_event(tick{}));
+    }
+
+    template <class Event>
+    void happen(const Event& ev)
+    {
+        now_ += microseconds(1);
+        auto done = reduce(std::move(state_), {now_, ++random_, self_, fleet_}, ev);
+        state_ = std::move(done.next);
+        for (const auto& e : done.out)
+            std::visit([&](const auto& what) { check(what); }, e);
+        RC_ASSERT(state_.waiting.calls.size() <= requests_.size());
+        RC_ASSERT(state_.waiting.calls.size() == state_.waiting.due.size());
+    }
+
+    template <class Effect>
+    void check(const Effect&)
+    {
+    }
+
+    void check(const send_message& e)
+    {
+        const auto* work = std::get_if<work_message>(&e.what);
+        if (work == nullptr)
+            return;
+        if (const auto* run = std::get_if<run_call>(work))
+            check_run(e.to, *run);
+        if (const auto* rest = std::get_if<resume_call>(work))
+            requests_[rest->attempt.request].attempts.push_back(
+                {rest->attempt, e.to, false, false, rest->last_event});
+    }
+
+    void check_run(const node_id& to, const run_call& run)
+    {
+        seen_request& seen = requests_[run.attempt.request];
+        RC_ASSERT(seen.passed == 0U);
+        RC_ASSERT(!seen.crashed);
+        RC_ASSERT(!seen.told);
+        for (const auto& a : seen.attempts)
+            RC_ASSERT(seen.idempotent || !a.run || a.not_run);
+        seen.attempts.push_back({run.attempt, to, true, false, 0});
+        RC_ASSERT(seen.attempts.size() <= 40U);
+    }
+
+    void check(const reply_chunk& e)
+    {
+        seen_request& seen = requests_[e.request];
+        const sent_attempt& a = seen.attempts.back();
+        RC_ASSERT(!seen.told);
+        RC_ASSERT(e.event == seen.passed + 1);
+        RC_ASSERT(e.data == content(a));
+        seen.passed = e.event;
+    }
+
+    void check(const reply_end& e)
+    {
+        seen_request& seen = requests_[e.request];
+        RC_ASSERT(!seen.told);
+        RC_ASSERT(seen.attempts.back().attempt.nonce == last_end_);
+        RC_ASSERT(seen.passed == last_end_event_);
+        seen.told = true;
+    }
+
+    void check(const reply_error& e)
+    {
+        seen_request& seen = requests_[e.request];
+        RC_ASSERT(!seen.told);
+        seen.told = true;
+        if (e.outcome != run_outcome::not_run)
+            return;
+        RC_ASSERT(seen.passed == 0U);
+        for (const auto& a : seen.attempts)
+            RC_ASSERT(!a.run || a.not_run);
+    }
+
+    router_state state_;
+    follower_state fleet_;
+    node_info self_;
+    instant now_{seconds(10)};
+    std::uint64_t random_ = 1;
+    std::map<request_id, seen_request> requests_;
+    std::uint64_t last_end_ = 0; ///< attempt of the answer_end that is being heard
+    std::uint64_t last_end_event_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(router)
+
+RC_BOOST_PROP(every_history_keeps_the_promises_to_callers, ())
+{
+    history h;
+    const int steps = *rc::gen::inRange(1, 120);
+    for (int i = 0; i < steps; ++i)
+        h.step();
+    h.finish();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
