Give queued calls their rank's wait before the answer is asked for again

Cause: calls that waited longer than 15 s in an agent's queue were taken for lost. Change: the silence allowed at a live agent is the rank's longest wait plus 15 s.

--- a/src/libcore/router_fleet.cpp
+++ b/src/libcore/router_fleet.cpp
@@ -71,13 +71,14 @@
 }
 
 /// Is the agent likely to be working on the call still?
-bool is_well(const router_state& st, const awaited_call& waiting, instant now)
+bool is_well(const router_state& st, const context& ctx, const awaited_call& waiting)
 {
     if (waiting.undrained >= answer_window)
         return true;
+    const auto& policy = ctx.fleet.config.ranks.at(static_cast<std::size_t>(waiting.what.priority));
     const agent_view* view = find_agent(st.agents, waiting.agent);
-    return view != nullptr && view->member && now - view->heard_at < silent_agent &&
-           now - waiting.heard_at < longest_quiet;
+    return view != nullptr && view->member && ctx.now - view->heard_at < silent_agent &&
+           ctx.now - waiting.heard_at < policy.max_wait + longest_quiet;
 }
 
 router_step look_at(router_state st, const context& ctx, awaited_call waiting, effects out)
@@ -89,7 +90,7 @@
         waiting.agent = node_id();
         return place_at(std::move(st), ctx, std::move(waiting), agent, std::move(out));
     }
-    if (waiting.phase == call_phase::admitted && is_well(st, waiting, ctx.now)) {
+    if (waiting.phase == call_phase::admitted && is_well(st, ctx, waiting)) {
         waiting.due = ctx.now + quiet_check;
         st.waiting = with_call(std::move(st.waiting), std::move(waiting));
         return {std::move(st), std::move(out)};
--- a/src/libcore/router_pvt.h
+++ b/src/libcore/router_pvt.h
@@ -17,7 +17,8 @@
 inline constexpr microseconds quiet_check = seconds(3);
 /// An agent from which no report came for this long may have gone.
 inline constexpr microseconds silent_agent = seconds(3);
-/// A running call without any message for this long is asked for even at a live agent.
+/// A call at a live agent without any message for this long, on top of its rank's longest wait in
+/// a queue, is asked for: a message may have been lost.
 inline constexpr microseconds longest_quiet = seconds(15);
 /// Time for an agent to answer that it will send the rest.
 inline constexpr microseconds resume_timeout = seconds(1);
