--- a/src/include/bluebell/core/work_message.h
+++ b/src/include/bluebell/core/work_message.h
@@ -34,6 +34,9 @@
 
 // Router to agent.
 
+/// Bytes of an answer that an agent may send before it needs answer_credit.
+inline constexpr std::uint32_t answer_window = 256 * 1024;
+
 /// Asks the agent to run the call once.
 struct run_call {
     attempt_id attempt;
@@ -62,11 +65,14 @@
     friend bool operator==(const answer_credit&, const answer_credit&) = default;
 };
 
-/// Asks for the rest of an answer that another attempt or another router began.
+/// Asks for the rest of an answer that another attempt or another router began. The agent answers
+/// at once: call_admitted under the new attempt, then the head and the events after last_event;
+/// or call_refused with unknown_request, or with redirect when it remembers the place.
 struct resume_call {
-    attempt_id attempt;           ///< the new attempt under which the rest is sent
-    workspace_id workspace;       ///< must be the one that made the request
-    std::uint64_t last_event = 0; ///< the last event the caller has; 0: none
+    attempt_id attempt;                   ///< the new attempt under which the rest is sent
+    workspace_id workspace;               ///< must be the one that made the request
+    std::uint64_t last_event = 0;         ///< the last event the caller has; 0: none
+    std::uint32_t credit = answer_window; ///< bytes the agent may send before answer_credit
 
     friend bool operator==(const resume_call&, const resume_call&) = default;
 };
@@ -81,6 +87,15 @@
     friend bool operator==(const chat_moved&, const chat_moved&) = default;
 };
 
+/// Tells the agent that keeps a request's place where the request was admitted, so that any router
+/// finds its answer. The agent keeps it for answer_keep_time in a bounded table.
+struct answer_placed {
+    request_id request;
+    node_id agent;
+
+    friend bool operator==(const answer_placed&, const answer_placed&) = default;
+};
+
 // Agent to router.
 
 enum class refusal : std::uint8_t {
@@ -161,6 +176,6 @@
 
 using work_message =
     std::variant<run_call, cancel_call, answer_credit, resume_call, call_refused, call_admitted,
-                 answer_head, answer_chunk, answer_end, answer_failed, chat_moved>;
+                 answer_head, answer_chunk, answer_end, answer_failed, chat_moved, answer_placed>;
 
 } // namespace bluebell::core
--- a/src/libwire/work_codec.cpp
+++ b/src/libwire/work_codec.cpp
@@ -180,6 +180,13 @@
         wire::put(m.attempt, *b.mutable_attempt());
         b.set_workspace(m.workspace.str());
         b.set_last_event(m.last_event);
+        b.set_credit(m.credit);
+    }
+    void operator()(const answer_placed& m) const
+    {
+        auto& b = *to.mutable_answer_placed();
+        b.set_request(m.request.str());
+        b.set_agent(m.agent.str());
     }
     void operator()(const call_refused& m) const
     {
@@ -297,7 +304,10 @@
     case pb::WorkMessage::kResumeCall:
         return resume_call{get(from.resume_call().attempt()),
                            get_id<workspace_id>(from.resume_call().workspace()),
-                           from.resume_call().last_event()};
+                           from.resume_call().last_event(), from.resume_call().credit()};
+    case pb::WorkMessage::kAnswerPlaced:
+        return answer_placed{get_id<request_id>(from.answer_placed().request()),
+                             get_id<node_id>(from.answer_placed().agent())};
     case pb::WorkMessage::kCallRefused:
         return get(from.call_refused());
     case pb::WorkMessage::kCallAdmitted:
