--- a/src/libcore/view.cpp
+++ b/src/libcore/view.cpp
@@ -17,23 +17,28 @@
     return std::to_string(t.count() / 1000);
 }
 
-void add_role(node_view& v, const router_state& st, instant)
+void add_role(node_view& v, const router_state& st, instant now)
 {
-    v.values.push_back({"awaited_calls", std::to_string(st.awaited.size())});
+    v.values.push_back({"awaited_calls", std::to_string(st.waiting.calls.size())});
     v.values.push_back({"draining", yes_no(st.draining)});
     view_table agents{"agents", {}};
-    for (const auto& [id, a] : st.agents)
-        agents.rows.push_back({{"agent", id.str()},
+    for (const auto& a : st.agents.agents) {
+        if (a.node.id.empty())
+            continue;
+        agents.rows.push_back({{"agent", a.node.id.str()},
                                {"availability_zone", a.node.zone.str()},
+                               {"member", yes_no(a.member)},
                                {"active", std::to_string(a.load.active)},
                                {"queued", std::to_string(a.load.queued)},
                                {"slots", std::to_string(a.load.slots)},
                                {"expected_wait_ms", in_ms(a.load.expected_wait)},
+                               {"held", yes_no(now < a.held_until)},
                                {"leaving", yes_no(a.load.leaving)}});
+    }
     v.tables.push_back(std::move(agents));
 }
 
-void add_role(node_view& v, const agent_state& st, instant)
+void add_role(node_view& v, const agent_state& st)
 {
     v.values.push_back({"running_calls", std::to_string(st.running.size())});
     v.values.push_back({"slots", std::to_string(st.offer.slots)});
@@ -104,7 +109,7 @@
                 {"lease_left_ms", in_ms(std::max(microseconds{0}, st.fleet.lease_until - now))}};
     match(
         st.role, [&](const router_state& role) { add_role(v, role, now); },
-        [&](const agent_state& role) { add_role(v, role, now); },
+        [&](const agent_state& role) { add_role(v, role); },
         [&](const control_state& role) { add_role(v, role, st.self.id, now); });
     return v;
 }
