--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -81,6 +81,7 @@
     return open_peers()
         .and_then([this] { return open_callers(); })
         .and_then([this] { return open_engine(); })
+        .and_then([this] { return open_disk(); })
         .and_then([this] { return open_admin(); });
 }
 
@@ -149,6 +150,18 @@
     return {};
 }
 
+result<void> process::open_disk()
+{
+    if (settings_.self.role != node_role::control)
+        return {};
+    auto disk = runtime::disk::make(loop_, settings_.data_folder,
+                                    [this](event_body body) { dispatch(std::move(body)); });
+    if (!disk)
+        return tl::unexpected(disk.error());
+    ports_.disk = std::move(*disk);
+    return {};
+}
+
 result<void> process::open_admin()
 {
     if (settings_.admin.port == 0)
--- a/src/bluebell/process.h
+++ b/src/bluebell/process.h
@@ -29,6 +29,7 @@
     [[nodiscard]] core::result<void> open_peers();
     [[nodiscard]] core::result<void> open_callers();
     [[nodiscard]] core::result<void> open_engine();
+    [[nodiscard]] core::result<void> open_disk();
     [[nodiscard]] core::result<void> open_admin();
     void dispatch(core::event_body body) { node_->dispatch(std::move(body)); }
     void reload();
--- a/src/include/bluebell/runtime/node_runner.h
+++ b/src/include/bluebell/runtime/node_runner.h
@@ -5,6 +5,7 @@
 #include <bluebell/core/reducer.h>
 #include <bluebell/runtime/admin_server.h>
 #include <bluebell/runtime/caller_server.h>
+#include <bluebell/runtime/disk.h>
 #include <bluebell/runtime/engine_client.h>
 #include <bluebell/runtime/event_loop.h>
 #include <bluebell/runtime/node_telemetry.h>
@@ -21,6 +22,7 @@
     std::shared_ptr<peer_bus> peers;
     std::shared_ptr<caller_server> callers; ///< routers
     std::shared_ptr<engine_client> engine;  ///< agents
+    std::shared_ptr<runtime::disk> disk;    ///< control replicas
     std::shared_ptr<admin_server> admin;    ///< all roles, if the settings want it
 };
 
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -31,14 +31,14 @@
     void operator()(const engine_pause& e) const { node.ports_.engine->run(e); }
     void operator()(const engine_order_run& e) const { node.ports_.engine->run(e); }
     // Without a store the log is held in memory: what is written counts at once.
-    void operator()(const disk_vote& e) const { node.dispatch(disk_event(disk_synced{e.ticket})); }
-    void operator()(const disk_append& e) const
+    void operator()(const disk_vote& e) const { node.ports_.disk->run(e); }
+    void operator()(const disk_append& e) const { node.ports_.disk->run(e); }
+    void operator()(const disk_snapshot& e) const
     {
-        node.dispatch(disk_event(disk_synced{e.ticket}));
+        node.ports_.disk->run(e, std::get<control_state>(node.state_.role).machine);
     }
-    void operator()(const disk_snapshot&) const {}
-    void operator()(const snapshot_read&) const {}
-    void operator()(const snapshot_store&) const {}
+    void operator()(const snapshot_read& e) const { node.ports_.disk->run(e); }
+    void operator()(const snapshot_store& e) const { node.ports_.disk->run(e); }
     void operator()(const operator_reply& e) const
     {
         if (node.ports_.admin)
@@ -89,12 +89,8 @@
         if (control.id != state_.self.id)
             ports_.peers->connect(control.id, control.address);
     }
-    if (std::holds_alternative<control_state>(state_.role)) {
-        disk_loaded nothing;
-        nothing.fresh = true;
-        LOG(WARNING) << "store: The log is held in memory and lost with this process.";
-        dispatch(disk_event(std::move(nothing)));
-    }
+    if (ports_.disk)
+        ports_.disk->start();
     dispatch(clock_event(tick{}));
 }
 
--- a/src/libwire/command_codec.cpp
+++ b/src/libwire/command_codec.cpp
@@ -3,6 +3,7 @@
 #include "codec_pvt.h"
 
 #include <bluebell/core/visit.h>
+#include <bluebell/wire/log_entry.h>
 
 #include <utility>
 
@@ -270,4 +271,19 @@
     return impossible("empty command");
 }
 
+std::string encode_command(const command& what)
+{
+    pb::Command to;
+    put(what, to);
+    return to.SerializeAsString();
+}
+
+result<command> decode_command(std::string_view data)
+{
+    pb::Command from;
+    if (!from.ParseFromArray(data.data(), static_cast<int>(data.size())))
+        return fail(error_code::corrupt, "decode command", "", "not a protobuf command");
+    return get(from);
+}
+
 } // namespace bluebell::wire
