--- a/src/bluebell/main.cpp
+++ b/src/bluebell/main.cpp
@@ -2,8 +2,6 @@
 
 #include "process.h"
 
-#include <bluebell/settings/settings.h>
-
 #include <cxxopts.hpp>
 #include <glog/logging.h>
 
@@ -17,47 +15,84 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cannot_start = 3;
 
+constexpr const char* help_tail =
+    "\nThe role is set by node.role in the settings: a router takes callers' requests and chooses\n"
+    "agents, an agent stands beside one backend server, a control replica keeps the fleet's\n"
+    "durable state.\n\n"
+    "SIGTERM and SIGINT drain: readiness goes first, then the calls in progress end, then the\n"
+    "process. SIGHUP re-reads the settings that may change while it runs.\n\n"
+    "Exit status: 0 after a drain or a good check, 2 for wrong settings or options, 3 if the\n"
+    "process can't start (a port is taken, a file can't be read).\n";
+
+cxxopts::Options make_options()
+{
+    cxxopts::Options options("bluebell", "Router, agent or control of a bluebellproxy fleet.");
+    auto add = options.add_options();
+    add("settings", "Run with the settings in FILE", cxxopts::value<std::string>(), "FILE");
+    add("check", "Check the settings, print every error, and exit");
+    add("describe-settings", "Print every key of the settings and exit");
+    add("version", "Print the version and exit");
+    add("help", "Print this help and exit");
+    return options;
+}
+
+void start_log(const settings::log_settings& log, const char* program)
+{
+    FLAGS_logtostderr = log.folder.empty();
+    if (!log.folder.empty())
+        FLAGS_log_dir = log.folder;
+    google::InitGoogleLogging(program);
+}
+
+int run(const std::string& file, bool only_check, const char* program)
+{
+    const auto s = settings::load(file);
+    if (!s) {
+        for (const auto& p : s.error())
+            std::cerr << settings::to_string(p) << "\n";
+        return exit_bad_settings;
+    }
+    if (only_check) {
+        std::cout << file << ": good\n";
+        return 0;
+    }
+    start_log(s->log, program);
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto p = process::make(file, *s);
+    if (!p) {
+        std::cerr << "bluebell: " << core::to_string(p.error()) << "\n";
+        return exit_cannot_start;
+    }
+    (*p)->run();
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
-    cxxopts::Options options("bluebell", "Router, agent or control of a bluebellproxy fleet.");
-    options.add_options()("settings", "Run with the settings in FILE",
-                          cxxopts::value<std::string>(),
-                          "FILE")("check", "Check the settings and exit: 0 if good, 2 if not")(
-        "version", "Print the version and exit")("help", "Print this help and exit");
+    auto options = make_options();
     try {
         const auto args = options.parse(argc, argv);
         if (args.count("help") != 0) {
-            std::cout << options.help();
+            std::cout << options.help() << help_tail;
             return 0;
         }
         if (args.count("version") != 0) {
             std::cout << "bluebell 0.1.0\n";
             return 0;
         }
-        if (args.count("settings") == 0) {
-            std::cerr << "bluebell: --settings FILE is required\n";
-            return exit_bad_settings;
+        if (args.count("describe-settings") != 0) {
+            std::cout << settings::describe_keys();
+            return 0;
         }
-        const auto s = settings::load(args["settings"].as<std::string>());
-        if (!s) {
-            for (const auto& p : s.error())
-                std::cerr << settings::to_string(p) << "\n";
+        if (args.count("settings") == 0) {
+            std::cerr << "bluebell: --settings FILE is required; see --help\n";
             return exit_bad_settings;
         }
-        if (args.count("check") != 0)
-            return 0;
-        FLAGS_logtostderr = true;
-        google::InitGoogleLogging(argv[0]);
-        std::signal(SIGPIPE, SIG_IGN);
-        if (const auto done = run_process(*s); !done) {
-            std::cerr << "bluebell: " << core::to_string(done.error()) << "\n";
-            return exit_cannot_start;
-        }
+        return run(args["settings"].as<std::string>(), args.count("check") != 0, argv[0]);
     } catch (const cxxopts::exceptions::exception& e) {
         std::cerr << "bluebell: " << e.what() << "\n";
         return exit_bad_settings;
     }
-    return 0;
 }
--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -1,157 +1,220 @@
-// Puts the role's state, ports and signals together and runs the loop.
+// From settings to a running node.
 
 #include "process.h"
 
-#include <bluebell/runtime/node_runner.h>
-
 #include <glog/logging.h>
 
 #include <chrono>
 #include <csignal>
+#include <fstream>
+#include <sstream>
 
 namespace bluebell {
 
-namespace {
+using namespace core;
 
-using loop_ptr = std::shared_ptr<runtime::event_loop>;
-using node_ptr = std::shared_ptr<runtime::node_runner>;
-using sink = std::function<void(core::event_body)>;
+namespace {
 
-core::incarnation new_life()
+incarnation new_life()
 {
     const auto t = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<core::incarnation>(
-        std::chrono::duration_cast<core::microseconds>(t).count());
+    return static_cast<incarnation>(std::chrono::duration_cast<microseconds>(t).count());
 }
 
-core::node_state initial_state(const settings::node_settings& s)
+node_state initial_state(const settings::node_settings& s)
 {
-    core::node_state st;
+    node_state st;
     st.self = s.self;
     st.self.life = new_life();
     st.fleet.controls = s.controls;
     switch (s.self.role) {
-    case core::node_role::router:
-        st.role = core::router_state{};
+    case node_role::router:
+        st.role = router_state{};
         break;
-    case core::node_role::agent: {
-        core::agent_state agent;
+    case node_role::agent: {
+        agent_state agent;
         agent.offer = s.offer;
         st.role = agent;
         break;
     }
-    case core::node_role::control:
-        st.role = core::control_state{};
+    case node_role::control:
+        st.role = control_state{};
         break;
     }
     return st;
 }
 
-core::result<std::shared_ptr<runtime::peer_bus>>
-open_peers(const loop_ptr& loop, const sink& on_event, const settings::node_settings& s)
+result<admin::operator_keys> read_keys(const std::string& file)
+{
+    if (file.empty())
+        return admin::operator_keys{};
+    std::ifstream in(file);
+    if (!in)
+        return fail(error_code::io_failure, "read operator tokens", file, "can't be read");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return admin::operator_keys::make(text.str());
+}
+
+} // namespace
+
+result<std::shared_ptr<process>> process::make(const std::string& settings_file,
+                                               const settings::node_settings& s)
+{
+    std::shared_ptr<process> p(new process(settings_file, s));
+    if (auto opened = p->open(); !opened)
+        return tl::unexpected(opened.error());
+    return p;
+}
+
+result<void> process::open()
 {
-    runtime::peer_bus_options options;
-    options.self = s.self.id;
-    options.listen = s.self.address;
-    if (!s.key_file.empty()) {
-        auto keys = runtime::read_key_file(s.key_file);
+    auto loop = runtime::event_loop::make();
+    if (!loop)
+        return tl::unexpected(loop.error());
+    loop_ = std::move(*loop);
+    auto node = runtime::node_runner::make(loop_, initial_state(settings_));
+    if (!node)
+        return tl::unexpected(node.error());
+    node_ = std::move(*node);
+    node_->telemetry().set_least(settings_.log.least);
+    return open_peers()
+        .and_then([this] { return open_callers(); })
+        .and_then([this] { return open_engine(); })
+        .and_then([this] { return open_disk(); })
+        .and_then([this] { return open_admin(); });
+}
+
+result<void> process::open_peers()
+{
+    runtime::peer_bus_options bus;
+    bus.self = settings_.self.id;
+    bus.listen = settings_.self.address;
+    if (!settings_.key_file.empty()) {
+        auto keys = runtime::read_key_file(settings_.key_file);
         if (!keys)
             return tl::unexpected(keys.error());
-        options.keys = std::move(*keys);
+        bus.keys = std::move(*keys);
     }
     runtime::peer_bus::callbacks calls;
-    calls.message = [on_event](const core::node_id& from, core::message what) {
-        on_event(core::peer_event(core::message_received{from, std::move(what)}));
+    calls.message = [this](const node_id& from, message what) {
+        dispatch(peer_event(message_received{from, std::move(what)}));
     };
-    calls.unreachable = [on_event](const core::node_id& peer) {
-        on_event(core::peer_event(core::peer_unreachable{peer}));
+    calls.unreachable = [this](const node_id& peer) {
+        dispatch(peer_event(peer_unreachable{peer}));
     };
-    calls.bad = [](const core::error& why, std::uint64_t dropped) {
+    calls.bad = [](const error& why, std::uint64_t dropped) {
         LOG(WARNING) << "peers: Refused. step=\"" << why.step << "\" peer=" << why.peer
-                     << " code=" << core::to_string(why.code) << " text=\"" << why.text
+                     << " code=" << to_string(why.code) << " text=\"" << why.text
                      << "\" others=" << dropped;
     };
-    return runtime::peer_bus::make(loop, options, std::move(calls));
+    auto peers = runtime::peer_bus::make(loop_, bus, std::move(calls));
+    if (!peers)
+        return tl::unexpected(peers.error());
+    ports_.peers = std::move(*peers);
+    return {};
 }
 
-core::result<std::shared_ptr<runtime::caller_server>>
-open_callers(const loop_ptr& loop, const sink& on_event, const settings::node_settings& s)
+result<void> process::open_callers()
 {
-    runtime::caller_server_options options;
-    options.host = s.http.host;
-    options.port = s.http.port;
-    options.max_body = s.limits.max_body;
-    options.max_headers = s.limits.max_headers;
-    options.idle_seconds = static_cast<int>(s.limits.idle_timeout_s);
-    options.max_connections = s.limits.max_connections;
-    return runtime::caller_server::make(loop, options, on_event);
+    if (settings_.self.role != node_role::router)
+        return {};
+    runtime::caller_server_options http;
+    http.host = settings_.http.host;
+    http.port = settings_.http.port;
+    http.max_body = settings_.limits.max_body;
+    http.max_headers = settings_.limits.max_headers;
+    http.idle_seconds = static_cast<int>(settings_.limits.idle_timeout_s);
+    http.max_connections = settings_.limits.max_connections;
+    auto callers = runtime::caller_server::make(
+        loop_, http, [this](event_body body) { dispatch(std::move(body)); });
+    if (!callers)
+        return tl::unexpected(callers.error());
+    ports_.callers = std::move(*callers);
+    return {};
 }
 
-core::result<std::shared_ptr<runtime::engine_client>>
-open_engine(const loop_ptr& loop, const sink& on_event, const settings::node_settings& s)
+result<void> process::open_engine()
 {
+    if (settings_.self.role != node_role::agent)
+        return {};
     runtime::engine_client_options options;
-    options.host = s.engine.host;
-    options.port = s.engine.port;
-    options.offer = s.offer;
-    return runtime::engine_client::make(loop, options, on_event);
+    options.host = settings_.engine.host;
+    options.port = settings_.engine.port;
+    options.offer = settings_.offer;
+    auto engine = runtime::engine_client::make(
+        loop_, options, [this](event_body body) { dispatch(std::move(body)); });
+    if (!engine)
+        return tl::unexpected(engine.error());
+    ports_.engine = std::move(*engine);
+    return {};
 }
 
-/// Opens what the role uses. The node owns its ports; they know it only weakly.
-core::result<runtime::node_ports> open_ports(const loop_ptr& loop, const node_ptr& node,
-                                             const settings::node_settings& s)
+result<void> process::open_disk()
 {
-    const sink on_event = [weak = std::weak_ptr(node)](core::event_body body) {
-        if (const auto alive = weak.lock())
-            alive->dispatch(std::move(body));
-    };
-    runtime::node_ports ports;
-    auto peers = open_peers(loop, on_event, s);
-    if (!peers)
-        return tl::unexpected(peers.error());
-    ports.peers = std::move(*peers);
-    if (s.self.role == core::node_role::router) {
-        auto callers = open_callers(loop, on_event, s);
-        if (!callers)
-            return tl::unexpected(callers.error());
-        ports.callers = std::move(*callers);
-    }
-    if (s.self.role == core::node_role::agent) {
-        auto engine = open_engine(loop, on_event, s);
-        if (!engine)
-            return tl::unexpected(engine.error());
-        ports.engine = std::move(*engine);
-    }
-    return ports;
+    if (settings_.self.role != node_role::control)
+        return {};
+    auto disk = runtime::disk::make(loop_, settings_.data_folder,
+                                    [this](event_body body) { dispatch(std::move(body)); });
+    if (!disk)
+        return tl::unexpected(disk.error());
+    ports_.disk = std::move(*disk);
+    return {};
 }
 
-} // namespace
-
-core::result<void> run_process(const settings::node_settings& s)
+result<void> process::open_admin()
 {
-    auto loop = runtime::event_loop::make();
-    if (!loop)
-        return tl::unexpected(loop.error());
-    auto node = runtime::node_runner::make(*loop, initial_state(s));
-    if (!node)
-        return tl::unexpected(node.error());
-    auto ports = open_ports(*loop, *node, s);
-    if (!ports)
-        return tl::unexpected(ports.error());
-    const auto drain = [&node] { (*node)->dispatch(core::operator_event(core::drain_wanted{})); };
-    const auto reload = [] { LOG(INFO) << "process: Nothing to read again."; };
-    const auto term = runtime::watcher::signal(**loop, SIGTERM, drain);
-    const auto interrupt = runtime::watcher::signal(**loop, SIGINT, drain);
-    const auto hang_up = runtime::watcher::signal(**loop, SIGHUP, reload);
-    LOG(INFO) << "process: Started. node=" << s.self.id.str()
-              << " role=" << core::to_string(s.self.role);
-    const auto engine = ports->engine;
-    (*node)->start(std::move(*ports));
-    if (engine)
-        engine->start();
-    (*loop)->run();
-    LOG(INFO) << "process: Stopped. node=" << s.self.id.str();
+    if (settings_.admin.port == 0)
+        return {};
+    auto keys = read_keys(settings_.operator_token_file);
+    if (!keys)
+        return tl::unexpected(keys.error());
+    runtime::admin_server_options options{settings_.admin.host, settings_.admin.port,
+                                          std::move(*keys)};
+    auto admin = runtime::admin_server::make(
+        loop_, std::move(options),
+        {[this]() -> const node_state& { return node_->state(); },
+         [this]() -> runtime::node_telemetry& { return node_->telemetry(); },
+         [this](event_body body) { dispatch(std::move(body)); }});
+    if (!admin)
+        return tl::unexpected(admin.error());
+    ports_.admin = std::move(*admin);
     return {};
 }
 
+void process::reload()
+{
+    const auto next = settings::load(file_);
+    if (!next) {
+        for (const auto& p : next.error())
+            LOG(ERROR) << "settings: Not re-read. " << settings::to_string(p);
+        return;
+    }
+    const auto done = settings::reload(settings_, *next);
+    settings_ = done.settings;
+    node_->telemetry().set_least(settings_.log.least);
+    if (const auto keys = read_keys(settings_.operator_token_file); keys && ports_.admin)
+        ports_.admin->set_keys(*keys);
+    if (ports_.engine)
+        ports_.engine->set_offer(settings_.offer);
+    for (const auto& key : done.needs_restart)
+        LOG(WARNING) << "settings: A change needs a restart. key=" << key;
+    LOG(INFO) << "settings: Re-read. file=" << file_;
+}
+
+void process::run()
+{
+    const auto on_stop = [this] { dispatch(operator_event(drain_wanted{})); };
+    const auto term = runtime::watcher::signal(*loop_, SIGTERM, on_stop);
+    const auto interrupt = runtime::watcher::signal(*loop_, SIGINT, on_stop);
+    const auto hangup = runtime::watcher::signal(*loop_, SIGHUP, [this] { reload(); });
+    LOG(INFO) << "process: Started. node=" << settings_.self.id.str()
+              << " role=" << to_string(settings_.self.role);
+    node_->start(ports_);
+    if (ports_.engine)
+        ports_.engine->start();
+    loop_->run();
+    LOG(INFO) << "process: Stopped. node=" << settings_.self.id.str();
+}
+
 } // namespace bluebell
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -8,20 +8,6 @@
 
 using namespace core;
 
-namespace {
-
-std::string format(const log_line& line)
-{
-    std::string text = line.part + ": " + line.text;
-    if (!line.request.empty())
-        text += " request=" + line.request.str();
-    for (const auto& f : line.fields)
-        text += " " + f.name + "=" + f.value;
-    return text;
-}
-
-} // namespace
-
 /// Carries out one effect; one overload per kind.
 struct effect_runner {
     node_runner& node;
@@ -45,33 +31,26 @@
     void operator()(const engine_pause& e) const { node.ports_.engine->run(e); }
     void operator()(const engine_order_run& e) const { node.ports_.engine->run(e); }
     // Without a store the log is held in memory: what is written counts at once.
-    void operator()(const disk_vote& e) const { node.dispatch(disk_event(disk_synced{e.ticket})); }
-    void operator()(const disk_append& e) const
+    void operator()(const disk_vote& e) const { node.ports_.disk->run(e); }
+    void operator()(const disk_append& e) const { node.ports_.disk->run(e); }
+    void operator()(const disk_snapshot& e) const
     {
-        node.dispatch(disk_event(disk_synced{e.ticket}));
+        node.ports_.disk->run(e, std::get<control_state>(node.state_.role).machine);
     }
-    void operator()(const disk_snapshot&) const {}
-    void operator()(const snapshot_read&) const {}
-    void operator()(const snapshot_store&) const {}
-    void operator()(const operator_reply&) const {}
-    void operator()(const wake_at& e) const { node.wake(e.at); }
-    void operator()(const log_line& e) const
+    void operator()(const snapshot_read& e) const { node.ports_.disk->run(e); }
+    void operator()(const snapshot_store& e) const { node.ports_.disk->run(e); }
+    void operator()(const operator_reply& e) const
     {
-        switch (e.level) {
-        case log_level::info:
-            LOG(INFO) << format(e);
-            break;
-        case log_level::warning:
-            LOG(WARNING) << format(e);
-            break;
-        case log_level::error:
-            LOG(ERROR) << format(e);
-            break;
-        }
+        if (node.ports_.admin)
+            node.ports_.admin->run(e);
     }
-    void operator()(const observe&) const {}
+    void operator()(const wake_at& e) const { node.wake(e.at); }
+    void operator()(const log_line& e) const { node.telemetry_.take(e); }
+    void operator()(const observe& e) const { node.telemetry_.take(node.loop_->now(), e); }
     void operator()(const set_ready& e) const
     {
+        if (node.ports_.admin)
+            node.ports_.admin->set_ready(e.ready);
         if (node.ports_.callers)
             node.ports_.callers->set_ready(e.ready);
     }
@@ -94,7 +73,8 @@
 }
 
 node_runner::node_runner(std::shared_ptr<event_loop> loop, node_state initial)
-    : loop_(std::move(loop)), state_(std::move(initial)), random_(std::random_device{}())
+    : loop_(std::move(loop)), state_(std::move(initial)),
+      telemetry_(node_telemetry::make(loop_->now())), random_(std::random_device{}())
 {
     timer_ = watcher::timer(*loop_, [this] {
         next_wake_ = instant::max();
@@ -109,12 +89,8 @@
         if (control.id != state_.self.id)
             ports_.peers->connect(control.id, control.address);
     }
-    if (std::holds_alternative<control_state>(state_.role)) {
-        disk_loaded nothing;
-        nothing.fresh = true;
-        LOG(WARNING) << "store: The log is held in memory and lost with this process.";
-        dispatch(disk_event(std::move(nothing)));
-    }
+    if (ports_.disk)
+        ports_.disk->start();
     dispatch(clock_event(tick{}));
 }
 
