--- a/src/libcore/view.cpp
+++ b/src/libcore/view.cpp
@@ -3,6 +3,8 @@
 #include <bluebell/core/view.h>
 #include <bluebell/core/visit.h>
 
+#include <algorithm>
+
 namespace bluebell::core {
 
 namespace {
@@ -17,19 +19,24 @@
     return std::to_string(t.count() / 1000);
 }
 
-void add_role(node_view& v, const router_state& st, instant)
+void add_role(node_view& v, const router_state& st, instant now)
 {
-    v.values.push_back({"awaited_calls", std::to_string(st.awaited.size())});
+    v.values.push_back({"awaited_calls", std::to_string(st.waiting.calls.size())});
     v.values.push_back({"draining", yes_no(st.draining)});
     view_table agents{"agents", {}};
-    for (const auto& [id, a] : st.agents)
-        agents.rows.push_back({{"agent", id.str()},
+    for (const auto& a : st.agents.agents) {
+        if (!a.member)
+            continue;
+        agents.rows.push_back({{"agent", a.node.id.str()},
                                {"availability_zone", a.node.zone.str()},
                                {"active", std::to_string(a.load.active)},
                                {"queued", std::to_string(a.load.queued)},
                                {"slots", std::to_string(a.load.slots)},
                                {"expected_wait_ms", in_ms(a.load.expected_wait)},
-                               {"leaving", yes_no(a.load.leaving)}});
+                               {"leaving", yes_no(a.load.leaving)},
+                               {"held_ms", in_ms(std::max(microseconds{0}, a.held_until - now))},
+                               {"failures", std::to_string(a.failures)}});
+    }
     v.tables.push_back(std::move(agents));
 }
 
