Look for chats at their former home while a member is new

Cause: a new member is the home of chats whose cache and pointers are at the agent that was their home before. Change: for two minutes the former home is presumed to hold them, and both homes are told where a chat ran. Where all agents seem to be at the bound, the expected first token decides; the agents keep the bound.

--- a/src/include/bluebell/core/agent_index.h
+++ b/src/include/bluebell/core/agent_index.h
@@ -27,6 +27,7 @@
     std::uint32_t failures = 0;       ///< failures seen here without a stable time between them
     instant held_until{};             ///< this router gives it no new work before
     instant heard_at{};               ///< when its newest report came
+    instant joined_at{};              ///< when this router first knew it as a member
     bool member = false;              ///< control counts it as a member of the fleet
     bool listed_leaving = false;      ///< the platform's list names it as leaving
     std::vector<std::uint32_t> pools; ///< positions in agent_index::pools
--- a/src/include/bluebell/core/awaited_call.h
+++ b/src/include/bluebell/core/awaited_call.h
@@ -20,11 +20,12 @@
 /// A call that a caller awaits at this router.
 struct awaited_call {
     call what;
-    attempt_id attempt;           ///< the only attempt whose messages count
-    node_id agent;                ///< empty: none chosen yet
-    node_id home;                 ///< the chat's place on the ring
-    node_id pointer;              ///< where the home says that the chat ran
-    std::set<node_id> tried;      ///< agents that refused it
+    attempt_id attempt;      ///< the only attempt whose messages count
+    node_id agent;           ///< empty: none chosen yet
+    node_id home;            ///< the chat's place on the ring
+    node_id settled;         ///< where routers look for the chat while the home is a new member
+    node_id pointer;         ///< where the home says that the chat ran
+    std::set<node_id> tried; ///< agents that refused it
     std::uint64_t last_event = 0; ///< last event passed on to the caller; rises by one each
     call_phase phase = call_phase::sent;
     run_outcome outcome = run_outcome::not_run; ///< of all attempts that have ended
--- a/src/libcore/agent_index.cpp
+++ b/src/libcore/agent_index.cpp
@@ -106,6 +106,8 @@
     const bool restarted = entry.node.life > view.node.life;
     if (restarted)
         view.failures = 0;
+    if (!view.member)
+        view.joined_at = now;
     view.member = true;
     view.node = entry.node;
     view.offer = entry.offer;
--- a/src/libcore/router_answers.cpp
+++ b/src/libcore/router_answers.cpp
@@ -25,7 +25,7 @@
     return answer_window - std::min(answer_window, waiting.undrained);
 }
 
-/// Learns where the chat's cache now is, and tells its home if that is another agent.
+/// Learns where the chat's cache now is, and tells its homes if that is another agent.
 router_step learn_place(router_state st, const context& ctx, const awaited_call& waiting,
                         effects out)
 {
@@ -34,11 +34,15 @@
         return {std::move(st), std::move(out)};
     st.chats =
         with_chat(std::move(st.chats), ctx.now, waiting.what, waiting.agent, chat->prompt_tokens);
-    const bool away = waiting.agent != waiting.home;
-    if (!chat->chat.empty() && !waiting.home.empty() && (away || waiting.redirected))
-        out.emplace_back(send_message{
-            waiting.home,
-            work_message(chat_moved{waiting.what.workspace, chat->chat, waiting.agent})});
+    if (chat->chat.empty())
+        return {std::move(st), std::move(out)};
+    std::set<node_id> homes{waiting.home, waiting.settled};
+    homes.erase(node_id());
+    for (const auto& home : homes) {
+        if (waiting.agent != home || waiting.redirected)
+            out.emplace_back(send_message{
+                home, work_message(chat_moved{waiting.what.workspace, chat->chat, waiting.agent})});
+    }
     return {std::move(st), std::move(out)};
 }
 
--- a/src/libcore/router_calls.cpp
+++ b/src/libcore/router_calls.cpp
@@ -126,7 +126,7 @@
         run.what.budget -= ctx.now - waiting.arrived;
     run.config = ctx.fleet.config_revision;
     run.warm = warm;
-    run.redirected = waiting.redirected || (!warm.empty() && warm != waiting.home);
+    run.redirected = waiting.redirected || (!warm.empty() && warm != waiting.settled);
     run.retry = waiting.retrying;
     waiting.retrying = false;
     run.sight = sight_of(st, ctx, waiting.what);
@@ -294,6 +294,7 @@
     if (!choice)
         return tell_error(std::move(st), ctx, std::move(waiting), choice.error(), std::move(out));
     waiting.home = choice->home;
+    waiting.settled = choice->settled;
     out.emplace_back(placed_line(waiting, *choice));
     return send_to(std::move(st), ctx, std::move(waiting), choice->agent, choice->warm,
                    std::move(out));
--- a/src/libcore/routing.cpp
+++ b/src/libcore/routing.cpp
@@ -24,6 +24,8 @@
 constexpr microseconds zone_distance{500};
 /// Part of a returning chat's prompt that its home is presumed to hold, in thousandths.
 constexpr std::uint32_t presumed_permille = 850;
+/// A new member's chats are presumed to be still at the home they had before, for this long.
+constexpr microseconds settle_time = seconds(120);
 /// Candidates after the home on the ring, and drawn from the zone and the pool.
 constexpr std::size_t ring_candidates = 3;
 constexpr std::size_t prefix_candidates = 3;
@@ -145,16 +147,23 @@
     return in.agents.agents[it->second].node.id;
 }
 
-void add_ring(const routing_input& in, const pool_view& pool, bool home_is_warm,
-              candidate_list& list)
+/// Adds the home and the next ones; returns the one that holds the chat if nothing else is known.
+node_id add_ring(const routing_input& in, const pool_view& pool, bool home_is_warm,
+                 candidate_list& list)
 {
     const std::uint32_t presumed =
         home_is_warm ? prompt_tokens(in.what) * presumed_permille / 1000 : 0;
+    const auto walk = ring_walk(pool, ring_key(in.what), ring_candidates);
+    const auto settled = std::find_if(walk.begin(), walk.end(), [&](agent_slot slot) {
+        return in.now - in.agents.agents[slot].joined_at >= settle_time;
+    });
+    const agent_slot holder = settled == walk.end() ? walk.front() : *settled;
     choice_reason why = choice_reason::home;
-    for (const agent_slot slot : ring_walk(pool, ring_key(in.what), ring_candidates)) {
-        list.add({slot, why, why == choice_reason::home ? presumed : 0});
+    for (const agent_slot slot : walk) {
+        list.add({slot, why, slot == holder ? presumed : 0});
         why = choice_reason::next;
     }
+    return in.agents.agents[holder].node.id;
 }
 
 microseconds expected_first_token(const routing_input& in, const candidate& c)
@@ -164,8 +173,9 @@
     const std::uint32_t slots = std::max(1U, view.load.slots);
     const std::uint32_t load = load_of(view);
     microseconds wait = view.load.expected_wait;
-    if (load >= slots)
-        wait = std::max(wait, typical_run * (load - slots + 1) / slots);
+    const std::uint32_t free = slots - std::min(slots, view.load.active);
+    if (view.unreported >= free)
+        wait += typical_run * (view.unreported - free) / slots;
     wait += batch_cost * load;
     const microseconds prefill = prefill_per_token * (tokens - std::min(tokens, c.cached));
     const bool far = view.node.zone != in.self.zone;
@@ -180,15 +190,14 @@
             expected_first_token(in, c), load, c};
 }
 
-/// Held agents last; then those within the bound; then the earliest first token.
+/// Held agents last; then those within the bound; then the earliest first token. The agent itself
+/// keeps the bound: where all seem to be at it, the reports are as likely to be old.
 bool is_better(const scored& a, const scored& b)
 {
     if (a.avoided != b.avoided)
         return b.avoided;
     if (a.over_bound != b.over_bound)
         return b.over_bound;
-    if (a.over_bound)
-        return a.load < b.load;
     return a.expected < b.expected;
 }
 
@@ -270,7 +279,7 @@
     agent_choice choice;
     if (is_chat) {
         choice.warm = add_warm(in, list);
-        add_ring(in, *pool, choice.warm.empty(), list);
+        choice.settled = add_ring(in, *pool, choice.warm.empty(), list);
         add_prefix_holders(in, list);
         choice.home =
             in.agents.agents[pool->ring[ring_start(*pool, ring_key(in.what))].agent].node.id;
--- a/src/libcore/routing_pvt.h
+++ b/src/libcore/routing_pvt.h
@@ -39,8 +39,9 @@
 /// The chosen agent and the inputs that made it so.
 struct agent_choice {
     node_id agent;
-    node_id home; ///< empty for calls without a home
-    node_id warm; ///< where the chat's cache is believed to be; empty: not known
+    node_id home;    ///< the chat's place on the ring; empty for calls without a home
+    node_id settled; ///< the home that the chat had before a new member's joining; often the home
+    node_id warm;    ///< where the chat's cache is believed to be; empty: not known
     choice_reason why = choice_reason::any;
     microseconds expected{0};        ///< to the first token
     std::uint32_t cached_tokens = 0; ///< prompt tokens believed to be in the cache there
