--- a/src/libcore/router_calls.cpp
+++ b/src/libcore/router_calls.cpp
@@ -80,7 +80,7 @@
                               const awaited_call& waiting)
 {
     const call& what = waiting.what;
-    if (ctx.now >= ctx.fleet.lease_until)
+    if (!may_serve(ctx.fleet, ctx.now, !what.idempotent))
         return make_error(error_code::stale, "place call", "control",
                           "the configuration is not confirmed");
     if (is_refused(st.bodies, ctx.now, what.digest))
