--- a/src/libcore/router_calls.cpp
+++ b/src/libcore/router_calls.cpp
@@ -80,7 +80,7 @@
                               const awaited_call& waiting)
 {
     const call& what = waiting.what;
-    if (ctx.now >= ctx.fleet.lease_until)
+    if (!may_serve(ctx.fleet, ctx.now, !what.idempotent))
         return make_error(error_code::stale, "place call", "control",
                           "the configuration is not confirmed");
     if (is_refused(st.bodies, ctx.now, what.digest))
@@ -126,7 +126,7 @@
         run.what.budget -= ctx.now - waiting.arrived;
     run.config = ctx.fleet.config_revision;
     run.warm = warm;
-    run.redirected = waiting.redirected || (!warm.empty() && warm != waiting.home);
+    run.redirected = waiting.redirected || (!warm.empty() && warm != waiting.settled);
     run.retry = waiting.retrying;
     waiting.retrying = false;
     run.sight = sight_of(st, ctx, waiting.what);
@@ -294,6 +294,7 @@
     if (!choice)
         return tell_error(std::move(st), ctx, std::move(waiting), choice.error(), std::move(out));
     waiting.home = choice->home;
+    waiting.settled = choice->settled;
     out.emplace_back(placed_line(waiting, *choice));
     return send_to(std::move(st), ctx, std::move(waiting), choice->agent, choice->warm,
                    std::move(out));
