Let a sole voter wait out the lease of a leader that is leaving

Cause: replication_fuzz found a stale read: a voter that was left alone restarted and led at once, while the leader under removal still held a lease that this voter had confirmed. Change: a replica that isn't fresh waits the hold time after its start, alone or not.

--- a/src/libcore/replication.cpp
+++ b/src/libcore/replication.cpp
@@ -124,8 +124,13 @@
          {"snapshot", std::to_string(ev.snapshot_index)},
          {"last", std::to_string(t.st.log.last())}});
     const bool alone = may_campaign(t) && peers(t).empty();
-    if (alone)
+    if (!alone)
+        return;
+    // Alone now, yet a leader that is being removed may still hold a lease that was confirmed here.
+    if (ev.fresh)
         on_election_due(t);
+    else
+        t.st.election_at = t.st.heard_at + election_timeout_min;
 }
 
 void on_tick(turn& t)
