--- a/src/include/bluebell/runtime/node_runner.h
+++ b/src/include/bluebell/runtime/node_runner.h
@@ -42,6 +42,7 @@
     node_runner(std::shared_ptr<event_loop> loop, core::node_state initial);
     void carry_out(const core::effects& out);
     void wake(core::instant at);
+    void on_timer();
 
     friend struct effect_runner;
 
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -92,10 +92,7 @@
 node_runner::node_runner(std::shared_ptr<event_loop> loop, node_state initial)
     : loop_(std::move(loop)), state_(std::move(initial)), random_(std::random_device{}())
 {
-    timer_ = watcher::timer(*loop_, [this] {
-        next_wake_ = instant::max();
-        dispatch(clock_event(tick{}));
-    });
+    timer_ = watcher::timer(*loop_, [this] { on_timer(); });
 }
 
 void node_runner::start(node_ports ports)
@@ -130,6 +127,18 @@
         std::visit(effect_runner{*this}, e);
 }
 
+/// libevent counts a delay from the time at which its loop woke, so a timer may fire a little
+/// early. A tick before its time would be taken for none and never asked for again.
+void node_runner::on_timer()
+{
+    if (loop_->now() < next_wake_) {
+        timer_->arm(next_wake_ - loop_->now());
+        return;
+    }
+    next_wake_ = instant::max();
+    dispatch(clock_event(tick{}));
+}
+
 void node_runner::wake(instant at)
 {
     if (at >= next_wake_)
--- a/src/libwire/envelope.cpp
+++ b/src/libwire/envelope.cpp
@@ -5,6 +5,8 @@
 #include <bluebell/core/visit.h>
 #include <bluebell/wire/envelope.h>
 
+#include <google/protobuf/stubs/logging.h>
+
 namespace bluebell::wire {
 
 using namespace core;
@@ -13,6 +15,14 @@
 
 constexpr std::string_view step = "decode envelope";
 
+/// The library writes a line of its own for each text that isn't UTF-8; the error that decode()
+/// returns says it already, and a peer must not fill the log.
+void silence_library()
+{
+    static const auto before = google::protobuf::SetLogHandler(nullptr);
+    (void)before;
+}
+
 result<message> get_body(const pb::Envelope& from)
 {
     const auto widen = [](auto group) {
@@ -49,6 +59,7 @@
 {
     if (data.size() > max_envelope_size)
         return fail(error_code::too_large, step, peer, std::to_string(data.size()) + " bytes");
+    silence_library();
     pb::Envelope from;
     if (!from.ParseFromArray(data.data(), static_cast<int>(data.size())))
         return fail(error_code::corrupt, step, peer, "not a protobuf envelope");
