--- a/src/libcore/view.cpp
+++ b/src/libcore/view.cpp
@@ -41,16 +41,53 @@
     v.values.push_back({"draining", yes_no(st.draining)});
 }
 
-void add_role(node_view& v, const control_state& st, instant now)
+std::string names_of(const std::vector<node_id>& nodes)
 {
+    std::string text;
+    for (const auto& n : nodes)
+        text += (text.empty() ? "" : " ") + n.str();
+    return text;
+}
+
+std::string text_of(const order& what)
+{
+    return match(
+        what, [](const load_model& o) { return "load_model " + o.model.str() + " " + o.version; },
+        [](const unload_model& o) { return "unload_model " + o.model.str(); },
+        [](const load_adapter& o) {
+            return "load_adapter " + o.adapter.str() + " on " + o.model.str();
+        },
+        [](const change_role& o) { return "change_role " + o.role; });
+}
+
+void add_role(node_view& v, const control_state& st, const node_id& self, instant now)
+{
+    const control_view seen = view_of(st, self, now);
+    v.values.push_back({"leads", yes_no(seen.leads)});
+    v.values.push_back({"leader", seen.leader.str()});
+    v.values.push_back({"newest_revision", std::to_string(seen.config)});
+    v.values.push_back({"in_force_everywhere", yes_no(seen.everywhere)});
+    v.values.push_back({"lagging", names_of(seen.lagging)});
     view_table members{"members", {}};
-    for (const auto& [id, m] : st.members)
-        members.rows.push_back({{"node", id.str()},
-                                {"role", std::string(to_string(m.last.from.role))},
-                                {"availability_zone", m.last.from.zone.str()},
-                                {"config_revision", std::to_string(m.last.config)},
-                                {"heard_ms_ago", in_ms(now - m.heard_at)}});
+    for (const auto& n : seen.nodes)
+        members.rows.push_back({{"node", n.node.id.str()},
+                                {"role", std::string(to_string(n.node.role))},
+                                {"region", n.node.region.str()},
+                                {"availability_zone", n.node.zone.str()},
+                                {"present", yes_no(n.present)},
+                                {"drained", yes_no(n.drained)},
+                                {"config_revision", std::to_string(n.in_force)},
+                                {"heard_ms_ago", in_ms(n.silence)}});
     v.tables.push_back(std::move(members));
+    view_table orders{"orders", {}};
+    for (const auto& o : seen.orders)
+        orders.rows.push_back({{"fence", std::to_string(o.fence)},
+                               {"agent", o.agent.str()},
+                               {"order", text_of(o.what)},
+                               {"status", std::string(to_string(o.status))},
+                               {"who", o.who.empty() ? "control" : o.who.str()},
+                               {"why", o.why}});
+    v.tables.push_back(std::move(orders));
 }
 
 } // namespace
@@ -65,7 +102,10 @@
                 {"life", std::to_string(st.self.life)},
                 {"config_revision", std::to_string(st.fleet.config_revision)},
                 {"lease_left_ms", in_ms(std::max(microseconds{0}, st.fleet.lease_until - now))}};
-    std::visit([&](const auto& role) { add_role(v, role, now); }, st.role);
+    match(
+        st.role, [&](const router_state& role) { add_role(v, role, now); },
+        [&](const agent_state& role) { add_role(v, role, now); },
+        [&](const control_state& role) { add_role(v, role, st.self.id, now); });
     return v;
 }
 
