Tell callers at once when their agent's connection breaks

Cause: the faults case showed a caller left waiting after kill -9 of its agent. Change: on peer_unreachable the router ends its calls at that agent with the outcome unknown.

--- a/src/libcore/router.cpp
+++ b/src/libcore/router.cpp
@@ -190,9 +190,23 @@
         ev.what);
 }
 
-router_step on(router_state st, const context&, const peer_unreachable&)
+/// The agent's connection broke: what it had of a call is not known here. Its callers are told so
+/// at once, and may come back for what the agent keeps.
+router_step on(router_state st, const context&, const peer_unreachable& ev)
 {
-    return {std::move(st), {}};
+    effects out;
+    for (auto it = st.awaited.begin(); it != st.awaited.end();) {
+        if (it->second.agent != ev.peer) {
+            ++it;
+            continue;
+        }
+        const error why{error_code::unavailable, "reach agent", ev.peer.str(), "connection lost"};
+        out.emplace_back(reply_error{it->first, why, run_outcome::unknown, seconds(1)});
+        it = st.awaited.erase(it);
+    }
+    if (st.draining && st.awaited.empty())
+        out.emplace_back(drained{});
+    return {std::move(st), std::move(out)};
 }
 
 router_step on(router_state st, const context&, const drain_wanted&)
