--- a/testsuite/demo/run.sh
+++ b/testsuite/demo/run.sh
@@ -15,7 +15,7 @@
 node_settings control control-1 $((port + 1)) \
     "$(extra $((port + 11)))[storage]\ndata_folder = $work/data\n"
 for n in 1 2; do
-    start "engine-$n" "$STANDINS_BIN/standin_engine" --port $((port + 20 + n)) \
+    start "engine-$n" "$STANDINS_BIN/standin_engine" --port $((port + 20 + n)) --models aviso-es \
         --seconds 60
     node_settings agent agent-$n $((port + 1 + n)) \
         "$(extra $((port + 11 + n)))[engine]\naddress = 127.0.0.1:$((port + 20 + n))\nmodels = aviso-es\nslots = 4\n"
