--- a/bench/admission_cost.cpp
+++ b/bench/admission_cost.cpp
@@ -181,6 +181,7 @@
                 "pointers)\n",
                 slots, prompt_blocks);
     std::vector<double> costs;
+    costs.reserve(sizes.size());
     for (const auto& s : sizes)
         costs.push_back(cost_of(s, args["seed"].as<std::uint64_t>(), args["rounds"].as<int>(),
                                 args["admissions"].as<int>()));
--- a/bench/baseline_loop.cpp
+++ b/bench/baseline_loop.cpp
@@ -79,7 +79,7 @@
     {
         if (!plan)
             return;
-        const run_plan p = *plan;
+        const run_plan& p = *plan;
         clock_.at(p.end, [this, n, p] {
             auto& engine = engines_[static_cast<std::size_t>(n)];
             if (!engine.has(p.attempt))
--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -326,7 +326,7 @@
     {
         if (!plan)
             return;
-        const run_plan p = *plan;
+        const run_plan& p = *plan;
         const auto id = agent_id(n);
         result_.calls[p.attempt.request].cached = p.cached;
         const auto alive = [this, n, p] {
--- a/src/libcore/dissemination.cpp
+++ b/src/libcore/dissemination.cpp
@@ -44,7 +44,7 @@
     push.document = view.machine.configuration.document;
 }
 
-effects send_all(std::map<node_id, push_batch> pushes)
+effects send_all(std::map<node_id, push_batch>&& pushes)
 {
     effects out;
     for (auto& [to, push] : pushes)
--- a/src/libcore/dissemination_digest.cpp
+++ b/src/libcore/dissemination_digest.cpp
@@ -58,6 +58,7 @@
     for (const auto& [handle, agent] : agents)
         add_to_pools(pools, agent);
     std::vector<pool_load> rows;
+    rows.reserve(pools.size());
     for (auto& [name, pool] : pools)
         rows.push_back(std::move(pool));
     return rows;
--- a/src/libcore/fair_queue.cpp
+++ b/src/libcore/fair_queue.cpp
@@ -63,8 +63,9 @@
     q.weight -= it->second.weight;
     q.by_start.erase({tag, w});
     q.flows.erase(it);
+    const virtual_time furthest = std::max(q.furthest, tag);
     if (q.flows.empty())
-        return advance(std::move(q), std::max(q.furthest, tag));
+        return advance(std::move(q), furthest);
     return remember_idle(std::move(q), w, tag);
 }
 
@@ -106,7 +107,8 @@
 
 popped pop(fair_queue q, const workspace_id& served)
 {
-    const workspace_id w = served; // the argument may lie inside q
+    // The argument may lie inside q, which changes below.
+    const workspace_id w = served; // NOLINT(performance-unnecessary-copy-initialization)
     const auto it = q.flows.find(w);
     flow& f = it->second;
     const queue_item item = f.items.begin()->second;
--- a/src/libruntime/caller_server.cpp
+++ b/src/libruntime/caller_server.cpp
@@ -145,7 +145,8 @@
         refuse({error_code::unsupported_version, "accept request", "", "HTTP/1.1 is required"});
         return;
     }
-    std::visit([&](auto&& what) { take(request, std::move(what)); }, std::move(*parsed));
+    std::visit([&]<class What>(What&& what) { take(request, std::forward<What>(what)); },
+               std::move(*parsed));
 }
 
 void caller_server::take(evhttp_request* request, const wire::probe& page)
--- a/src/libruntime/engine_session.cpp
+++ b/src/libruntime/engine_session.cpp
@@ -176,7 +176,7 @@
     end({true, true, usage_, ""});
 }
 
-void engine_session::end(ending how)
+void engine_session::end(const ending& how)
 {
     over_ = true;
     calls_.ended(attempt_, how);
--- a/src/libruntime/engine_session_pvt.h
+++ b/src/libruntime/engine_session_pvt.h
@@ -54,7 +54,7 @@
     void piece(evhttp_request* request);
     void stream(std::string_view data);
     void done(evhttp_request* request);
-    void end(ending how);
+    void end(const ending& how);
     static void on_done(evhttp_request* request, void* self);
     static int on_head(evhttp_request* request, void* self);
     static void on_chunk(evhttp_request* request, void* self);
--- a/src/libruntime/http_exchange.cpp
+++ b/src/libruntime/http_exchange.cpp
@@ -43,7 +43,7 @@
 std::shared_ptr<http_exchange> ask(evhttp_connection* conn, const http_question& what,
                                    std::function<void(core::result<http_answer>)> done)
 {
-    const auto x = std::make_shared<http_exchange>(http_exchange{what.host, std::move(done)});
+    auto x = std::make_shared<http_exchange>(http_exchange{what.host, std::move(done)});
     evhttp_request* r = evhttp_request_new(&on_done, x.get());
     auto* headers = evhttp_request_get_output_headers(r);
     evhttp_add_header(headers, "Host", what.host.c_str());
--- a/src/libstore/memory_folder.cpp
+++ b/src/libstore/memory_folder.cpp
@@ -37,7 +37,7 @@
 
 result<void> memory_folder::append_unsynced(const std::string& name, std::string_view data)
 {
-    const auto ready = begin("write file");
+    auto ready = begin("write file");
     auto it = names_.find(name);
     if (it == names_.end()) {
         files_.push_back({});
--- a/src/libwire/command_codec.cpp
+++ b/src/libwire/command_codec.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// Encodes a value that is also a control message on its own.
-pb::ControlMessage encoded(control_message what)
+pb::ControlMessage encoded(const control_message& what)
 {
     pb::ControlMessage to;
     put(what, to);
--- a/testsuite/fuzz/parsers_fuzz.cpp
+++ b/testsuite/fuzz/parsers_fuzz.cpp
@@ -94,6 +94,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name that libFuzzer calls
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     if (size == 0)
--- a/testsuite/fuzz/replay.cpp
+++ b/testsuite/fuzz/replay.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <string>
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name that libFuzzer calls
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
 
 int main(int argc, char** argv)
--- a/testsuite/history/client.cpp
+++ b/testsuite/history/client.cpp
@@ -159,7 +159,7 @@
 
     std::string post(const on_reply& done)
     {
-        const std::string request = client_.run + "-q" + std::to_string(++client_.made);
+        std::string request = client_.run + "-q" + std::to_string(++client_.made);
         ask(client_, client_.any(client_.routers), "/v1/services/lots/claims?" + key_,
             "{\"lot\":7}",
             {{"X-Bluebell-Workspace", "w" + std::to_string(number_ % 4)},
