Guess at most 50 ms of wait from calls that no report contains yet

Cause: in a flood an engine has no free slot, so each call sent since its last report added 94 ms to its expected wait, more than a warm cache saves; chats left their engines and small workspaces paid with prefills. Ruled out: the agents' own reported wait (limiting it alone changed nothing). Change: the guess is limited to 50 ms.

--- a/src/libcore/routing.cpp
+++ b/src/libcore/routing.cpp
@@ -18,6 +18,9 @@
 constexpr microseconds prefill_per_token{85};
 /// Expected run time of a call whose length is not known.
 constexpr microseconds typical_run = seconds(3);
+/// Most wait that is guessed from calls not yet reported: queues are fair, so a workspace with
+/// little in them waits far less than the whole queue would take.
+constexpr microseconds most_guessed_wait{50'000};
 /// Weight of one more running call in a batch, which slows the others.
 constexpr microseconds batch_cost{1'000};
 /// One way between availability zones; a call crosses it twice before its first token.
@@ -175,7 +178,7 @@
     microseconds wait = view.load.expected_wait;
     const std::uint32_t free = slots - std::min(slots, view.load.active);
     if (view.unreported >= free)
-        wait += typical_run * (view.unreported - free) / slots;
+        wait += std::min(most_guessed_wait, typical_run * (view.unreported - free) / slots);
     wait += batch_cost * load;
     const microseconds prefill = prefill_per_token * (tokens - std::min(tokens, c.cached));
     const bool far = view.node.zone != in.self.zone;
