--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -4,7 +4,8 @@
 pids=()
 stop_all() {
     for pid in "${pids[@]:-}"; do
-        [ -n "$pid" ] && kill -9 "$pid" 2>/dev/null || true
+        # Waiting takes the shell's own line on the killed process.
+        [ -n "$pid" ] && { kill -9 "$pid" && wait "$pid"; } 2>/dev/null || true
     done
     rm -rf "$work"
     [ -z "${port_lock:-}" ] || rmdir "$port_lock"
