--- a/src/bluebell/main.cpp
+++ b/src/bluebell/main.cpp
@@ -4,6 +4,7 @@
 
 #include <cxxopts.hpp>
 #include <glog/logging.h>
+#include <platform.h>
 
 #include <csignal>
 #include <iostream>
@@ -29,6 +30,8 @@
     cxxopts::Options options("bluebell", "Router, agent or control of a bluebellproxy fleet.");
     auto add = options.add_options();
     add("settings", "Run with the settings in FILE", cxxopts::value<std::string>(), "FILE");
+    add("platform", "Read the settings in the platform's format, from the file that it names "
+                    "in the environment if there is no --settings");
     add("check", "Check the settings, print every error, and exit");
     add("describe-settings", "Print every key of the settings and exit");
     add("version", "Print the version and exit");
@@ -44,9 +47,9 @@
     google::InitGoogleLogging(program);
 }
 
-int run(const std::string& file, bool only_check, const char* program)
+int run(const std::string& file, bool on_platform, bool only_check, const char* program)
 {
-    const auto s = settings::load(file);
+    const auto s = on_platform ? platform::load_settings(file) : settings::load(file);
     if (!s) {
         for (const auto& p : s.error())
             std::cerr << settings::to_string(p) << "\n";
@@ -86,11 +89,15 @@
             std::cout << settings::describe_keys();
             return 0;
         }
+        const bool on_platform = args.count("platform") != 0;
+        if (on_platform && args.count("settings") == 0)
+            return run(platform::settings_file(), true, args.count("check") != 0, argv[0]);
         if (args.count("settings") == 0) {
             std::cerr << "bluebell: --settings FILE is required; see --help\n";
             return exit_bad_settings;
         }
-        return run(args["settings"].as<std::string>(), args.count("check") != 0, argv[0]);
+        return run(args["settings"].as<std::string>(), on_platform, args.count("check") != 0,
+                   argv[0]);
     } catch (const cxxopts::exceptions::exception& e) {
         std::cerr << "bluebell: " << e.what() << "\n";
         return exit_bad_settings;
--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -3,6 +3,7 @@
 #include "process.h"
 
 #include <glog/logging.h>
+#include <platform.h>
 
 #include <chrono>
 #include <csignal>
@@ -21,6 +22,35 @@
     return static_cast<incarnation>(std::chrono::duration_cast<microseconds>(t).count());
 }
 
+/// Share of the fleet's budget of repeats that routers use by their own count; the rest covers
+/// what each of them starts with.
+constexpr std::uint32_t budget_use_permille = 600;
+/// Repeats, in thousandths, that a router may save up for one service.
+constexpr std::uint32_t budget_saved = 3'000;
+
+router_state initial_router(const settings::node_settings& s)
+{
+    router_state st;
+    if (!s.site)
+        return st;
+    st.gateway.enabled = s.site->callers.port != 0;
+    st.gateway.source.seeds = s.site->seeds;
+    st.gateway.retries = {s.site->retry_share_permille * budget_use_permille / 1000, 0,
+                          budget_saved};
+    return st;
+}
+
+control_state initial_control(const settings::node_settings& s)
+{
+    control_state st;
+    if (!s.site)
+        return st;
+    st.peers.seeds = s.site->seeds;
+    st.peers.stores = !s.data_folder.empty();
+    st.peers.founding = s.site->founding;
+    return st;
+}
+
 node_state initial_state(const settings::node_settings& s)
 {
     node_state st;
@@ -29,7 +59,7 @@
     st.fleet.controls = s.controls;
     switch (s.self.role) {
     case node_role::router:
-        st.role = router_state{};
+        st.role = initial_router(s);
         break;
     case node_role::agent: {
         agent_state agent;
@@ -38,7 +68,7 @@
         break;
     }
     case node_role::control:
-        st.role = control_state{};
+        st.role = initial_control(s);
         break;
     }
     return st;
@@ -82,6 +112,7 @@
         .and_then([this] { return open_callers(); })
         .and_then([this] { return open_engine(); })
         .and_then([this] { return open_disk(); })
+        .and_then([this] { return open_site(); })
         .and_then([this] { return open_admin(); });
 }
 
@@ -117,7 +148,7 @@
 
 result<void> process::open_callers()
 {
-    if (settings_.self.role != node_role::router)
+    if (settings_.self.role != node_role::router || settings_.http.port == 0)
         return {};
     runtime::caller_server_options http;
     http.host = settings_.http.host;
@@ -152,7 +183,8 @@
 
 result<void> process::open_disk()
 {
-    if (settings_.self.role != node_role::control)
+    // A control process without a disk has no vote and points at those that have one.
+    if (settings_.self.role != node_role::control || settings_.data_folder.empty())
         return {};
     auto disk = runtime::disk::make(loop_, settings_.data_folder,
                                     [this](event_body body) { dispatch(std::move(body)); });
@@ -162,6 +194,37 @@
     return {};
 }
 
+result<void> process::open_site()
+{
+    if (!settings_.site)
+        return {};
+    const settings::site_settings& site = *settings_.site;
+    const auto sink = [this](event_body body) { dispatch(std::move(body)); };
+    pass_codec_ = platform::make_pass_codec();
+    ports_.read_table = platform::decode_table;
+    if (site.tables.port != 0) {
+        auto tables = runtime::table_server::make(loop_, {site.tables.host, site.tables.port, {}},
+                                                  platform::make_table_codec(), sink);
+        if (!tables)
+            return tl::unexpected(tables.error());
+        ports_.tables = std::move(*tables);
+    }
+    if (site.callers.port == 0)
+        return {};
+    runtime::pass_server_options options;
+    options.callers = {site.callers.host, site.callers.port, {}};
+    options.readiness = {site.readiness.host, site.readiness.port, {}};
+    options.ready_path = platform::make_table_codec().ready_path;
+    auto pass = runtime::pass_server::make(loop_, options, pass_codec_, sink);
+    if (!pass)
+        return tl::unexpected(pass.error());
+    ports_.pass = std::move(*pass);
+    ports_.workers = runtime::worker_client::make(loop_, pass_codec_, sink);
+    ports_.list = runtime::list_reader::make(loop_, pass_codec_, site.worker_list.host,
+                                             site.worker_list.port, sink);
+    return {};
+}
+
 result<void> process::open_admin()
 {
     if (settings_.admin.port == 0)
@@ -184,7 +247,7 @@
 
 void process::reload()
 {
-    const auto next = settings::load(file_);
+    const auto next = settings_.site ? platform::load_settings(file_) : settings::load(file_);
     if (!next) {
         for (const auto& p : next.error())
             LOG(ERROR) << "settings: Not re-read. " << settings::to_string(p);
--- a/src/bluebell/process.h
+++ b/src/bluebell/process.h
@@ -30,6 +30,7 @@
     [[nodiscard]] core::result<void> open_callers();
     [[nodiscard]] core::result<void> open_engine();
     [[nodiscard]] core::result<void> open_disk();
+    [[nodiscard]] core::result<void> open_site();
     [[nodiscard]] core::result<void> open_admin();
     void dispatch(core::event_body body) { node_->dispatch(std::move(body)); }
     void reload();
@@ -38,6 +39,7 @@
     settings::node_settings settings_;
     std::shared_ptr<runtime::event_loop> loop_;
     std::shared_ptr<runtime::node_runner> node_;
+    runtime::pass_codec pass_codec_; ///< outlives the ports that read by it
     runtime::node_ports ports_;
 };
 
--- a/src/include/bluebell/core/command.h
+++ b/src/include/bluebell/core/command.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <bluebell/core/control_message.h>
+#include <bluebell/core/routing_table.h>
 
 #include <string>
 #include <variant>
@@ -119,8 +120,16 @@
     friend bool operator==(const note_crash&, const note_crash&) = default;
 };
 
+/// Sets the routing table if its version is higher than the one held.
+struct set_table {
+    std::string operation; ///< names the operator's request in the leader's process
+    routing_document document;
+
+    friend bool operator==(const set_table&, const set_table&) = default;
+};
+
 using command = std::variant<no_operation, set_replicas, set_config, advance_time, register_nodes,
                              give_up_nodes, give_grants, end_grants, give_order, end_order,
-                             set_drain, note_crash>;
+                             set_drain, note_crash, set_table>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -6,9 +6,12 @@
 #include <bluebell/core/context.h>
 #include <bluebell/core/dissemination.h>
 #include <bluebell/core/replication.h>
+#include <bluebell/core/roster.h>
 
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace bluebell::core {
@@ -33,6 +36,16 @@
     friend bool operator==(const waiting_change&, const waiting_change&) = default;
 };
 
+/// A gateway that asks this leader for the routing table.
+struct table_subscriber {
+    instant heard{};
+    std::uint64_t version = 0; ///< as it last confirmed
+    std::uint64_t sent = 0;    ///< newest that was sent unasked
+    instant sent_at{};
+
+    friend bool operator==(const table_subscriber&, const table_subscriber&) = default;
+};
+
 /// What a leader keeps besides the log.
 struct leadership {
     term at_term = 0; ///< 0: this replica doesn't lead
@@ -41,6 +54,9 @@
     command_queue queue;
     std::map<std::string, bool> operators; ///< operations that an operator awaits
     std::vector<waiting_change> changes;
+    std::set<std::string> offers; ///< offered tables that wait for the log
+    std::map<node_id, table_subscriber> subscribers;
+    instant next_voters{};
     std::map<std::uint64_t, instant> orders_sent; ///< by fence
     std::map<std::string, instant> placements;    ///< last change by region and model
     instant time_marked{};                        ///< the log's clock stands for this instant
@@ -54,6 +70,7 @@
     machine_state machine;
     fleet_config config; ///< of the machine
     leadership lead;
+    roster peers; ///< control processes, where they find each other themselves
 
     friend bool operator==(const control_state&, const control_state&) = default;
 };
@@ -68,6 +85,7 @@
 [[nodiscard]] control_step reduce(control_state current, const context& ctx,
                                   const operator_event& ev);
 [[nodiscard]] control_step reduce(control_state current, const context& ctx, const clock_event& ev);
+[[nodiscard]] control_step reduce(control_state current, const context& ctx, const table_event& ev);
 
 /// One node as operators see it.
 struct node_status {
--- a/src/include/bluebell/core/effect.h
+++ b/src/include/bluebell/core/effect.h
@@ -133,6 +133,40 @@
     }
 };
 
+// The routing table.
+
+/// Decodes a table; table_decoded answers, or a log line if it can't be read.
+struct decode_table {
+    routing_document document;
+    friend bool operator==(const decode_table&, const decode_table&) = default;
+};
+/// The offered table, or a newer one, is durable.
+struct table_accepted {
+    friend bool operator==(const table_accepted&, const table_accepted&) = default;
+};
+/// The newest table.
+struct table_given {
+    routing_document document;
+    friend bool operator==(const table_given&, const table_given&) = default;
+};
+/// Another replica leads.
+struct table_elsewhere {
+    std::string address; ///< of its peer socket
+    friend bool operator==(const table_elsewhere&, const table_elsewhere&) = default;
+};
+/// Nothing can be said now. An offered table may come into force or not.
+struct table_unavailable {
+    std::string why;
+    friend bool operator==(const table_unavailable&, const table_unavailable&) = default;
+};
+using table_outcome = std::variant<table_accepted, table_given, table_elsewhere, table_unavailable>;
+/// Answers table_offered and table_wanted, once.
+struct table_reply {
+    std::string operation;
+    table_outcome outcome;
+    friend bool operator==(const table_reply&, const table_reply&) = default;
+};
+
 // To the process.
 
 /// A tick is wanted at this time at the latest.
@@ -178,7 +212,9 @@
     std::variant<send_message, connect_peer, disconnect_peer, reply_head, reply_chunk, reply_end,
                  reply_error, engine_run, engine_cancel, engine_pause, engine_order_run, disk_vote,
                  disk_append, disk_snapshot, snapshot_read, snapshot_store, operator_reply, wake_at,
-                 log_line, observe, set_ready, drained>;
+                 log_line, observe, set_ready, drained, start_attempt, cancel_attempt, pass_head,
+                 pass_data, pass_end, pass_abort, pass_refusal, pass_close, list_workers,
+                 set_caller_limits, decode_table, table_reply>;
 using effects = std::vector<effect>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/event.h
+++ b/src/include/bluebell/core/event.h
@@ -2,6 +2,7 @@
 /// Everything that can happen to a node. Time and random numbers come in here and nowhere else.
 #pragma once
 
+#include <bluebell/core/exchange.h>
 #include <bluebell/core/machine.h>
 #include <bluebell/core/message.h>
 
@@ -222,6 +223,26 @@
 using operator_event = std::variant<config_change, order_wanted, replicas_change, drain_wanted,
                                     platform_list, exception_change, node_drain>;
 
+// The routing table.
+
+/// An operator offers a table; it was checked as a whole.
+struct table_offered {
+    std::string operation; ///< names the operator's request in this process
+    routing_document document;
+    friend bool operator==(const table_offered&, const table_offered&) = default;
+};
+/// An operator asks for the newest table.
+struct table_wanted {
+    std::string operation;
+    friend bool operator==(const table_wanted&, const table_wanted&) = default;
+};
+/// Answers decode_table.
+struct table_decoded {
+    routing_table table;
+    friend bool operator==(const table_decoded&, const table_decoded&) = default;
+};
+using table_event = std::variant<table_offered, table_wanted, table_decoded>;
+
 // From the clock.
 
 /// Time has passed. The runtime sends one when the earliest wake_at effect is due.
@@ -230,8 +251,8 @@
 };
 using clock_event = std::variant<tick>;
 
-using event_body =
-    std::variant<caller_event, peer_event, engine_event, disk_event, operator_event, clock_event>;
+using event_body = std::variant<caller_event, peer_event, engine_event, disk_event, operator_event,
+                                clock_event, exchange_event, table_event>;
 
 /// One event: when it was seen, a random number for the decision, and what happened.
 struct event {
--- /dev/null
+++ b/src/include/bluebell/core/fleet_message.h
@@ -0,0 +1,60 @@
+/// \file
+/// Messages by which processes that were told only a few addresses find each other, found the
+/// control replicas, and spread the routing table.
+#pragma once
+
+#include <bluebell/core/control_message.h>
+#include <bluebell/core/routing_table.h>
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace bluebell::core {
+
+/// A control process as others know it.
+struct control_presence {
+    node_info node;
+    bool stores = false;     ///< it has a disk, so it may vote
+    bool founding = false;   ///< it was told that the fleet starts for the first time
+    microseconds silence{0}; ///< since it was last heard, as far as the sender knows
+
+    friend bool operator==(const control_presence&, const control_presence&) = default;
+};
+
+/// Sent between control processes every half second: the sender first, then all it knows.
+struct presence_note {
+    std::vector<control_presence> known;
+
+    friend bool operator==(const presence_note&, const presence_note&) = default;
+};
+
+/// The first replicas of all, as the one founder names them.
+struct founding_note {
+    std::vector<node_info> founders;
+
+    friend bool operator==(const founding_note&, const founding_note&) = default;
+};
+
+/// Asks for the routing table where it is newer than the sender's.
+struct table_query {
+    node_info from;
+    std::uint64_t version = 0;
+
+    friend bool operator==(const table_query&, const table_query&) = default;
+};
+
+/// Answers a table_query; also sent unasked when the table changes.
+struct table_news {
+    bool certain = false;            ///< the sender leads: no newer table is in force
+    node_id leader;                  ///< as far as known
+    std::vector<node_info> controls; ///< control processes heard lately
+    std::uint64_t version = 0;
+    std::optional<routing_document> document; ///< absent: the receiver's is as new
+
+    friend bool operator==(const table_news&, const table_news&) = default;
+};
+
+using fleet_message = std::variant<presence_note, founding_note, table_query, table_news>;
+
+} // namespace bluebell::core
--- a/src/include/bluebell/core/machine.h
+++ b/src/include/bluebell/core/machine.h
@@ -33,6 +33,7 @@
     std::vector<node_info> replicas;       ///< control's voters
     std::vector<node_info> replica_target; ///< what a change of them shall come to
     config_log configuration;
+    routing_document table; ///< newest routing table; version 0: none yet
     operation_memory operations;
     node_registry registry;
     grant_table grants;
@@ -72,8 +73,15 @@
 
     friend bool operator==(const node_applied&, const node_applied&) = default;
 };
+/// An offered table, or a newer one, is held.
+struct table_applied {
+    std::string operation;
+
+    friend bool operator==(const table_applied&, const table_applied&) = default;
+};
 /// What one part of a command came to; the leader answers whoever asked for it.
-using applied = std::variant<operation_applied, grant_applied, result_applied, node_applied>;
+using applied =
+    std::variant<operation_applied, grant_applied, result_applied, node_applied, table_applied>;
 
 struct machine_step {
     machine_state next;
--- a/src/include/bluebell/core/message.h
+++ b/src/include/bluebell/core/message.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <bluebell/core/control_message.h>
+#include <bluebell/core/fleet_message.h>
 #include <bluebell/core/replication_message.h>
 #include <bluebell/core/work_message.h>
 
@@ -10,6 +11,6 @@
 
 namespace bluebell::core {
 
-using message = std::variant<work_message, control_message, replication_message>;
+using message = std::variant<work_message, control_message, replication_message, fleet_message>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/replication.h
+++ b/src/include/bluebell/core/replication.h
@@ -38,6 +38,8 @@
     std::size_t append_bytes = std::size_t{64} * 1024; ///< weight of the entries of one append
     log_index snapshot_interval = 4096;                ///< committed entries between two snapshots
     log_index entries_kept = 1024;                     ///< held behind a snapshot for short lags
+    std::size_t snapshot_bytes = std::size_t{2} * 1024 * 1024; ///< weight of them, the same
+    std::size_t bytes_kept = std::size_t{1} * 1024 * 1024;     ///< weight held behind a snapshot
     std::uint32_t snapshot_part = 256 * 1024; ///< bytes of one part on its way to a replica
 
     friend bool operator==(const replication_limits&, const replication_limits&) = default;
@@ -201,8 +203,10 @@
     log_index commit = 0;  ///< never falls
     log_index durable = 0; ///< entries up to it are synced here
     snapshot_mark snapshot;
+    std::size_t unsaved = 0; ///< weight committed since the last snapshot was begun
     std::optional<pending_write> snapshot_write; ///< a snapshot being saved, up to `last`
     term snapshot_write_term = 0;
+    std::vector<node_info> founders; ///< the first replicas, while blank; else the settings' ones
     std::vector<replica_record> replicas; ///< oldest first; the last is in force. Empty: blank
     replication_role role;
     instant heard_at{};      ///< last sign of a leader, or the start
@@ -271,7 +275,7 @@
 [[nodiscard]] proposal_step propose(replication_state current, const context& ctx,
                                     std::vector<command> commands);
 
-/// Begins the change to 1, 3, 5 or 7 replicas. The leader carries it out in single steps.
+/// Begins the change to 1 to 7 replicas. The leader carries it out in single steps.
 /// Refused while an earlier change is under way, or with an impossible set.
 [[nodiscard]] proposal_step propose_replicas(replication_state current, const context& ctx,
                                              std::vector<node_info> target);
--- a/src/include/bluebell/core/retry.h
+++ b/src/include/bluebell/core/retry.h
@@ -9,6 +9,15 @@
 
 namespace bluebell::core {
 
+/// How a budget fills, in thousandths of a retry.
+struct retry_terms {
+    std::uint32_t per_call = 100;       ///< earned by one call of live traffic
+    std::uint32_t per_second = 1'000;   ///< earned by time, however little traffic there is
+    std::uint32_t most_saved = 100'000; ///< a burst of so many
+
+    friend bool operator==(const retry_terms&, const retry_terms&) = default;
+};
+
 /// A token bucket filled by live traffic, in thousandths of a retry.
 struct retry_budget {
     std::uint32_t permille = 10'000; ///< starts with the floor's worth
@@ -18,7 +27,7 @@
 };
 
 /// Adds what one call of live traffic earns.
-[[nodiscard]] retry_budget earn(retry_budget current, instant now, std::uint32_t share_permille);
+[[nodiscard]] retry_budget earn(retry_budget current, instant now, const retry_terms& terms);
 
 struct retry_grant {
     retry_budget next;
@@ -26,7 +35,7 @@
 };
 
 /// Takes one retry from the budget if it holds one.
-[[nodiscard]] retry_grant spend(retry_budget current, instant now);
+[[nodiscard]] retry_grant spend(retry_budget current, instant now, const retry_terms& terms);
 
 /// What is known of an attempt that ended without a whole answer.
 struct attempt_failure {
--- /dev/null
+++ b/src/include/bluebell/core/roster.h
@@ -0,0 +1,71 @@
+/// \file
+/// How control processes that were told a few addresses find all the others, and how the first
+/// replicas are named: one process alone, chosen by the addresses that all were told, names them.
+#pragma once
+
+#include <bluebell/core/effect.h>
+#include <bluebell/core/fleet_message.h>
+
+#include <map>
+#include <vector>
+
+namespace bluebell::core {
+
+/// Time between two notes to the others.
+inline constexpr microseconds presence_interval{500'000};
+/// The founder waits so long at least, and until nobody new was heard for a while.
+inline constexpr microseconds founding_wait{1'000'000};
+inline constexpr microseconds founding_quiet{600'000};
+/// The founder repeats its word for so long.
+inline constexpr microseconds founding_time{8'000'000};
+/// A process is present while it was heard within this.
+inline constexpr microseconds presence_time{1'600'000};
+/// A process that is silent for so long is forgotten, unless it is a seed.
+inline constexpr microseconds presence_forget{15'000'000};
+
+struct roster_member {
+    control_presence what;
+    instant heard{};
+
+    friend bool operator==(const roster_member&, const roster_member&) = default;
+};
+
+/// What a control process knows of the others.
+struct roster {
+    std::vector<node_info> seeds;             ///< from the settings; empty: the roster isn't used
+    bool stores = false;                      ///< this process has a disk
+    bool founding = false;                    ///< the fleet starts for the first time
+    std::map<node_id, roster_member> members; ///< without this process
+    instant started{};
+    instant changed{}; ///< when somebody new was heard
+    instant next_note{};
+    std::vector<node_info> founders; ///< as this process named them
+
+    friend bool operator==(const roster&, const roster&) = default;
+};
+
+struct roster_step {
+    roster next;
+    effects out;
+};
+
+/// Begins with the seeds; they are connected to.
+[[nodiscard]] roster_step begin(roster current, instant now, const node_info& self);
+
+/// Takes a note in; newly known processes are connected to.
+[[nodiscard]] roster_step take(roster current, instant now, const node_info& self,
+                               const presence_note& note);
+
+/// Sends what is due: notes, and the founder's word.
+[[nodiscard]] roster_step beat(roster current, instant now, const node_info& self);
+
+/// All processes heard lately, this one included.
+[[nodiscard]] std::vector<node_info> present(const roster& r, instant now, const node_info& self);
+
+/// The replicas that should vote: silent ones give way to present ones with a disk that don't
+/// vote yet. Returns an empty list when nothing is to change.
+[[nodiscard]] std::vector<node_info> wanted_replicas(const roster& r, instant now,
+                                                     const node_info& self,
+                                                     const std::vector<node_info>& target);
+
+} // namespace bluebell::core
--- a/src/include/bluebell/core/router.h
+++ b/src/include/bluebell/core/router.h
@@ -6,6 +6,7 @@
 #include <bluebell/core/agent_index.h>
 #include <bluebell/core/awaited_call.h>
 #include <bluebell/core/chat_memory.h>
+#include <bluebell/core/gateway.h>
 #include <bluebell/core/refused_bodies.h>
 #include <bluebell/core/retry.h>
 
@@ -19,6 +20,7 @@
     awaited_calls waiting;
     retry_budget retries;
     refused_bodies bodies;
+    gateway_state gateway; ///< pass-through requests
     bool draining = false;
 
     friend bool operator==(const router_state&, const router_state&) = default;
@@ -34,5 +36,8 @@
 [[nodiscard]] router_step reduce(router_state current, const context& ctx,
                                  const operator_event& ev);
 [[nodiscard]] router_step reduce(router_state current, const context& ctx, const clock_event& ev);
+[[nodiscard]] router_step reduce(router_state current, const context& ctx,
+                                 const exchange_event& ev);
+[[nodiscard]] router_step reduce(router_state current, const context& ctx, const table_event& ev);
 
 } // namespace bluebell::core
--- a/src/include/bluebell/runtime/event_loop.h
+++ b/src/include/bluebell/runtime/event_loop.h
@@ -28,8 +28,8 @@
     void run();
     void stop();
 
-    /// Calls back once the callbacks that run now have returned. What must not be freed inside a
-    /// library's callback is freed so.
+    /// Calls back once the callbacks that run now have returned, before the loop waits. What must
+    /// not be freed inside a library's callback is freed so.
     void defer(std::function<void()> what);
 
     /// Calls everything deferred, without running the loop; for the end of its users.
@@ -45,7 +45,7 @@
 
     event_base* base_;
     std::vector<std::function<void()>> deferred_; ///< not yet called, oldest first
-    std::unique_ptr<class watcher> defer_timer_;
+    bool stopped_ = false;
 };
 
 /// Calls back on the loop: at a time, on a signal, or when a descriptor can be read.
--- /dev/null
+++ b/src/include/bluebell/runtime/list_reader.h
@@ -0,0 +1,50 @@
+/// \file
+/// Reads the platform's list of workers, page by page, over one kept connection.
+#pragma once
+
+#include <bluebell/core/effect.h>
+#include <bluebell/runtime/byte_stream.h>
+#include <bluebell/runtime/pass_codec.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bluebell::runtime {
+
+/// One reading at a time; each ends with workers_listed or workers_unlisted.
+class list_reader : public std::enable_shared_from_this<list_reader> {
+public:
+    using sink = std::function<void(core::event_body)>;
+
+    [[nodiscard]] static std::shared_ptr<list_reader> make(std::shared_ptr<event_loop> loop,
+                                                           const pass_codec& codec,
+                                                           std::string host, std::uint16_t port,
+                                                           sink on_event);
+
+    /// Begins a reading; one that is in progress is given up.
+    void run(const core::list_workers& e);
+
+private:
+    list_reader(std::shared_ptr<event_loop> loop, const pass_codec& codec, std::string host,
+                std::uint16_t port, sink on_event);
+    void ask(const std::string& page);
+    void open();
+    std::size_t on_data(std::string_view data);
+    void take_page(std::string body);
+    void fail(core::error why);
+
+    std::shared_ptr<event_loop> loop_;
+    const pass_codec& codec_;
+    std::string host_;
+    std::uint16_t port_;
+    sink on_event_;
+    std::shared_ptr<byte_stream> stream_; ///< null: not connected
+    message_reader reader_;
+    std::string body_;
+    std::vector<core::worker_entry> workers_; ///< of the pages read so far
+    bool reading_ = false;
+};
+
+} // namespace bluebell::runtime
--- a/src/include/bluebell/runtime/node_runner.h
+++ b/src/include/bluebell/runtime/node_runner.h
@@ -8,12 +8,19 @@
 #include <bluebell/runtime/disk.h>
 #include <bluebell/runtime/engine_client.h>
 #include <bluebell/runtime/event_loop.h>
+#include <bluebell/runtime/list_reader.h>
 #include <bluebell/runtime/node_telemetry.h>
+#include <bluebell/runtime/pass_server.h>
 #include <bluebell/runtime/peer_bus.h>
+#include <bluebell/runtime/table_server.h>
+#include <bluebell/runtime/worker_client.h>
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <random>
+#include <set>
+#include <string_view>
 
 namespace bluebell::runtime {
 
@@ -24,6 +31,12 @@
     std::shared_ptr<engine_client> engine;  ///< agents
     std::shared_ptr<runtime::disk> disk;    ///< control replicas
     std::shared_ptr<admin_server> admin;    ///< all roles, if the settings want it
+    std::shared_ptr<pass_server> pass;      ///< routers that serve pass-through requests
+    std::shared_ptr<worker_client> workers; ///< the same
+    std::shared_ptr<list_reader> list;      ///< the same
+    std::shared_ptr<table_server> tables;   ///< control where operators offer routing tables
+    /// Decodes a routing table in the platform's format.
+    std::function<core::result<core::routing_table>(std::string_view text)> read_table;
 };
 
 /// Owns the node's state. dispatch() may be called from inside an effect: events queue up.
@@ -56,8 +69,9 @@
     core::node_state state_;
     node_telemetry telemetry_;
     node_ports ports_;
-    std::deque<core::event_body> queue_; ///< events not yet reduced, oldest first
-    bool running_ = false;               ///< an event is being reduced or its effects carried out
+    std::deque<core::event_body> queue_;  ///< events not yet reduced, oldest first
+    bool running_ = false;                ///< an event is being reduced or its effects carried out
+    std::set<core::node_id> unreachable_; ///< peers that can't be reached, to log each loss once
     std::mt19937_64 random_;
     std::unique_ptr<watcher> timer_;
     core::instant next_wake_ = core::instant::max(); ///< earliest wake-up that is armed
--- /dev/null
+++ b/src/include/bluebell/runtime/pass_server.h
@@ -0,0 +1,67 @@
+/// \file
+/// Callers' side of pass-through requests: requests in as events, answers out as effects, and the
+/// balancer's question whether this process is ready.
+#pragma once
+
+#include <bluebell/core/effect.h>
+#include <bluebell/runtime/http_server.h>
+#include <bluebell/runtime/pass_codec.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace bluebell::runtime {
+
+struct pass_server_options {
+    http_server_options callers;
+    http_server_options readiness; ///< port 0: none
+    std::string ready_path;
+
+    friend bool operator==(const pass_server_options&, const pass_server_options&) = default;
+};
+
+class pass_server : public std::enable_shared_from_this<pass_server> {
+public:
+    using sink = std::function<void(core::event_body)>;
+
+    /// Listens. Fails with unavailable at step `listen`.
+    [[nodiscard]] static core::result<std::shared_ptr<pass_server>>
+    make(const std::shared_ptr<event_loop>& loop, const pass_server_options& options,
+         const pass_codec& codec, sink on_event);
+
+    void run(const core::pass_head& e);
+    void run(const core::pass_data& e);
+    void run(const core::pass_end& e);
+    void run(const core::pass_abort& e);
+    void run(const core::pass_refusal& e);
+    void run(const core::set_caller_limits& e) { http_->set_limits(e.limits); }
+    void run(const core::pass_close&) { http_->close_gently(); }
+    void set_ready(bool ready) { ready_ = ready; }
+    /// Closes idle connections; the others were told that they end.
+    void close_idle() { http_->close_idle(); }
+
+private:
+    pass_server(const pass_codec& codec, sink on_event)
+        : codec_(codec), on_event_(std::move(on_event))
+    {
+    }
+    void take(const std::shared_ptr<http_session>& session, const message_head& head,
+              std::string body);
+    void gone(const std::shared_ptr<http_session>& session);
+    std::shared_ptr<http_session> take_session(core::exchange_id id);
+    core::result<void> open_readiness(const std::shared_ptr<event_loop>& loop,
+                                      const pass_server_options& options);
+
+    const pass_codec& codec_;
+    sink on_event_;
+    std::shared_ptr<http_server> http_;
+    std::shared_ptr<http_server> readiness_;
+    bool ready_ = false;
+    core::exchange_id last_ = 0;
+    std::unordered_map<core::exchange_id, std::shared_ptr<http_session>> sessions_;
+    std::unordered_map<const http_session*, core::exchange_id> exchanges_;
+};
+
+} // namespace bluebell::runtime
--- /dev/null
+++ b/src/include/bluebell/runtime/worker_client.h
@@ -0,0 +1,54 @@
+/// \file
+/// Sends pass-through requests to workers over kept connections, and reads the platform's list.
+/// One request at a time on a connection.
+#pragma once
+
+#include <bluebell/core/effect.h>
+#include <bluebell/runtime/byte_stream.h>
+#include <bluebell/runtime/pass_codec.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace bluebell::runtime {
+
+class worker_channel;
+
+/// Owns the connections to workers. Events come on the loop, never inside run().
+class worker_client : public std::enable_shared_from_this<worker_client> {
+public:
+    using sink = std::function<void(core::event_body)>;
+
+    [[nodiscard]] static std::shared_ptr<worker_client>
+    make(std::shared_ptr<event_loop> loop, const pass_codec& codec, sink on_event);
+
+    worker_client(const worker_client&) = delete;
+    worker_client& operator=(const worker_client&) = delete;
+    ~worker_client();
+
+    void run(const core::start_attempt& e);
+    void run(const core::cancel_attempt& e);
+
+private:
+    friend class worker_channel;
+    worker_client(std::shared_ptr<event_loop> loop, const pass_codec& codec, sink on_event);
+    std::shared_ptr<worker_channel> take_idle(const std::string& address);
+    void keep(const std::shared_ptr<worker_channel>& channel);
+    void drop(const std::shared_ptr<worker_channel>& channel);
+    void report(core::exchange_event ev);
+    void sweep();
+
+    std::shared_ptr<event_loop> loop_;
+    const pass_codec& codec_;
+    sink on_event_;
+    std::unordered_map<core::attempt_number, std::shared_ptr<worker_channel>> busy_;
+    /// By address; the most recently used last.
+    std::map<std::string, std::deque<std::shared_ptr<worker_channel>>> idle_;
+    std::unique_ptr<watcher> sweeper_;
+};
+
+} // namespace bluebell::runtime
--- a/src/include/bluebell/settings/settings.h
+++ b/src/include/bluebell/settings/settings.h
@@ -6,6 +6,7 @@
 #include <bluebell/core/effect.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,6 +56,21 @@
     friend bool operator==(const log_settings&, const log_settings&) = default;
 };
 
+/// Settings of a process that serves pass-through requests on a platform with its own list of
+/// workers, and finds its peers from a few seeds. They come from the platform's settings file.
+struct site_settings {
+    endpoint callers;                       ///< pass-through requests; port 0: not served
+    endpoint readiness;                     ///< the balancer's question; port 0: not served
+    endpoint tables;                        ///< operators' routing tables; port 0: not served
+    endpoint worker_list;                   ///< the platform's list of workers
+    std::vector<core::node_info> seeds;     ///< control processes to find the others by
+    bool founding = false;                  ///< the fleet starts for the first time
+    std::uint32_t retry_share_permille = 0; ///< repeats that the fleet may add to its requests
+    std::uint32_t max_descriptors = 1024;
+
+    friend bool operator==(const site_settings&, const site_settings&) = default;
+};
+
 /// Everything a process learns from its settings.
 struct node_settings {
     core::node_info self;
@@ -70,6 +86,7 @@
     std::string data_folder;          ///< control only
     std::string platform_list;        ///< control only: file with the platform's list of VMs
     log_settings log;
+    std::optional<site_settings> site; ///< none: the settings come from an INI file
 
     friend bool operator==(const node_settings&, const node_settings&) = default;
 };
--- a/src/libcore/agent.cpp
+++ b/src/libcore/agent.cpp
@@ -55,7 +55,8 @@
     return match(
         ev.what, [&](const work_message& m) { return on_work(std::move(s), ctx, ev.from, m); },
         [&](const control_message& m) { return on_control(std::move(s), ctx, ev.from, m); },
-        [&](const replication_message&) { return std::move(s); });
+        [&](const replication_message&) { return std::move(s); },
+        [&](const fleet_message&) { return std::move(s); });
 }
 
 agent_step on(agent_step s, const context& ctx, const peer_unreachable& ev)
--- a/src/libcore/control.cpp
+++ b/src/libcore/control.cpp
@@ -222,10 +222,18 @@
 control_step reduce(control_state current, const context& ctx, const clock_event& ev)
 {
     control_turn t{std::move(current), ctx, {}};
+    beat_roster(t);
     absorb(t, reduce(std::move(t.st.log), ctx, ev));
     return finish(std::move(t));
 }
 
+control_step reduce(control_state current, const context& ctx, const table_event& ev)
+{
+    control_turn t{std::move(current), ctx, {}};
+    take_table_event(t, ev);
+    return finish(std::move(t));
+}
+
 std::uint64_t highest_fence(const control_state& st, const node_id& agent)
 {
     std::uint64_t highest = highest_fence(st.machine.orders, agent);
--- a/src/libcore/control_lead.cpp
+++ b/src/libcore/control_lead.cpp
@@ -52,6 +52,12 @@
         t.send(it->second.agent, grant_result_kept{a.kept.key, a.kept.attempt});
 }
 
+void on_applied(control_turn& t, const table_applied& a)
+{
+    if (t.st.lead.offers.erase(a.operation) != 0)
+        t.out.emplace_back(table_reply{a.operation, table_accepted{}});
+}
+
 void on_applied(control_turn& t, const node_applied& a)
 {
     const auto it = t.st.lead.queue.arriving.find(a.node);
@@ -83,6 +89,7 @@
     if (entry.index <= t.st.machine.applied)
         return;
     const revision before = t.st.machine.configuration.number;
+    const std::uint64_t table_before = t.st.machine.table.version;
     machine_step done = apply(std::move(t.st.machine), entry.what);
     t.st.machine = std::move(done.next);
     if (t.st.machine.configuration.number != before)
@@ -95,6 +102,8 @@
     for (const auto& a : done.results)
         std::visit([&](const auto& x) { on_applied(t, x); }, a);
     spread_news(t, before, entry.what);
+    if (t.st.machine.table.version != table_before)
+        push_table(t);
 }
 
 /// Nodes that the log knows count as heard at the start, so that a new leader drops nobody before
@@ -139,6 +148,8 @@
         t.out.emplace_back(operator_reply{operation, lost});
     for (const auto& change : t.st.lead.changes)
         t.out.emplace_back(operator_reply{change.operation, lost});
+    for (const auto& operation : t.st.lead.offers)
+        t.out.emplace_back(table_reply{operation, table_unavailable{"leadership was lost"}});
     t.st.lead = leadership{};
 }
 
@@ -281,6 +292,7 @@
     if (t.ctx.now >= lead.spread.next_digest)
         take_spread(t, send_digests(std::move(lead.spread), t.view()));
     send_orders(t);
+    review_voters(t);
     t.out.emplace_back(
         wake_at{std::min({lead.next_review, lead.spread.next_answers, lead.spread.next_digest})});
 }
--- a/src/libcore/control_pvt.h
+++ b/src/libcore/control_pvt.h
@@ -46,6 +46,21 @@
 /// Gives a registered node its place, the configuration and its region's digest.
 void welcome(control_turn& t, const heartbeat& msg);
 
+/// Takes in what control processes and gateways tell each other.
+void take_message(control_turn& t, const node_id& from, const fleet_message& msg);
+
+/// Answers operators who offer or ask for the routing table.
+void take_table_event(control_turn& t, const table_event& ev);
+
+/// Tells the gateways of the table that was just applied.
+void push_table(control_turn& t);
+
+/// Keeps in touch with the other control processes.
+void beat_roster(control_turn& t);
+
+/// Gives new replicas a vote in place of silent ones.
+void review_voters(control_turn& t);
+
 /// Tells operators whose changes are in force now.
 void tell_operators(control_turn& t);
 
--- /dev/null
+++ b/src/libcore/control_tables.cpp
@@ -0,0 +1,203 @@
+// The routing table at control: offers of operators, queries of gateways, and the roster's part in
+// who votes.
+
+#include "control_pvt.h"
+
+#include <bluebell/core/visit.h>
+
+#include <algorithm>
+
+namespace bluebell::core {
+
+namespace {
+
+constexpr std::string_view part = "tables";
+/// A gateway that asked within this is told of a new table at once.
+constexpr microseconds subscriber_time{3'000'000};
+/// A table that a gateway hasn't confirmed is not sent again unasked before this.
+constexpr microseconds push_timeout{400'000};
+/// Time between two looks at who should vote.
+constexpr microseconds voter_interval{500'000};
+/// Offers that may wait for the log.
+constexpr std::size_t most_offers = 64;
+
+std::string leader_address(const control_turn& t)
+{
+    const node_id leader = leader_of(t.st.log, t.ctx.self.id);
+    if (leader.empty() || leader == t.ctx.self.id)
+        return "";
+    for (const auto& n : replicas_of(t.st.log).voters) {
+        if (n.id == leader)
+            return n.address;
+    }
+    const auto it = t.st.peers.members.find(leader);
+    return it == t.st.peers.members.end() ? "" : it->second.what.node.address;
+}
+
+/// A replica without a disk follows nobody: it points at any replica that is present.
+std::string any_replica_address(const control_turn& t)
+{
+    for (const auto& [id, m] : t.st.peers.members) {
+        if (m.what.stores && t.ctx.now - m.heard < presence_time)
+            return m.what.node.address;
+    }
+    return "";
+}
+
+void reply(control_turn& t, const std::string& operation, table_outcome outcome)
+{
+    t.out.emplace_back(table_reply{operation, std::move(outcome)});
+}
+
+/// True when this replica leads; else the operator is told where to go.
+bool led_here(control_turn& t, const std::string& operation)
+{
+    if (t.leads())
+        return true;
+    std::string address = leader_address(t);
+    if (address.empty() && !t.st.peers.stores)
+        address = any_replica_address(t);
+    if (address.empty())
+        reply(t, operation, table_unavailable{"no leader is known"});
+    else
+        reply(t, operation, table_elsewhere{std::move(address)});
+    return false;
+}
+
+void on(control_turn& t, const table_offered& ev)
+{
+    if (!led_here(t, ev.operation))
+        return;
+    if (ev.document.version <= t.st.machine.table.version) {
+        reply(t, ev.operation, table_accepted{});
+        return;
+    }
+    auto& lead = t.st.lead;
+    if (lead.offers.size() >= most_offers) {
+        reply(t, ev.operation, table_unavailable{"too many offers wait"});
+        return;
+    }
+    lead.offers.insert(ev.operation);
+    lead.queue.commands.emplace_back(set_table{ev.operation, ev.document});
+}
+
+void on(control_turn& t, const table_wanted& ev)
+{
+    if (!led_here(t, ev.operation))
+        return;
+    if (t.st.machine.table.version == 0)
+        reply(t, ev.operation, table_unavailable{"no table yet"});
+    else
+        reply(t, ev.operation, table_given{t.st.machine.table});
+}
+
+void on(control_turn&, const table_decoded&) {}
+
+table_news news_for(const control_turn& t, std::uint64_t version)
+{
+    table_news news;
+    news.certain = t.leads();
+    news.leader = leader_of(t.st.log, t.ctx.self.id);
+    news.controls = present(t.st.peers, t.ctx.now, t.ctx.self);
+    if (!news.certain)
+        return news;
+    news.version = t.st.machine.table.version;
+    if (news.version > version)
+        news.document = t.st.machine.table;
+    return news;
+}
+
+void on(control_turn& t, const node_id& from, const table_query& msg)
+{
+    if (t.leads()) {
+        auto& s = t.st.lead.subscribers[from];
+        s.heard = t.ctx.now;
+        s.version = msg.version;
+        if (msg.version < t.st.machine.table.version)
+            s.sent_at = t.ctx.now;
+    }
+    t.out.emplace_back(send_message{from, fleet_message(news_for(t, msg.version))});
+}
+
+void on(control_turn& t, const node_id&, const presence_note& msg)
+{
+    roster_step done = take(std::move(t.st.peers), t.ctx.now, t.ctx.self, msg);
+    t.st.peers = std::move(done.next);
+    t.add(std::move(done.out));
+}
+
+void on(control_turn& t, const node_id&, const founding_note& msg)
+{
+    const bool blank = t.st.log.replicas.empty() && t.st.log.founders.empty();
+    if (!blank || !t.st.peers.founding || !t.st.peers.stores)
+        return;
+    t.st.log.founders = msg.founders;
+    t.out.emplace_back(make_log(log_level::info, part, "First replicas are known.", request_id(),
+                                {{"count", std::to_string(msg.founders.size())}}));
+}
+
+void on(control_turn&, const node_id&, const table_news&) {}
+
+} // namespace
+
+void take_message(control_turn& t, const node_id& from, const fleet_message& msg)
+{
+    std::visit([&](const auto& m) { on(t, from, m); }, msg);
+}
+
+void take_table_event(control_turn& t, const table_event& ev)
+{
+    std::visit([&](const auto& e) { on(t, e); }, ev);
+}
+
+void push_table(control_turn& t)
+{
+    const routing_document& table = t.st.machine.table;
+    t.out.emplace_back(make_log(log_level::info, part, "Routing table accepted.", request_id(),
+                                {{"version", std::to_string(table.version)},
+                                 {"bytes", std::to_string(table.text.size())}}));
+    for (auto& [id, s] : t.st.lead.subscribers) {
+        const bool busy = s.version < s.sent && t.ctx.now - s.sent_at < push_timeout;
+        if (t.ctx.now - s.heard >= subscriber_time || busy)
+            continue;
+        s.sent = table.version;
+        s.sent_at = t.ctx.now;
+        t.out.emplace_back(send_message{id, fleet_message(news_for(t, s.version))});
+    }
+}
+
+void beat_roster(control_turn& t)
+{
+    if (t.st.peers.seeds.empty())
+        return;
+    if (t.st.peers.started == instant{}) {
+        roster_step begun = begin(std::move(t.st.peers), t.ctx.now, t.ctx.self);
+        t.st.peers = std::move(begun.next);
+        t.add(std::move(begun.out));
+    }
+    roster_step done = beat(std::move(t.st.peers), t.ctx.now, t.ctx.self);
+    t.st.peers = std::move(done.next);
+    t.add(std::move(done.out));
+    if (!t.st.peers.founders.empty())
+        on(t, t.ctx.self.id, founding_note{t.st.peers.founders});
+}
+
+void review_voters(control_turn& t)
+{
+    if (t.st.peers.seeds.empty() || t.ctx.now < t.st.lead.next_voters)
+        return;
+    t.st.lead.next_voters = t.ctx.now + voter_interval;
+    const replica_set now = replicas_of(t.st.log);
+    const bool settled = now.voters.size() == now.target.size();
+    auto wanted = wanted_replicas(t.st.peers, t.ctx.now, t.ctx.self, now.target);
+    if (wanted.empty() || !settled)
+        return;
+    proposal_step done = propose_replicas(std::move(t.st.log), t.ctx, std::move(wanted));
+    t.st.log = std::move(done.next);
+    t.add(std::move(done.out));
+    if (std::holds_alternative<proposed>(done.outcome))
+        t.out.emplace_back(make_log(log_level::info, part, "Changes the replicas.", request_id(),
+                                    {{"now", std::to_string(now.target.size())}}));
+}
+
+} // namespace bluebell::core
--- a/src/libcore/follower.cpp
+++ b/src/libcore/follower.cpp
@@ -187,6 +187,10 @@
 {
     follower_state next = std::move(current);
     effects out;
+    if (next.controls.empty()) {
+        next.next_heartbeat = instant::max();
+        return {std::move(next), {}, {}};
+    }
     if (now >= next.next_heartbeat)
         beat(next, now, self, offer, load, out);
     if (now >= next.relay.flush_at) {
--- /dev/null
+++ b/src/libcore/gateway.cpp
@@ -0,0 +1,246 @@
+// The gateway's events: requests, lists of workers, tables, time, and the drain.
+
+#include "gateway_pvt.h"
+
+#include <bluebell/core/visit.h>
+
+#include <algorithm>
+
+namespace bluebell::core {
+
+namespace gateway {
+
+namespace {
+
+/// A list that isn't answered is asked for again after this.
+constexpr microseconds list_timeout{2'000'000};
+/// A draining process stays so long at least, until the balancer sends it nothing more.
+constexpr microseconds drain_time{3'200'000};
+/// What a caller without a stated patience is given, in place of an endless wait.
+constexpr microseconds default_patience{30'000'000};
+
+void refuse_at_once(turn& t, exchange_id id, std::uint16_t status, std::string_view text,
+                    const pass_request& what, microseconds retry_after = microseconds{0})
+{
+    t.out.emplace_back(pass_refusal{id, status, retry_after, std::string(text)});
+    t.out.emplace_back(make_log(log_level::warning, part, "Refused.", what.id,
+                                {{"status", std::to_string(status)},
+                                 {"why", std::string(text)},
+                                 {"target", what.target},
+                                 {"table", std::to_string(t.st.table.version)}}));
+}
+
+/// The holder of the request's key; an error status where there is none.
+tl::expected<key_holder, std::uint16_t> holder_of(const routing_table& table, const route& r,
+                                                  const pass_request& what)
+{
+    const auto it = table.keys.find(what.credential);
+    if (it != table.keys.end())
+        return it->second;
+    if (table.keys.empty() || r.anonymous)
+        return key_holder{};
+    return tl::unexpected(std::uint16_t{401});
+}
+
+exchange begin_exchange(turn& t, const route& r, const key_holder& holder, pass_request what)
+{
+    exchange ex;
+    ex.workspace = holder.workspace;
+    ex.terms.service = choose_service(r, t.ctx.random);
+    ex.terms.streamed = r.streamed;
+    ex.terms.resumable = r.streamed && r.resumable;
+    ex.terms.repeatable = r.streamed ? r.resumable : r.idempotent;
+    ex.terms.target = r.target;
+    ex.terms.priority = holder.priority.value_or(r.priority);
+    ex.terms.max_workers = std::max<std::uint32_t>(1, r.max_workers);
+    ex.arrived = t.ctx.now;
+    const microseconds patience = what.patience.count() > 0 ? what.patience : default_patience;
+    ex.deadline = t.ctx.now + std::min(patience, r.time_limit);
+    ex.last_event = what.after;
+    ex.request = std::move(what);
+    return ex;
+}
+
+constexpr microseconds no_table_retry{200'000};
+
+void on(turn& t, const request_read& ev)
+{
+    const pass_request& what = ev.request;
+    if (t.st.table.version == 0) {
+        refuse_at_once(t, ev.exchange, 503, "no routing table yet", what, no_table_retry);
+        return;
+    }
+    const route* r = find_route(t.st.table, what.host, what.target);
+    if (r == nullptr) {
+        refuse_at_once(t, ev.exchange, 404, "no route", what);
+        return;
+    }
+    const auto holder = holder_of(t.st.table, *r, what);
+    if (!holder) {
+        refuse_at_once(t, ev.exchange, holder.error(), "unknown key", what);
+        return;
+    }
+    if (what.id.empty()) {
+        refuse_at_once(t, ev.exchange, 400, "no request id", what);
+        return;
+    }
+    exchange ex = begin_exchange(t, *r, *holder, what);
+    auto& budget = t.st.budgets[ex.terms.service];
+    budget = earn(budget, t.ctx.now, t.st.retries);
+    t.st.exchanges.insert_or_assign(ev.exchange, std::move(ex));
+    place(t, ev.exchange);
+}
+
+void on(turn& t, const caller_left& ev)
+{
+    const auto it = t.st.exchanges.find(ev.exchange);
+    if (it == t.st.exchanges.end())
+        return;
+    end_attempt(t, it->second, true);
+    t.out.emplace_back(make_log(log_level::info, part, "Caller left.", it->second.request.id, {}));
+    forget(t, ev.exchange);
+}
+
+void review_ready(turn& t)
+{
+    const bool ready = t.st.table.version != 0 && t.st.workers.listed && !t.st.draining;
+    if (ready == t.st.ready)
+        return;
+    t.st.ready = ready;
+    t.out.emplace_back(set_ready{ready});
+    t.out.emplace_back(make_log(log_level::info, part, ready ? "Ready." : "Not ready.",
+                                request_id(),
+                                {{"table", std::to_string(t.st.table.version)},
+                                 {"workers", std::to_string(t.st.workers.workers.size())},
+                                 {"draining", t.st.draining ? "yes" : "no"}}));
+}
+
+void on(turn& t, const workers_listed& ev)
+{
+    t.st.listing = false;
+    t.st.next_list = t.ctx.now + list_interval;
+    std::size_t draining = 0;
+    std::size_t fresh = 0;
+    for (const auto& w : ev.workers) {
+        const auto it = t.st.workers.workers.find(w.instance);
+        if (it == t.st.workers.workers.end())
+            fresh += 1;
+        else if (w.draining && !it->second.listed.draining)
+            draining += 1;
+    }
+    const std::size_t before = t.st.workers.workers.size();
+    t.st.workers = with_list(std::move(t.st.workers), t.ctx.now, ev.workers);
+    if (fresh != 0 || draining != 0 || before + fresh != t.st.workers.workers.size())
+        t.out.emplace_back(make_log(log_level::info, part, "Workers changed.", request_id(),
+                                    {{"workers", std::to_string(t.st.workers.workers.size())},
+                                     {"new", std::to_string(fresh)},
+                                     {"draining", std::to_string(draining)}}));
+    review_ready(t);
+}
+
+void on(turn& t, const workers_unlisted& ev)
+{
+    t.st.listing = false;
+    t.st.next_list = t.ctx.now + list_interval;
+    t.out.emplace_back(make_log(log_level::warning, part, "List of workers not read.", request_id(),
+                                {{"why", to_string(ev.why)}}));
+}
+
+void review_list(turn& t)
+{
+    if (t.ctx.now < t.st.next_list)
+        return;
+    t.st.listing = true;
+    t.st.next_list = t.ctx.now + list_timeout;
+    t.out.emplace_back(list_workers{});
+}
+
+instant next_due(const gateway_state& st)
+{
+    instant next = std::min(st.next_list, st.source.next_ask);
+    if (!st.due.empty())
+        next = std::min(next, st.due.begin()->first);
+    if (st.draining && st.exchanges.empty())
+        next = std::min(next, st.drain_since + drain_time);
+    return next;
+}
+
+void on(turn& t, const tick&)
+{
+    while (!t.st.due.empty() && t.st.due.begin()->first <= t.ctx.now) {
+        const exchange_id id = t.st.due.begin()->second;
+        t.st.due.erase(t.st.due.begin());
+        look_at(t, id);
+    }
+    review_list(t);
+    ask_for_table(t);
+}
+
+gateway_step finish(turn t)
+{
+    t.out.emplace_back(wake_at{next_due(t.st)});
+    return {std::move(t.st), std::move(t.out)};
+}
+
+template <class Events>
+gateway_step take(gateway_state current, const context& ctx, const Events& ev)
+{
+    turn t{std::move(current), ctx, {}};
+    std::visit([&](const auto& e) { on(t, e); }, ev);
+    return finish(std::move(t));
+}
+
+} // namespace
+
+} // namespace gateway
+
+using namespace gateway;
+
+gateway_step reduce(gateway_state current, const context& ctx, const exchange_event& ev)
+{
+    return take(std::move(current), ctx, ev);
+}
+
+gateway_step reduce(gateway_state current, const context& ctx, const clock_event& ev)
+{
+    if (!current.enabled)
+        return {std::move(current), {}};
+    return take(std::move(current), ctx, ev);
+}
+
+gateway_step take_table(gateway_state current, const context& ctx, routing_table table)
+{
+    turn t{std::move(current), ctx, {}};
+    if (table.version > t.st.table.version) {
+        t.out.emplace_back(make_log(log_level::info, part, "Routing table is in force.",
+                                    request_id(),
+                                    {{"version", std::to_string(table.version)},
+                                     {"routes", std::to_string(table.routes.size())},
+                                     {"keys", std::to_string(table.keys.size())}}));
+        t.st.table = std::move(table);
+        t.out.emplace_back(set_caller_limits{t.st.table.limits});
+    }
+    review_ready(t);
+    return finish(std::move(t));
+}
+
+bool is_drained(const gateway_state& st, instant now)
+{
+    return st.draining && st.exchanges.empty() && now - st.drain_since >= drain_time;
+}
+
+gateway_step drain(gateway_state current, const context& ctx)
+{
+    turn t{std::move(current), ctx, {}};
+    if (!t.st.draining) {
+        t.st.draining = true;
+        t.st.drain_since = ctx.now;
+        t.out.emplace_back(pass_close{});
+        t.out.emplace_back(make_log(log_level::info, part, "Draining.", request_id(),
+                                    {{"open", std::to_string(t.st.exchanges.size())}}));
+    }
+    review_ready(t);
+    return finish(std::move(t));
+}
+
+} // namespace bluebell::core
--- /dev/null
+++ b/src/libcore/gateway_tables.cpp
@@ -0,0 +1,97 @@
+// How a gateway learns the routing table: it asks the leader, and turns to others when that fails.
+
+#include "gateway_pvt.h"
+
+#include <bluebell/core/visit.h>
+
+#include <algorithm>
+
+namespace bluebell::core {
+
+namespace {
+
+/// Time between two queries; an accepted table comes unasked, this is for what gets lost.
+constexpr microseconds query_interval{400'000};
+/// A control process that doesn't answer within this is left for another.
+constexpr microseconds query_timeout{600'000};
+
+/// The control process after the present one, in the order of their ids.
+node_info next_contact(const table_source& source)
+{
+    const auto it = std::find_if(source.controls.begin(), source.controls.end(),
+                                 [&](const node_info& n) { return n.id > source.contact; });
+    return it == source.controls.end() ? source.controls.front() : *it;
+}
+
+void turn_to(table_source& source, const node_info& contact, effects& out)
+{
+    out.emplace_back(connect_peer{contact.id, contact.address});
+    source.contact = contact.id;
+}
+
+void ask(gateway_state& st, const context& ctx, effects& out)
+{
+    st.source.asked_at = ctx.now;
+    st.source.waits = true;
+    st.source.next_ask = ctx.now + query_timeout;
+    out.emplace_back(
+        send_message{st.source.contact, fleet_message(table_query{ctx.self, st.table.version})});
+}
+
+/// Seeds stay known, so that a gateway can't lose its last way to control.
+void learn_controls(table_source& source, const std::vector<node_info>& controls)
+{
+    if (controls.empty())
+        return;
+    std::vector<node_info> all = controls;
+    for (const auto& seed : source.seeds) {
+        const bool known = std::any_of(all.begin(), all.end(),
+                                       [&](const node_info& n) { return n.id == seed.id; });
+        if (!known)
+            all.push_back(seed);
+    }
+    std::sort(all.begin(), all.end(),
+              [](const node_info& a, const node_info& b) { return a.id < b.id; });
+    source.controls = std::move(all);
+}
+
+} // namespace
+
+void gateway::ask_for_table(turn& t)
+{
+    table_source& source = t.st.source;
+    if (source.seeds.empty() || t.ctx.now < source.next_ask)
+        return;
+    if (source.controls.empty())
+        learn_controls(source, source.seeds);
+    if (source.contact.empty() || source.waits)
+        turn_to(source, next_contact(source), t.out);
+    ask(t.st, t.ctx, t.out);
+}
+
+gateway_step take_news(gateway_state current, const context& ctx, const node_id& from,
+                       const table_news& news)
+{
+    gateway_state st = std::move(current);
+    effects out;
+    learn_controls(st.source, news.controls);
+    if (news.document && news.document->version > st.table.version)
+        out.emplace_back(decode_table{*news.document});
+    if (from == st.source.contact) {
+        st.source.waits = false;
+        st.source.next_ask = ctx.now + query_interval;
+        const auto leader =
+            std::find_if(st.source.controls.begin(), st.source.controls.end(),
+                         [&](const node_info& n) { return n.id == news.leader && n.id != from; });
+        if (!news.certain && leader != st.source.controls.end()) {
+            turn_to(st.source, *leader, out);
+            ask(st, ctx, out);
+        } else if (!news.certain) {
+            turn_to(st.source, next_contact(st.source), out);
+        }
+    }
+    out.emplace_back(wake_at{st.source.next_ask});
+    return {std::move(st), std::move(out)};
+}
+
+} // namespace bluebell::core
--- a/src/libcore/machine.cpp
+++ b/src/libcore/machine.cpp
@@ -187,6 +187,13 @@
     });
 }
 
+machine_step on(machine_state st, const set_table& c)
+{
+    if (c.document.version > st.table.version)
+        st.table = c.document;
+    return {std::move(st), {table_applied{c.operation}}};
+}
+
 machine_step on(machine_state st, const note_crash& c)
 {
     const microseconds expires = st.time + config_of(st).quarantine_time;
--- a/src/libcore/replication_election.cpp
+++ b/src/libcore/replication_election.cpp
@@ -70,7 +70,7 @@
     if (!is_blank(t.st))
         return no_operation{};
     set_replicas c;
-    for (node_info n : t.ctx.fleet.controls) {
+    for (node_info n : first_replicas(t)) {
         const auto it = won.granted.find(n.id);
         n.life = it == won.granted.end() ? t.st.life : it->second;
         c.replicas.push_back(std::move(n));
@@ -111,7 +111,7 @@
 std::size_t votes_needed(const turn& t)
 {
     if (is_blank(t.st))
-        return t.ctx.fleet.controls.size();
+        return first_replicas(t).size();
     return quorum_of(t, t.st.replicas.back().replicas.voters.size());
 }
 
--- a/src/libcore/replication_log.cpp
+++ b/src/libcore/replication_log.cpp
@@ -42,6 +42,10 @@
     {
         return entry_overhead + c.operation.size() + c.why.size() + text_size(c.document);
     }
+    std::size_t operator()(const set_table& c) const
+    {
+        return entry_overhead + c.operation.size() + c.document.text.size();
+    }
     std::size_t operator()(const set_replicas& c) const
     {
         return entry_overhead * (1 + c.replicas.size() + c.target.size());
@@ -77,11 +81,27 @@
         all.erase(all.begin());
 }
 
+/// Weight of the entries that the snapshot holds, too.
+std::size_t weight_behind_snapshot(const turn& t)
+{
+    std::size_t n = 0;
+    for (const auto& entry : t.st.log.entries) {
+        if (entry.index > t.st.snapshot.index)
+            break;
+        n += weight_of(entry.what);
+    }
+    return n;
+}
+
 /// Drops entries from memory that the snapshot holds and no laggard is likely to need.
 void compact(turn& t)
 {
     auto& log = t.st.log;
-    while (!log.entries.empty() && log.base + t.st.limits.entries_kept < t.st.snapshot.index) {
+    std::size_t weight = weight_behind_snapshot(t);
+    while (!log.entries.empty() && log.base < t.st.snapshot.index &&
+           (log.base + t.st.limits.entries_kept < t.st.snapshot.index ||
+            weight > t.st.limits.bytes_kept)) {
+        weight -= std::min(weight, weight_of(log.entries.front().what));
         log.base = log.entries.front().index;
         log.base_term = log.entries.front().at_term;
         log.entries.pop_front();
@@ -156,6 +176,7 @@
         auto* leader = t.leading();
         if (leader != nullptr && t.st.commit >= leader->first_own)
             leader->uncommitted -= std::min(leader->uncommitted, weight_of(entry.what));
+        t.st.unsaved += weight_of(entry.what);
         t.committed.push_back(entry);
     }
 }
--- a/src/libcore/replication_members.cpp
+++ b/src/libcore/replication_members.cpp
@@ -11,6 +11,8 @@
 
 /// A replica answers if it confirmed one of so many newest rounds.
 constexpr std::uint64_t recent_rounds = 3;
+/// More replicas cost more than the losses that they bear are worth.
+constexpr std::size_t most_replicas = 7;
 
 bool same_member(const node_info& a, const node_info& b)
 {
@@ -121,7 +123,7 @@
 
 bool allowed_count(std::size_t n)
 {
-    return n == 1 || n == 3 || n == 5 || n == 7;
+    return n >= 1 && n <= most_replicas;
 }
 
 bool repeats(const std::vector<node_info>& nodes)
@@ -149,10 +151,15 @@
     return st.replicas.empty();
 }
 
+const std::vector<node_info>& first_replicas(const turn& t)
+{
+    return t.st.founders.empty() ? t.ctx.fleet.controls : t.st.founders;
+}
+
 bool may_campaign(const turn& t)
 {
     if (is_blank(t.st))
-        return find_id(t.ctx.fleet.controls, t.self()) != nullptr;
+        return find_id(first_replicas(t), t.self()) != nullptr;
     // While the entry that removes a voter isn't committed, it may be needed to commit it.
     return std::any_of(t.st.replicas.begin(), t.st.replicas.end(), [&](const replica_record& r) {
         const auto* own = find_id(r.replicas.voters, t.self());
@@ -163,7 +170,7 @@
 std::vector<node_info> peers(const turn& t)
 {
     if (is_blank(t.st))
-        return without(t.ctx.fleet.controls, t.self());
+        return without(first_replicas(t), t.self());
     return without(t.st.replicas.back().replicas.voters, t.self());
 }
 
@@ -176,8 +183,7 @@
 
 void adopt_replicas(turn& t, log_index at, const set_replicas& c)
 {
-    const auto before =
-        is_blank(t.st) ? t.ctx.fleet.controls : t.st.replicas.back().replicas.voters;
+    const auto before = is_blank(t.st) ? first_replicas(t) : t.st.replicas.back().replicas.voters;
     t.st.replicas.push_back({at, {c.replicas, c.target}});
     connect_new(t, c.target, before);
 }
@@ -255,7 +261,7 @@
     if (t.leading() == nullptr)
         return end(proposed_elsewhere{leader_of(t.st, t.self())});
     if (!allowed_count(target.size()) || repeats(target))
-        return refuse(error_code::invalid_argument, "must be 1, 3, 5 or 7 different replicas");
+        return refuse(error_code::invalid_argument, "must be 1 to 7 different replicas");
     if (!may_step(t, *t.leading()))
         return refuse(error_code::conflict, "an earlier step is not committed");
     const replica_set now = t.st.replicas.back().replicas;
--- a/src/libcore/replication_pvt.h
+++ b/src/libcore/replication_pvt.h
@@ -84,6 +84,8 @@
 
 /// Returns true if the replica holds no entry and never did.
 [[nodiscard]] bool is_blank(const replication_state& st);
+/// The replicas that hold the first election of all.
+[[nodiscard]] const std::vector<node_info>& first_replicas(const turn& t);
 /// Returns true if this replica, in this life, may campaign.
 [[nodiscard]] bool may_campaign(const turn& t);
 /// Everyone an election or a leader speaks to, without this replica.
--- a/src/libcore/replication_snapshot.cpp
+++ b/src/libcore/replication_snapshot.cpp
@@ -38,10 +38,13 @@
 
 void save_if_due(turn& t)
 {
-    const bool due = t.st.commit >= t.st.snapshot.index + t.st.limits.snapshot_interval;
+    const bool due =
+        t.st.commit >= t.st.snapshot.index + t.st.limits.snapshot_interval ||
+        (t.st.unsaved >= t.st.limits.snapshot_bytes && t.st.commit > t.st.snapshot.index);
     if (!due || t.st.snapshot_write || t.st.installing)
         return;
     t.st.last_ticket += 1;
+    t.st.unsaved = 0;
     t.st.snapshot_write_term = t.st.log.term_at(t.st.commit).value_or(0);
     t.st.snapshot_write = pending_write{t.st.last_ticket, t.st.commit};
     t.out.emplace_back(disk_snapshot{t.st.last_ticket, t.st.commit, t.st.snapshot_write_term});
--- a/src/libcore/router.cpp
+++ b/src/libcore/router.cpp
@@ -21,6 +21,39 @@
     return {std::move(st), {}};
 }
 
+/// Puts the gateway's step into the router's.
+router_step joined(router_state st, gateway_step done, effects out = {})
+{
+    st.gateway = std::move(done.next);
+    out.insert(out.end(), std::make_move_iterator(done.out.begin()),
+               std::make_move_iterator(done.out.end()));
+    return {std::move(st), std::move(out)};
+}
+
+/// With pass-through requests the process ends when both kinds of requests have.
+router_step judge_drain(router_step done, const context& ctx)
+{
+    const router_state& st = done.next;
+    if (!st.gateway.enabled || !st.draining)
+        return done;
+    std::erase_if(done.out, [](const effect& e) { return std::holds_alternative<drained>(e); });
+    if (is_drained(st.gateway, ctx.now) && st.waiting.calls.empty())
+        done.out.emplace_back(drained{});
+    return done;
+}
+
+router_step on(router_state st, const context& ctx, const node_id& from, const table_news& msg)
+{
+    gateway_step done = take_news(std::move(st.gateway), ctx, from, msg);
+    return joined(std::move(st), std::move(done));
+}
+
+router_step on(router_state st, const context& ctx, const table_decoded& ev)
+{
+    gateway_step done = take_table(std::move(st.gateway), ctx, ev.table);
+    return joined(std::move(st), std::move(done));
+}
+
 router_step on(router_state st, const context& ctx, const message_received& ev)
 {
     return std::visit(
@@ -56,10 +89,29 @@
 
 router_step reduce(router_state current, const context& ctx, const operator_event& ev)
 {
-    return dispatch(std::move(current), ctx, ev);
+    router_step done = dispatch(std::move(current), ctx, ev);
+    if (std::holds_alternative<drain_wanted>(ev) && done.next.gateway.enabled) {
+        gateway_step begun = drain(std::move(done.next.gateway), ctx);
+        done = joined(std::move(done.next), std::move(begun), std::move(done.out));
+    }
+    return judge_drain(std::move(done), ctx);
 }
 
 router_step reduce(router_state current, const context& ctx, const clock_event& ev)
+{
+    router_step done = dispatch(std::move(current), ctx, ev);
+    gateway_step passed = reduce(std::move(done.next.gateway), ctx, ev);
+    done = joined(std::move(done.next), std::move(passed), std::move(done.out));
+    return judge_drain(std::move(done), ctx);
+}
+
+router_step reduce(router_state current, const context& ctx, const exchange_event& ev)
+{
+    gateway_step done = reduce(std::move(current.gateway), ctx, ev);
+    return judge_drain(joined(std::move(current), std::move(done)), ctx);
+}
+
+router_step reduce(router_state current, const context& ctx, const table_event& ev)
 {
     return dispatch(std::move(current), ctx, ev);
 }
--- a/src/libcore/router_calls.cpp
+++ b/src/libcore/router_calls.cpp
@@ -11,6 +11,13 @@
 
 namespace {
 
+retry_terms retry_terms_of(const context& ctx)
+{
+    retry_terms terms;
+    terms.per_call = ctx.fleet.config.retry_budget_permille;
+    return terms;
+}
+
 /// Attempts of one call, refused ones included.
 constexpr std::uint32_t most_attempts = 5;
 /// Of those, attempts after a failure.
@@ -320,7 +327,7 @@
         !waiting.resumed && waiting.retries < most_retries && may_repeat(waiting.what, failure);
     retry_grant budget{done.next.retries, false};
     if (repeatable)
-        budget = spend(done.next.retries, ctx.now);
+        budget = spend(done.next.retries, ctx.now, retry_terms_of(ctx));
     done.next.retries = budget.next;
     if (!budget.granted)
         return tell_error(std::move(done.next), ctx, std::move(waiting), std::move(why),
@@ -357,7 +364,7 @@
     waiting.what.idempotent = is_idempotent(ctx.fleet.config, ev.what);
     waiting.streamed = ev.streamed;
     waiting.arrived = ctx.now;
-    st.retries = earn(st.retries, ctx.now, ctx.fleet.config.retry_budget_permille);
+    st.retries = earn(st.retries, ctx.now, retry_terms_of(ctx));
     return place(std::move(st), ctx, std::move(waiting), std::move(out));
 }
 
--- a/src/libcore/routing_test.cpp
+++ b/src/libcore/routing_test.cpp
@@ -231,11 +231,11 @@
     std::uint32_t granted = 0;
     std::uint32_t calls = 0;
     for (const bool fails : asks) {
-        budget = earn(budget, now, 100);
+        budget = earn(budget, now, retry_terms{100});
         calls += 1;
         if (!fails)
             continue;
-        const auto grant = spend(budget, now);
+        const auto grant = spend(budget, now, retry_terms{100});
         budget = grant.next;
         granted += grant.granted ? 1 : 0;
     }
--- /dev/null
+++ b/src/libcore/worker_table.cpp
@@ -0,0 +1,285 @@
+// The gateway's view of the workers, and the choice among them.
+
+#include <bluebell/core/worker_table.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace bluebell::core {
+
+namespace {
+
+/// First hold of a worker without a clear answer; doubled by each further failure.
+constexpr microseconds first_hold{500'000};
+constexpr microseconds longest_hold{8'000'000};
+/// Weight of the newest answer in the moving average of errors.
+constexpr double error_weight = 0.1;
+/// What a worker told of its load loses its weight against the mean with this time constant.
+constexpr double load_age_us = 400'000;
+/// Prompt tokens that an engine reads in a millisecond, a cautious figure for cost alone.
+constexpr double prefill_tokens_per_ms = 50;
+/// What one more running request costs a request's first event, in milliseconds.
+constexpr double running_cost_ms = 1.0;
+/// What leaving the zone costs, in milliseconds; the link takes about one, bytes cost beside.
+constexpr double zone_cost_ms = 4;
+/// Cost of a worker whose answers are all errors, in milliseconds.
+constexpr double error_cost_ms = 400;
+/// Milliseconds by which a plain service's answer is later for each request before it.
+constexpr double plain_running_cost_ms = 20;
+/// Above this multiple of the mean load, and some requests, a worker is chosen only at need.
+constexpr double crowded_factor = 1.5;
+constexpr double crowded_slack = 2;
+constexpr double crowded_cost_ms = 2'000;
+/// The home of a prompt is believed to hold this share of what only others' requests can have
+/// brought there.
+constexpr double home_share = 0.7;
+/// Share of an engine's memory that is believed to keep prompts.
+constexpr double memory_share = 0.8;
+/// Random part of the cost, so that equals take turns, in milliseconds.
+constexpr double jitter_ms = 2;
+
+bool usable(const worker_record& w, const worker_request& wanted)
+{
+    return w.listed.service == wanted.service && !w.listed.draining &&
+           std::find(wanted.tried.begin(), wanted.tried.end(), w.listed.instance) ==
+               wanted.tried.end();
+}
+
+/// The load of others now: what was told, drawn to the mean as it ages.
+double others_now(const worker_record& w, instant now, double mean)
+{
+    if (w.told_at == instant{})
+        return mean;
+    const double age = static_cast<double>((now - w.told_at).count());
+    const double fresh = std::exp(-age / load_age_us);
+    return w.others * fresh + mean * (1 - fresh);
+}
+
+double mean_others(const std::vector<const worker_record*>& workers)
+{
+    double sum = 0;
+    double n = 0;
+    for (const auto* w : workers) {
+        if (w->told_at == instant{})
+            continue;
+        sum += w->others;
+        n += 1;
+    }
+    return n > 0 ? sum / n : 0;
+}
+
+/// The part of a prompt that is shared among requests names its home.
+hash64 home_key(const engine_demand& demand)
+{
+    const auto n = demand.prompt.size();
+    if (n == 0)
+        return 0;
+    return demand.prompt[n > 1 ? n - 2 : 0].id;
+}
+
+/// Rendezvous hashing: every gateway finds the same home without a shared table.
+const worker_record* home_of(const std::vector<const worker_record*>& workers, hash64 key)
+{
+    const worker_record* home = nullptr;
+    hash64 best = 0;
+    for (const auto* w : workers) {
+        const hash64 weight = hash_of(w->listed.instance, key);
+        if (home == nullptr || weight > best) {
+            home = w;
+            best = weight;
+        }
+    }
+    return home;
+}
+
+double engine_cost(const worker_record& w, const engine_demand& demand, bool home, double load,
+                   double slots)
+{
+    const double prompt = demand.prompt_tokens;
+    double held = held_tokens(w.memory, demand.prompt);
+    if (home && demand.prompt.size() > 1) {
+        const double shared = prompt - demand.prompt.back().tokens;
+        held = std::max(held, home_share * std::max(0.0, shared));
+    }
+    const double fill = slots > 0 ? load / slots : 0;
+    const double prefill = std::max(0.0, prompt - held) / prefill_tokens_per_ms;
+    return prefill * (1 + fill) + load * running_cost_ms;
+}
+
+double jitter(const std::string& instance, std::uint64_t random)
+{
+    constexpr double scale = 1.0 / 65'536;
+    return jitter_ms * static_cast<double>(hash_of(instance, random) & 0xffffU) * scale;
+}
+
+} // namespace
+
+std::string_view to_string(attempt_stage s)
+{
+    switch (s) {
+    case attempt_stage::unsent:
+        return "unsent";
+    case attempt_stage::sent:
+        return "sent";
+    case attempt_stage::answering:
+        return "answering";
+    }
+    return "";
+}
+
+prompt_memory with_prompt(prompt_memory current, const std::vector<prompt_part>& parts,
+                          std::uint64_t most_tokens)
+{
+    for (const auto& part : parts) {
+        auto [it, fresh] = current.parts.try_emplace(part.id);
+        if (fresh)
+            current.tokens += part.tokens;
+        else
+            current.by_use.erase(it->second.used);
+        current.uses += 1;
+        it->second = {fresh ? part.tokens : it->second.tokens, current.uses};
+        current.by_use.emplace(current.uses, part.id);
+    }
+    while (current.tokens > most_tokens && !current.by_use.empty()) {
+        const auto oldest = current.by_use.begin();
+        const auto it = current.parts.find(oldest->second);
+        current.tokens -= it->second.tokens;
+        current.parts.erase(it);
+        current.by_use.erase(oldest);
+    }
+    return current;
+}
+
+std::uint32_t held_tokens(const prompt_memory& memory, const std::vector<prompt_part>& parts)
+{
+    std::uint32_t held = 0;
+    for (const auto& part : parts) {
+        if (!memory.parts.contains(part.id))
+            break;
+        held += part.tokens;
+    }
+    return held;
+}
+
+worker_table with_list(worker_table current, instant now, const std::vector<worker_entry>& list)
+{
+    worker_table next;
+    next.listed = true;
+    next.listed_at = now;
+    for (const auto& entry : list) {
+        auto old = current.workers.extract(entry.instance);
+        worker_record w = old.empty() ? worker_record{} : std::move(old.mapped());
+        w.listed = entry;
+        w.cold_until = now + entry.cold;
+        next.workers.emplace(entry.instance, std::move(w));
+    }
+    return next;
+}
+
+std::string choose_worker(const worker_table& table, const worker_request& wanted, instant now,
+                          std::uint64_t random)
+{
+    std::vector<const worker_record*> fit;
+    for (const auto& [id, w] : table.workers) {
+        if (usable(w, wanted))
+            fit.push_back(&w);
+    }
+    const bool all_held =
+        std::all_of(fit.begin(), fit.end(), [&](const auto* w) { return w->held_until > now; });
+    if (!all_held)
+        std::erase_if(fit, [&](const auto* w) { return w->held_until > now; });
+    const double mean_of_others = mean_others(fit);
+    double mean = 0;
+    for (const auto* w : fit)
+        mean += (w->own + others_now(*w, now, mean_of_others)) / static_cast<double>(fit.size());
+    const worker_record* home =
+        wanted.demand == nullptr ? nullptr : home_of(fit, home_key(*wanted.demand));
+    const worker_record* best = nullptr;
+    double least = 0;
+    for (const auto* w : fit) {
+        const double load = w->own + others_now(*w, now, mean_of_others);
+        double cost = wanted.demand == nullptr
+                          ? load * plain_running_cost_ms
+                          : engine_cost(*w, *wanted.demand, w == home, load,
+                                        wanted.engine == nullptr ? 0 : wanted.engine->slots);
+        if (load > crowded_factor * mean + crowded_slack)
+            cost += crowded_cost_ms;
+        if (w->listed.zone != wanted.zone)
+            cost += zone_cost_ms;
+        if (w->cold_until > now)
+            cost += plain_running_cost_ms;
+        cost += w->error_share * error_cost_ms + jitter(w->listed.instance, random);
+        if (best == nullptr || cost < least) {
+            best = w;
+            least = cost;
+        }
+    }
+    return best == nullptr ? std::string() : best->listed.instance;
+}
+
+worker_table with_started(worker_table current, const std::string& instance,
+                          const engine_demand* demand, const engine_terms* engine)
+{
+    const auto it = current.workers.find(instance);
+    if (it == current.workers.end())
+        return current;
+    it->second.own += 1;
+    if (demand != nullptr && engine != nullptr) {
+        const auto most =
+            static_cast<std::uint64_t>(memory_share * static_cast<double>(engine->memory_tokens));
+        it->second.memory = with_prompt(std::move(it->second.memory), demand->prompt, most);
+    }
+    return current;
+}
+
+worker_table with_ended(worker_table current, const std::string& instance)
+{
+    const auto it = current.workers.find(instance);
+    if (it != current.workers.end() && it->second.own > 0)
+        it->second.own -= 1;
+    return current;
+}
+
+worker_table with_load(worker_table current, const std::string& instance, instant now,
+                       const worker_load& load)
+{
+    const auto it = current.workers.find(instance);
+    if (it == current.workers.end())
+        return current;
+    const std::uint32_t all = load.running + load.waiting;
+    it->second.others = all - std::min(all, it->second.own);
+    it->second.told_at = now;
+    return current;
+}
+
+worker_table with_answer(worker_table current, const std::string& instance, bool error)
+{
+    const auto it = current.workers.find(instance);
+    if (it == current.workers.end())
+        return current;
+    worker_record& w = it->second;
+    w.failures = 0;
+    w.held_until = instant{};
+    w.error_share += error_weight * ((error ? 1.0 : 0.0) - w.error_share);
+    return current;
+}
+
+worker_table with_failure(worker_table current, const std::string& instance, instant now)
+{
+    const auto it = current.workers.find(instance);
+    if (it == current.workers.end())
+        return current;
+    worker_record& w = it->second;
+    const auto doublings = std::min<std::uint32_t>(w.failures, 4);
+    w.failures += 1;
+    w.held_until = now + std::min(longest_hold, first_hold * (1U << doublings));
+    return current;
+}
+
+worker_table without_worker(worker_table current, const std::string& instance)
+{
+    current.workers.erase(instance);
+    return current;
+}
+
+} // namespace bluebell::core
--- a/src/libruntime/event_loop.cpp
+++ b/src/libruntime/event_loop.cpp
@@ -20,22 +20,16 @@
     return std::shared_ptr<event_loop>(new event_loop(base));
 }
 
-event_loop::event_loop(event_base* base) : base_(base)
-{
-    defer_timer_ = watcher::timer(*this, [this] { settle(); });
-}
+event_loop::event_loop(event_base* base) : base_(base) {}
 
 event_loop::~event_loop()
 {
     settle();
-    defer_timer_.reset();
     event_base_free(base_);
 }
 
 void event_loop::defer(std::function<void()> what)
 {
-    if (deferred_.empty())
-        defer_timer_->arm(core::microseconds{0});
     deferred_.push_back(std::move(what));
 }
 
@@ -50,11 +44,15 @@
 
 void event_loop::run()
 {
-    event_base_dispatch(base_);
+    stopped_ = false;
+    settle();
+    while (!stopped_ && event_base_loop(base_, EVLOOP_ONCE) == 0)
+        settle();
 }
 
 void event_loop::stop()
 {
+    stopped_ = true;
     event_base_loopbreak(base_);
 }
 
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -15,10 +15,14 @@
     void operator()(const send_message& e) const
     {
         const auto sent = node.ports_.peers->send(e.to, e.what);
-        if (!sent) {
-            LOG(WARNING) << "peers: " << to_string(sent.error());
-            node.dispatch(peer_event(peer_unreachable{e.to}));
+        if (sent) {
+            if (!node.unreachable_.empty() && node.unreachable_.erase(e.to) != 0)
+                LOG(INFO) << "peers: Reachable again. peer=" << e.to.str();
+            return;
         }
+        if (node.unreachable_.insert(e.to).second)
+            LOG(WARNING) << "peers: " << to_string(sent.error());
+        node.dispatch(peer_event(peer_unreachable{e.to}));
     }
     void operator()(const connect_peer& e) const { node.ports_.peers->connect(e.peer, e.address); }
     void operator()(const disconnect_peer& e) const { node.ports_.peers->disconnect(e.peer); }
@@ -30,7 +34,6 @@
     void operator()(const engine_cancel& e) const { node.ports_.engine->run(e); }
     void operator()(const engine_pause& e) const { node.ports_.engine->run(e); }
     void operator()(const engine_order_run& e) const { node.ports_.engine->run(e); }
-    // Without a store the log is held in memory: what is written counts at once.
     void operator()(const disk_vote& e) const { node.ports_.disk->run(e); }
     void operator()(const disk_append& e) const { node.ports_.disk->run(e); }
     void operator()(const disk_snapshot& e) const
@@ -44,6 +47,26 @@
         if (node.ports_.admin)
             node.ports_.admin->run(e);
     }
+    void operator()(const start_attempt& e) const { node.ports_.workers->run(e); }
+    void operator()(const cancel_attempt& e) const { node.ports_.workers->run(e); }
+    void operator()(const pass_head& e) const { node.ports_.pass->run(e); }
+    void operator()(const pass_data& e) const { node.ports_.pass->run(e); }
+    void operator()(const pass_end& e) const { node.ports_.pass->run(e); }
+    void operator()(const pass_abort& e) const { node.ports_.pass->run(e); }
+    void operator()(const pass_refusal& e) const { node.ports_.pass->run(e); }
+    void operator()(const pass_close& e) const { node.ports_.pass->run(e); }
+    void operator()(const set_caller_limits& e) const { node.ports_.pass->run(e); }
+    void operator()(const list_workers& e) const { node.ports_.list->run(e); }
+    void operator()(const decode_table& e) const
+    {
+        auto table = node.ports_.read_table(e.document.text.view());
+        if (table)
+            node.dispatch(table_event(table_decoded{std::move(*table)}));
+        else
+            LOG(ERROR) << "tables: Can't be read. version=" << e.document.version << " "
+                       << to_string(table.error());
+    }
+    void operator()(const table_reply& e) const { node.ports_.tables->run(e); }
     void operator()(const wake_at& e) const { node.wake(e.at); }
     void operator()(const log_line& e) const { node.telemetry_.take(e); }
     void operator()(const observe& e) const { node.telemetry_.take(node.loop_->now(), e); }
@@ -53,10 +76,14 @@
             node.ports_.admin->set_ready(e.ready);
         if (node.ports_.callers)
             node.ports_.callers->set_ready(e.ready);
+        if (node.ports_.pass)
+            node.ports_.pass->set_ready(e.ready);
     }
     void operator()(const drained&) const
     {
         const auto stop = [loop = node.loop_] { loop->stop(); };
+        if (node.ports_.pass)
+            node.ports_.pass->close_idle();
         if (node.ports_.callers)
             node.ports_.callers->when_flushed(stop);
         else
--- /dev/null
+++ b/src/libruntime/pass_server.cpp
@@ -0,0 +1,142 @@
+// Pass-through requests of callers.
+
+#include <bluebell/runtime/pass_server.h>
+
+#include <glog/logging.h>
+
+#include <array>
+#include <cstdio>
+
+namespace bluebell::runtime {
+
+using namespace core;
+
+namespace {
+
+/// Seconds with three decimals.
+std::string seconds_text(microseconds t)
+{
+    std::array<char, 32> buf{};
+    std::snprintf(buf.data(), buf.size(), "%.3f", static_cast<double>(t.count()) / 1e6);
+    return buf.data();
+}
+
+} // namespace
+
+result<std::shared_ptr<pass_server>> pass_server::make(const std::shared_ptr<event_loop>& loop,
+                                                       const pass_server_options& options,
+                                                       const pass_codec& codec, sink on_event)
+{
+    std::shared_ptr<pass_server> s(new pass_server(codec, std::move(on_event)));
+    http_server::callbacks calls;
+    calls.request = [raw = s.get()](const std::shared_ptr<http_session>& session,
+                                    const message_head& head, std::string body) {
+        raw->take(session, head, std::move(body));
+    };
+    calls.gone = [raw = s.get()](const std::shared_ptr<http_session>& session) {
+        raw->gone(session);
+    };
+    auto http = http_server::make(loop, options.callers, std::move(calls));
+    if (!http)
+        return tl::unexpected(http.error());
+    s->http_ = std::move(*http);
+    if (auto opened = s->open_readiness(loop, options); !opened)
+        return tl::unexpected(opened.error());
+    return s;
+}
+
+result<void> pass_server::open_readiness(const std::shared_ptr<event_loop>& loop,
+                                         const pass_server_options& options)
+{
+    if (options.readiness.port == 0)
+        return {};
+    http_server::callbacks calls;
+    calls.request = [this, path = options.ready_path](const std::shared_ptr<http_session>& session,
+                                                      const message_head& head, std::string) {
+        const bool known = head.method == "GET" && head.target == path;
+        const std::uint16_t status = known ? (ready_ ? 200 : 503) : 404;
+        session->reply(status, {{"Content-Type", "text/plain"}},
+                       ready_ ? "ready\n" : "not ready\n");
+    };
+    calls.gone = [](const std::shared_ptr<http_session>&) {};
+    auto http = http_server::make(loop, options.readiness, std::move(calls));
+    if (!http)
+        return tl::unexpected(http.error());
+    readiness_ = std::move(*http);
+    return {};
+}
+
+void pass_server::take(const std::shared_ptr<http_session>& session, const message_head& head,
+                       std::string body)
+{
+    auto request = codec_.read_request(head, std::move(body));
+    if (!request) {
+        LOG(WARNING) << "http: Refused. " << to_string(request.error());
+        session->reply(400, {{"Content-Type", "application/json"}}, "{\"error\":\"bad request\"}");
+        return;
+    }
+    last_ += 1;
+    sessions_.emplace(last_, session);
+    exchanges_.emplace(session.get(), last_);
+    on_event_(exchange_event(request_read{last_, std::move(*request)}));
+}
+
+void pass_server::gone(const std::shared_ptr<http_session>& session)
+{
+    const auto it = exchanges_.find(session.get());
+    if (it == exchanges_.end())
+        return;
+    const exchange_id id = it->second;
+    take_session(id);
+    on_event_(exchange_event(caller_left{id}));
+}
+
+std::shared_ptr<http_session> pass_server::take_session(exchange_id id)
+{
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end())
+        return nullptr;
+    auto session = std::move(it->second);
+    sessions_.erase(it);
+    exchanges_.erase(session.get());
+    return session;
+}
+
+void pass_server::run(const pass_head& e)
+{
+    const auto it = sessions_.find(e.exchange);
+    if (it != sessions_.end())
+        it->second->begin(e.head.status, e.head.fields, e.head.length);
+}
+
+void pass_server::run(const pass_data& e)
+{
+    const auto it = sessions_.find(e.exchange);
+    if (it != sessions_.end())
+        it->second->send(e.data);
+}
+
+void pass_server::run(const pass_end& e)
+{
+    if (const auto session = take_session(e.exchange))
+        session->end();
+}
+
+void pass_server::run(const pass_abort& e)
+{
+    if (const auto session = take_session(e.exchange))
+        session->abort();
+}
+
+void pass_server::run(const pass_refusal& e)
+{
+    const auto session = take_session(e.exchange);
+    if (session == nullptr)
+        return;
+    std::vector<header_field> fields{{"Content-Type", "application/json"}};
+    if (e.retry_after.count() > 0)
+        fields.push_back({"Retry-After", seconds_text(e.retry_after)});
+    session->reply(e.status, fields, "{\"error\":\"" + std::string(reason_of(e.status)) + "\"}");
+}
+
+} // namespace bluebell::runtime
--- /dev/null
+++ b/src/libruntime/worker_client.cpp
@@ -0,0 +1,111 @@
+// Kept connections to workers.
+
+#include "worker_channel_pvt.h"
+
+#include <algorithm>
+
+namespace bluebell::runtime {
+
+namespace {
+
+/// Idle channels kept to one worker; what comes back beyond that is closed.
+constexpr std::size_t max_idle = 16;
+constexpr core::microseconds sweep_interval{1'000'000};
+
+} // namespace
+
+std::shared_ptr<worker_client> worker_client::make(std::shared_ptr<event_loop> loop,
+                                                   const pass_codec& codec, sink on_event)
+{
+    std::shared_ptr<worker_client> c(
+        new worker_client(std::move(loop), codec, std::move(on_event)));
+    c->sweeper_ = watcher::timer(*c->loop_, [raw = c.get()] { raw->sweep(); });
+    c->sweeper_->arm(sweep_interval);
+    return c;
+}
+
+worker_client::worker_client(std::shared_ptr<event_loop> loop, const pass_codec& codec,
+                             sink on_event)
+    : loop_(std::move(loop)), codec_(codec), on_event_(std::move(on_event))
+{
+}
+
+worker_client::~worker_client() = default;
+
+void worker_client::run(const core::start_attempt& e)
+{
+    auto channel = take_idle(e.address);
+    if (channel == nullptr) {
+        auto made = worker_channel::connect(weak_from_this(), loop_, e.address);
+        if (!made) {
+            report(core::attempt_broken{e.attempt, core::attempt_stage::unsent, made.error()});
+            return;
+        }
+        channel = std::move(*made);
+    }
+    busy_.emplace(e.attempt, channel);
+    channel->run(e, codec_.attempt_fields(e));
+}
+
+void worker_client::run(const core::cancel_attempt& e)
+{
+    const auto it = busy_.find(e.attempt);
+    if (it == busy_.end())
+        return;
+    it->second->close();
+    loop_->defer([channel = std::move(it->second)] {});
+    busy_.erase(it);
+}
+
+std::shared_ptr<worker_channel> worker_client::take_idle(const std::string& address)
+{
+    const auto it = idle_.find(address);
+    if (it == idle_.end())
+        return nullptr;
+    auto& channels = it->second;
+    std::shared_ptr<worker_channel> found;
+    if (!channels.empty() && channels.back()->usable_until() > loop_->now()) {
+        found = std::move(channels.back());
+        channels.pop_back();
+    }
+    return found;
+}
+
+void worker_client::keep(const std::shared_ptr<worker_channel>& channel)
+{
+    auto& channels = idle_[channel->address()];
+    if (channels.size() >= max_idle) {
+        channel->close();
+        return;
+    }
+    channels.push_back(channel);
+}
+
+void worker_client::drop(const std::shared_ptr<worker_channel>& channel)
+{
+    const auto it = idle_.find(channel->address());
+    if (it != idle_.end())
+        std::erase(it->second, channel);
+    loop_->defer([channel] {});
+}
+
+void worker_client::report(core::exchange_event ev)
+{
+    on_event_(core::event_body(std::move(ev)));
+}
+
+void worker_client::sweep()
+{
+    sweeper_->arm(sweep_interval);
+    const auto now = loop_->now();
+    for (auto it = idle_.begin(); it != idle_.end();) {
+        auto& channels = it->second;
+        while (!channels.empty() && channels.front()->usable_until() <= now) {
+            channels.front()->close();
+            channels.pop_front();
+        }
+        it = channels.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+} // namespace bluebell::runtime
--- a/src/libwire/codec_pvt.h
+++ b/src/libwire/codec_pvt.h
@@ -12,12 +12,14 @@
 void put(const core::control_message& from, pb::ControlMessage& to);
 void put(const core::replication_message& from, pb::ReplicationMessage& to);
 
+void put(const core::fleet_message& from, pb::FleetMessage& to);
 void put(const core::command& from, pb::Command& to);
 
 /// Each fails with invalid_argument when no alternative is set or a value is impossible.
 [[nodiscard]] core::result<core::work_message> get(const pb::WorkMessage& from);
 [[nodiscard]] core::result<core::control_message> get(const pb::ControlMessage& from);
 [[nodiscard]] core::result<core::replication_message> get(const pb::ReplicationMessage& from);
+[[nodiscard]] core::result<core::fleet_message> get(const pb::FleetMessage& from);
 [[nodiscard]] core::result<core::command> get(const pb::Command& from);
 
 // Values that several groups share.
@@ -26,6 +28,8 @@
 void put(const core::load_report& from, pb::LoadReport& to);
 void put(const core::error& from, pb::Error& to);
 void put(const core::node_info& from, pb::NodeInfo& to);
+void put(const core::routing_document& from, pb::RoutingDocument& to);
+[[nodiscard]] core::routing_document get(const pb::RoutingDocument& from);
 void put(const core::config_document& from, pb::ConfigDocument& to);
 void put(const core::agent_offer& from, pb::AgentOffer& to);
 [[nodiscard]] core::agent_offer get(const pb::AgentOffer& from);
@@ -52,6 +56,21 @@
 [[nodiscard]] core::result<core::node_info> get(const pb::NodeInfo& from);
 [[nodiscard]] core::config_document get(const pb::ConfigDocument& from);
 
+/// Reads repeated nodes.
+template <class Nodes>
+[[nodiscard]] core::result<std::vector<core::node_info>> get_nodes(const Nodes& from)
+{
+    std::vector<core::node_info> nodes;
+    nodes.reserve(static_cast<std::size_t>(from.size()));
+    for (const auto& n : from) {
+        auto node = get(n);
+        if (!node)
+            return tl::unexpected(node.error());
+        nodes.push_back(std::move(*node));
+    }
+    return nodes;
+}
+
 /// The error of a message that can't be.
 [[nodiscard]] inline tl::unexpected<core::error> impossible(std::string_view what)
 {
--- a/src/libwire/command_codec.cpp
+++ b/src/libwire/command_codec.cpp
@@ -31,20 +31,6 @@
     return std::get<Value>(std::move(*what));
 }
 
-template <class Nodes>
-result<std::vector<node_info>> get_nodes(const Nodes& from)
-{
-    std::vector<node_info> nodes;
-    nodes.reserve(static_cast<std::size_t>(from.size()));
-    for (const auto& n : from) {
-        auto node = get(n);
-        if (!node)
-            return tl::unexpected(node.error());
-        nodes.push_back(std::move(*node));
-    }
-    return nodes;
-}
-
 struct writer {
     pb::Command& to;
 
@@ -121,6 +107,11 @@
         b.set_draining(c.draining);
         b.set_why(c.why);
     }
+    void operator()(const set_table& c) const
+    {
+        to.mutable_set_table()->set_operation(c.operation);
+        put(c.document, *to.mutable_set_table()->mutable_document());
+    }
     void operator()(const note_crash& c) const
     {
         *to.mutable_note_crash() = std::move(*encoded(c.report).mutable_crash_report());
@@ -265,6 +256,8 @@
         return get(from.set_drain());
     case pb::Command::kNoteCrash:
         return get(from.note_crash());
+    case pb::Command::kSetTable:
+        return set_table{from.set_table().operation(), get(from.set_table().document())};
     case pb::Command::WHAT_NOT_SET:
         break;
     }
--- a/src/libwire/envelope.cpp
+++ b/src/libwire/envelope.cpp
@@ -35,6 +35,8 @@
         return widen(get(from.control()));
     case pb::Envelope::kReplication:
         return widen(get(from.replication()));
+    case pb::Envelope::kFleet:
+        return widen(get(from.fleet()));
     case pb::Envelope::BODY_NOT_SET:
         break;
     }
@@ -51,7 +53,8 @@
     match(
         env.what, [&](const work_message& m) { put(m, *to.mutable_work()); },
         [&](const control_message& m) { put(m, *to.mutable_control()); },
-        [&](const replication_message& m) { put(m, *to.mutable_replication()); });
+        [&](const replication_message& m) { put(m, *to.mutable_replication()); },
+        [&](const fleet_message& m) { put(m, *to.mutable_fleet()); });
     return to.SerializeAsString();
 }
 
--- /dev/null
+++ b/src/libwire/fleet_codec.cpp
@@ -0,0 +1,120 @@
+// Messages of the roster and of the routing table to protobuf and back.
+
+#include "codec_pvt.h"
+
+#include <bluebell/core/visit.h>
+
+namespace bluebell::wire {
+
+using namespace core;
+
+namespace {
+
+void put(const presence_note& from, pb::PresenceNote& to)
+{
+    for (const auto& who : from.known) {
+        auto& b = *to.add_known();
+        wire::put(who.node, *b.mutable_node());
+        b.set_stores(who.stores);
+        b.set_founding(who.founding);
+        b.set_silence_us(who.silence.count());
+    }
+}
+
+result<fleet_message> get(const pb::PresenceNote& from)
+{
+    presence_note note;
+    for (const auto& b : from.known()) {
+        auto node = wire::get(b.node());
+        if (!node)
+            return tl::unexpected(node.error());
+        note.known.push_back(
+            {std::move(*node), b.stores(), b.founding(), microseconds(b.silence_us())});
+    }
+    return note;
+}
+
+result<fleet_message> get(const pb::FoundingNote& from)
+{
+    return get_nodes(from.founders()).map([](auto nodes) {
+        return fleet_message(founding_note{std::move(nodes)});
+    });
+}
+
+result<fleet_message> get(const pb::TableQuery& from)
+{
+    return wire::get(from.from()).map([&](auto node) {
+        return fleet_message(table_query{std::move(node), from.version()});
+    });
+}
+
+void put(const table_news& from, pb::TableNews& to)
+{
+    to.set_certain(from.certain);
+    to.set_leader(from.leader.str());
+    for (const auto& n : from.controls)
+        wire::put(n, *to.add_controls());
+    to.set_version(from.version);
+    if (from.document)
+        wire::put(*from.document, *to.mutable_document());
+}
+
+result<fleet_message> get(const pb::TableNews& from)
+{
+    auto controls = get_nodes(from.controls());
+    if (!controls)
+        return tl::unexpected(controls.error());
+    table_news news{from.certain(), get_id<node_id>(from.leader()), std::move(*controls),
+                    from.version(), std::nullopt};
+    if (from.has_document())
+        news.document = wire::get(from.document());
+    return news;
+}
+
+} // namespace
+
+void put(const routing_document& from, pb::RoutingDocument& to)
+{
+    to.set_version(from.version);
+    to.set_text(std::string(from.text.view()));
+}
+
+routing_document get(const pb::RoutingDocument& from)
+{
+    return {from.version(), bytes::from(from.text())};
+}
+
+void put(const fleet_message& from, pb::FleetMessage& to)
+{
+    match(
+        from, [&](const presence_note& m) { put(m, *to.mutable_presence_note()); },
+        [&](const founding_note& m) {
+            for (const auto& n : m.founders)
+                put(n, *to.mutable_founding_note()->add_founders());
+            to.mutable_founding_note();
+        },
+        [&](const table_query& m) {
+            put(m.from, *to.mutable_table_query()->mutable_from());
+            to.mutable_table_query()->set_version(m.version);
+        },
+        [&](const table_news& m) { put(m, *to.mutable_table_news()); });
+}
+
+result<fleet_message> get(const pb::FleetMessage& from)
+{
+    switch (from.what_case()) {
+    case pb::FleetMessage::kPresenceNote:
+        return get(from.presence_note());
+    case pb::FleetMessage::kFoundingNote:
+        return get(from.founding_note());
+    case pb::FleetMessage::kTableQuery:
+        return get(from.table_query());
+    case pb::FleetMessage::kTableNews:
+        return get(from.table_news());
+    case pb::FleetMessage::WHAT_NOT_SET:
+        break;
+    }
+    return impossible("empty fleet message");
+}
+
+} // namespace bluebell::wire
--- a/src/libwire/generate.sh
+++ b/src/libwire/generate.sh
@@ -2,4 +2,4 @@
 # Regenerates the committed protobuf code after a change of a .proto file.
 set -eu
 cd "$(dirname "$0")"
-protoc --cpp_out=generated work.proto control.proto replication.proto machine.proto envelope.proto
+protoc --cpp_out=generated work.proto control.proto replication.proto machine.proto fleet.proto envelope.proto
--- a/src/libwire/machine_codec.cpp
+++ b/src/libwire/machine_codec.cpp
@@ -332,6 +332,7 @@
     st.grants = get_grants(from);
     st.orders = std::move(*orders);
     st.quarantine = get_quarantine(from);
+    st.table = wire::get(from.table());
     return st;
 }
 
@@ -352,6 +353,7 @@
     put(what.grants, to);
     put(what.orders, to);
     put(what.quarantine, to);
+    wire::put(what.table, *to.mutable_table());
     return to.SerializeAsString();
 }
 
