Serve by the newest logged table while no leader is known

Ruled out: election time-outs alone, since the processes start within 0.5 s of each other and the refusals lasted past the election. A gateway without any table takes the newest one in a replica's durable log; the leader's word follows. A refused caller is told to come back after a third of its patience, as it comes back once.

--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -50,7 +50,8 @@
     node_id leader;                  ///< as far as known
     std::vector<node_info> controls; ///< control processes heard lately
     std::uint64_t version = 0;
-    std::optional<routing_document> document; ///< absent: the receiver's is as new
+    /// Absent: the receiver's is as new. When not certain, for a receiver without any table only.
+    std::optional<routing_document> document;
 
     friend bool operator==(const table_news&, const table_news&) = default;
 };
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -93,14 +93,32 @@
 
 void on(control_turn&, const table_decoded&) {}
 
+/// The newest table in this replica's log, committed or not. After a restart of all replicas
+/// nobody knows yet what is committed; a gateway that has no table serves by this one until a
+/// leader says what is certain.
+const routing_document& newest_table(const control_turn& t)
+{
+    const routing_document* newest = &t.st.machine.table;
+    for (const auto& entry : t.st.log.log.entries) {
+        const auto* set = std::get_if<set_table>(&entry.what);
+        if (set != nullptr && set->document.version > newest->version)
+            newest = &set->document;
+    }
+    return *newest;
+}
+
 table_news news_for(const control_turn& t, std::uint64_t version)
 {
     table_news news;
     news.certain = t.leads();
     news.leader = leader_of(t.st.log, t.ctx.self.id);
     news.controls = present(t.st.peers, t.ctx.now, t.ctx.self);
-    if (!news.certain)
+    if (!news.certain) {
+        const routing_document& table = newest_table(t);
+        if (version == 0 && table.version != 0)
+            news.document = table;
         return news;
+    }
     news.version = t.st.machine.table.version;
     if (news.version > version)
         news.document = t.st.machine.table;
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -61,13 +61,16 @@
     return ex;
 }
 
-constexpr microseconds no_table_retry{200'000};
+/// A caller that is refused for want of a table comes back after this part of its patience, the
+/// longest that callers honour: it may come back only once.
+constexpr int return_part = 3;
 
 void on(turn& t, const request_read& ev)
 {
     const pass_request& what = ev.request;
     if (t.st.table.version == 0) {
-        refuse_at_once(t, ev.exchange, 503, "no routing table yet", what, no_table_retry);
+        refuse_at_once(t, ev.exchange, 503, "no routing table yet", what,
+                       what.patience / return_part);
         return;
     }
     const route* r = find_route(t.st.table, what.host, what.target);
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -15,6 +15,10 @@
 /// A control process that doesn't answer within this is left for another.
 constexpr microseconds query_timeout{600'000};
 
+/// The same for a gateway that has no table and so can serve nobody.
+constexpr microseconds first_query_interval{100'000};
+constexpr microseconds first_query_timeout{200'000};
+
 /// The control process after the present one, in the order of their ids.
 node_info next_contact(const table_source& source)
 {
@@ -33,7 +37,8 @@
 {
     st.source.asked_at = ctx.now;
     st.source.waits = true;
-    st.source.next_ask = ctx.now + query_timeout;
+    st.source.next_ask =
+        ctx.now + (st.table.version == 0 ? first_query_timeout : query_timeout);
     out.emplace_back(
         send_message{st.source.contact, fleet_message(table_query{ctx.self, st.table.version})});
 }
@@ -79,7 +84,8 @@
         out.emplace_back(decode_table{*news.document});
     if (from == st.source.contact) {
         st.source.waits = false;
-        st.source.next_ask = ctx.now + query_interval;
+        const bool lacks = st.table.version == 0 && !news.document;
+        st.source.next_ask = ctx.now + (lacks ? first_query_interval : query_interval);
         const auto leader =
             std::find_if(st.source.controls.begin(), st.source.controls.end(),
                          [&](const node_info& n) { return n.id == news.leader && n.id != from; });
