Spread what workers read and run among the gateways, by the leader

Cause: each gateway knew only its own placements and the load that answers told it about once in two seconds. A gateway's query to the leader carries its new placements and its requests in progress; the answer carries the others'. A worker that lacks a shared part fetches it from one that holds it. Requests that come before the first table wait for it, for a sixth of their patience at most.

--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -28,6 +28,14 @@
 /// Repeats, in thousandths, that a router may save up for one service.
 constexpr std::uint32_t budget_saved = 3'000;
 
+/// On a platform where connections fall silent without a reset; a gateway talks to one control
+/// process, and control processes are few, so the probes cost little.
+constexpr milliseconds site_heartbeat{1'000};
+constexpr milliseconds site_heartbeat_timeout{2'000};
+constexpr milliseconds site_reconnect_max{300};
+/// Behind a partition the system's own tries come seconds apart.
+constexpr milliseconds site_connect_timeout{500};
+
 router_state initial_router(const settings::node_settings& s)
 {
     router_state st;
@@ -127,6 +135,12 @@
             return tl::unexpected(keys.error());
         bus.keys = std::move(*keys);
     }
+    if (settings_.site) {
+        bus.heartbeat = site_heartbeat;
+        bus.heartbeat_timeout = site_heartbeat_timeout;
+        bus.reconnect_max = site_reconnect_max;
+        bus.connect_timeout = site_connect_timeout;
+    }
     runtime::peer_bus::callbacks calls;
     calls.message = [this](const node_id& from, message what) {
         dispatch(peer_event(message_received{from, std::move(what)}));
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -8,6 +8,7 @@
 #include <bluebell/core/replication.h>
 #include <bluebell/core/roster.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -39,13 +40,23 @@
 /// A gateway that asks this leader for the routing table.
 struct table_subscriber {
     instant heard{};
-    std::uint64_t version = 0; ///< as it last confirmed
-    std::uint64_t sent = 0;    ///< newest that was sent unasked
+    std::uint64_t version = 0;         ///< as it last confirmed
+    std::uint64_t sent = 0;            ///< newest that was sent unasked
+    std::uint64_t placed = 0;          ///< count of placements that it was told or told itself
+    std::vector<worker_share> running; ///< as it last said
     instant sent_at{};
 
     friend bool operator==(const table_subscriber&, const table_subscriber&) = default;
 };
 
+/// A placement, and the gateway that made it.
+struct heard_placement {
+    node_id from;
+    prompt_placement what;
+
+    friend bool operator==(const heard_placement&, const heard_placement&) = default;
+};
+
 /// What a leader keeps besides the log.
 struct leadership {
     term at_term = 0; ///< 0: this replica doesn't lead
@@ -56,6 +67,8 @@
     std::vector<waiting_change> changes;
     std::set<std::string> offers; ///< offered tables that wait for the log
     std::map<node_id, table_subscriber> subscribers;
+    std::deque<heard_placement> prompts; ///< the newest, oldest first
+    std::uint64_t placed = 0;            ///< count of all placements heard
     instant next_voters{};
     std::map<std::uint64_t, instant> orders_sent; ///< by fence
     std::map<std::string, instant> placements;    ///< last change by region and model
--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -168,6 +168,7 @@
     microseconds time_left{};
     std::optional<std::uint8_t> priority; ///< for the engine's queue, 0 first
     std::optional<std::uint64_t> after;   ///< resume behind this event
+    std::string fetch_from;               ///< address of a worker that has read more of the prompt
     friend bool operator==(const start_attempt&, const start_attempt&) = default;
 };
 /// Breaks the attempt off by closing its connection. No event follows.
--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -36,10 +36,29 @@
     friend bool operator==(const founding_note&, const founding_note&) = default;
 };
 
+/// A worker has read a part of a prompt, so that it need not be read there again.
+struct prompt_placement {
+    hash64 part = 0;   ///< hash of the part and of all before it
+    hash64 worker = 0; ///< hash of the worker's instance
+    std::uint32_t tokens = 0;
+
+    friend bool operator==(const prompt_placement&, const prompt_placement&) = default;
+};
+
+/// Requests in progress at one worker.
+struct worker_share {
+    hash64 worker = 0; ///< hash of the worker's instance
+    std::uint32_t running = 0;
+
+    friend bool operator==(const worker_share&, const worker_share&) = default;
+};
+
 /// Asks for the routing table where it is newer than the sender's.
 struct table_query {
     node_info from;
     std::uint64_t version = 0;
+    std::vector<prompt_placement> placed; ///< by the sender since its last query
+    std::vector<worker_share> running;    ///< the sender's own; idle workers are left out
 
     friend bool operator==(const table_query&, const table_query&) = default;
 };
@@ -52,6 +71,8 @@
     std::uint64_t version = 0;
     /// Absent: the receiver's is as new. When not certain, for a receiver without any table only.
     std::optional<routing_document> document;
+    std::vector<prompt_placement> placed; ///< by other gateways, since the receiver's last query
+    std::vector<worker_share> running;    ///< all other gateways' together, when certain
 
     friend bool operator==(const table_news&, const table_news&) = default;
 };
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -59,11 +59,21 @@
     node_id contact;                 ///< whom the gateway asks
     instant asked_at{};
     instant next_ask{};
-    bool waits = false; ///< the last query isn't answered
+    bool waits = false;                   ///< the last query isn't answered
+    std::vector<prompt_placement> placed; ///< to be told with the next query
 
     friend bool operator==(const table_source&, const table_source&) = default;
 };
 
+/// A request that waits for the first table.
+struct early_request {
+    exchange_id id = 0;
+    instant arrived{};
+    pass_request request;
+
+    friend bool operator==(const early_request&, const early_request&) = default;
+};
+
 /// All of the gateway's state. It is rebuilt from control, the list and the callers at a restart.
 struct gateway_state {
     routing_table table;
@@ -72,6 +82,8 @@
     std::unordered_map<exchange_id, exchange> exchanges;
     std::unordered_map<attempt_number, exchange_id> attempts; ///< those in progress
     std::set<std::pair<instant, exchange_id>> due;
+    /// Requests that came before any table, in order; each is in `due`.
+    std::vector<early_request> early;
     std::map<service_id, retry_budget> budgets;
     retry_terms retries{0, 0, 0};
     attempt_number last_attempt = 0;
--- a/src/include/bluebell/core/routing_table.h
+++ b/src/include/bluebell/core/routing_table.h
@@ -49,6 +49,7 @@
 struct engine_terms {
     std::uint32_t slots = 0;
     std::uint64_t memory_tokens = 0;
+    bool fetches = false; ///< an engine can fetch from another what that has read of a prompt
 
     friend bool operator==(const engine_terms&, const engine_terms&) = default;
 };
--- a/src/include/bluebell/core/worker_table.h
+++ b/src/include/bluebell/core/worker_table.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <bluebell/core/exchange.h>
+#include <bluebell/core/fleet_message.h>
 
 #include <map>
 #include <string>
@@ -74,10 +75,33 @@
     const zone_id& zone;                   ///< of this process
 };
 
-/// Chooses the worker that is expected to answer first; empty if there is none. Among equals the
-/// random number decides.
-[[nodiscard]] std::string choose_worker(const worker_table& table, const worker_request& wanted,
-                                        instant now, std::uint64_t random);
+/// A worker, and where it fetches what others have read of the prompt.
+struct worker_choice {
+    std::string instance;   ///< empty: there is no worker
+    std::string fetch_from; ///< address of another worker; empty: nothing is to be fetched
+
+    friend bool operator==(const worker_choice&, const worker_choice&) = default;
+};
+
+/// Chooses the worker that is expected to answer first. Among equals the random number decides.
+[[nodiscard]] worker_choice choose_worker(const worker_table& table, const worker_request& wanted,
+                                          instant now, std::uint64_t random);
+
+/// The prompt's shared parts that the worker isn't known to hold: what others should hear of.
+[[nodiscard]] std::vector<prompt_placement>
+new_placements(const worker_table& table, const std::string& instance, const engine_demand& demand);
+
+/// Takes in what other gateways placed; memory_tokens bounds what a worker holds.
+[[nodiscard]] worker_table with_placements(worker_table current,
+                                           const std::vector<prompt_placement>& placed,
+                                           std::uint64_t memory_tokens);
+
+/// This process's requests in progress, for the other gateways.
+[[nodiscard]] std::vector<worker_share> own_shares(const worker_table& table);
+
+/// Takes in what all other gateways have in progress; workers that aren't named have none.
+[[nodiscard]] worker_table with_shares(worker_table current, instant now,
+                                       const std::vector<worker_share>& running);
 
 /// An attempt begins at the worker, or ends there.
 [[nodiscard]] worker_table with_started(worker_table current, const std::string& instance,
--- a/src/include/bluebell/runtime/peer_bus.h
+++ b/src/include/bluebell/runtime/peer_bus.h
@@ -20,7 +20,14 @@
     core::node_id self;
     std::string listen;           ///< tcp://IP:PORT
     std::optional<key_pair> keys; ///< absent: no encryption, any peer is admitted
-    int send_queue = 10'000;      ///< messages held for one peer before sends fail
+    /// A connection that is silent for so long is probed, and given up after the time-out. At 600
+    /// connections a probe every 30 s costs 20 small packets a second.
+    core::milliseconds heartbeat{30'000};
+    core::milliseconds heartbeat_timeout{10'000};
+    core::milliseconds reconnect_max{2'000}; ///< longest pause between two tries to connect
+    /// A try to connect is given up after this; 0: when the system gives it up.
+    core::milliseconds connect_timeout{0};
+    int send_queue = 10'000; ///< messages held for one peer before sends fail
 
     friend bool operator==(const peer_bus_options&, const peer_bus_options&) = default;
 };
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -20,6 +20,11 @@
 constexpr microseconds voter_interval{500'000};
 /// Offers that may wait for the log.
 constexpr std::size_t most_offers = 64;
+/// What a gateway has in progress counts for so long after it last said so.
+constexpr microseconds share_time{1'500'000};
+/// Placements that a leader remembers for gateways that ask late, and tells in one answer.
+constexpr std::size_t most_placements = 8'192;
+constexpr std::size_t most_told = 512;
 
 std::string leader_address(const control_turn& t)
 {
@@ -125,16 +130,65 @@
     return news;
 }
 
+void note_placements(leadership& lead, const node_id& from,
+                     const std::vector<prompt_placement>& placed)
+{
+    for (const auto& p : placed) {
+        lead.prompts.push_back({from, p});
+        lead.placed += 1;
+    }
+    while (lead.prompts.size() > most_placements)
+        lead.prompts.pop_front();
+}
+
+/// What others placed since the subscriber was last told.
+std::vector<prompt_placement> placements_for(leadership& lead, const node_id& to,
+                                             table_subscriber& s)
+{
+    const std::uint64_t first = lead.placed - lead.prompts.size();
+    std::uint64_t at = std::max(first, s.placed);
+    std::vector<prompt_placement> told;
+    for (; at < lead.placed && told.size() < most_told; ++at) {
+        const auto& p = lead.prompts[at - first];
+        if (p.from != to)
+            told.push_back(p.what);
+    }
+    s.placed = at;
+    return told;
+}
+
+/// What the gateways but one have in progress, by worker.
+std::vector<worker_share> running_elsewhere(const control_turn& t, const node_id& to)
+{
+    std::map<hash64, std::uint32_t> sums;
+    for (const auto& [id, s] : t.st.lead.subscribers) {
+        if (id == to || t.ctx.now - s.heard >= share_time)
+            continue;
+        for (const auto& share : s.running)
+            sums[share.worker] += share.running;
+    }
+    std::vector<worker_share> all;
+    all.reserve(sums.size());
+    for (const auto& [worker, running] : sums)
+        all.push_back({worker, running});
+    return all;
+}
+
 void on(control_turn& t, const node_id& from, const table_query& msg)
 {
+    table_news news = news_for(t, msg.version);
     if (t.leads()) {
+        note_placements(t.st.lead, from, msg.placed);
         auto& s = t.st.lead.subscribers[from];
+        news.placed = placements_for(t.st.lead, from, s);
+        news.running = running_elsewhere(t, from);
+        s.running = msg.running;
         s.heard = t.ctx.now;
         s.version = msg.version;
         if (msg.version < t.st.machine.table.version)
             s.sent_at = t.ctx.now;
     }
-    t.out.emplace_back(send_message{from, fleet_message(news_for(t, msg.version))});
+    t.out.emplace_back(send_message{from, fleet_message(std::move(news))});
 }
 
 void on(control_turn& t, const node_id&, const presence_note& msg)
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -42,7 +42,8 @@
     return tl::unexpected(std::uint16_t{401});
 }
 
-exchange begin_exchange(turn& t, const route& r, const key_holder& holder, pass_request what)
+exchange begin_exchange(turn& t, const route& r, const key_holder& holder, pass_request what,
+                        instant arrived)
 {
     exchange ex;
     ex.workspace = holder.workspace;
@@ -53,9 +54,9 @@
     ex.terms.target = r.target;
     ex.terms.priority = holder.priority.value_or(r.priority);
     ex.terms.max_workers = std::max<std::uint32_t>(1, r.max_workers);
-    ex.arrived = t.ctx.now;
+    ex.arrived = arrived;
     const microseconds patience = what.patience.count() > 0 ? what.patience : default_patience;
-    ex.deadline = t.ctx.now + std::min(patience, r.time_limit);
+    ex.deadline = arrived + std::min(patience, r.time_limit);
     ex.last_event = what.after;
     ex.request = std::move(what);
     return ex;
@@ -64,38 +65,83 @@
 /// A caller that is refused for want of a table comes back after this part of its patience, the
 /// longest that callers honour: it may come back only once.
 constexpr int return_part = 3;
+/// A request that comes before any table waits for it: a part of the caller's patience, and no
+/// longer than a restarted fleet needs to find one.
+constexpr int early_part = 6;
+constexpr microseconds longest_early{600'000};
+constexpr std::size_t most_early = 256;
 
-void on(turn& t, const request_read& ev)
+/// Finds the request's route and sends it on its way.
+void admit(turn& t, exchange_id id, const pass_request& what, instant arrived)
 {
-    const pass_request& what = ev.request;
-    if (t.st.table.version == 0) {
-        refuse_at_once(t, ev.exchange, 503, "no routing table yet", what,
-                       what.patience / return_part);
-        return;
-    }
     const route* r = find_route(t.st.table, what.host, what.target);
     if (r == nullptr) {
-        refuse_at_once(t, ev.exchange, 404, "no route", what);
+        refuse_at_once(t, id, 404, "no route", what);
         return;
     }
     const auto holder = holder_of(t.st.table, *r, what);
     if (!holder) {
-        refuse_at_once(t, ev.exchange, holder.error(), "unknown key", what);
+        refuse_at_once(t, id, holder.error(), "unknown key", what);
         return;
     }
     if (what.id.empty()) {
-        refuse_at_once(t, ev.exchange, 400, "no request id", what);
+        refuse_at_once(t, id, 400, "no request id", what);
         return;
     }
-    exchange ex = begin_exchange(t, *r, *holder, what);
+    exchange ex = begin_exchange(t, *r, *holder, what, arrived);
     auto& budget = t.st.budgets[ex.terms.service];
     budget = earn(budget, t.ctx.now, t.st.retries);
-    t.st.exchanges.insert_or_assign(ev.exchange, std::move(ex));
-    place(t, ev.exchange);
+    t.st.exchanges.insert_or_assign(id, std::move(ex));
+    place(t, id);
+}
+
+void refuse_early(turn& t, exchange_id id, const pass_request& what)
+{
+    refuse_at_once(t, id, 503, "no routing table yet", what, what.patience / return_part);
+}
+
+void on(turn& t, const request_read& ev)
+{
+    if (t.st.table.version != 0) {
+        admit(t, ev.exchange, ev.request, t.ctx.now);
+        return;
+    }
+    if (t.st.early.size() >= most_early) {
+        refuse_early(t, ev.exchange, ev.request);
+        return;
+    }
+    const microseconds wait = std::min(longest_early, ev.request.patience / early_part);
+    t.st.early.push_back({ev.exchange, t.ctx.now, ev.request});
+    t.st.due.emplace(t.ctx.now + wait, ev.exchange);
+}
+
+/// The first table has come: whoever waited for it is served.
+void admit_early(turn& t)
+{
+    const auto early = std::exchange(t.st.early, {});
+    t.st.due.clear(); // nothing else is due before the first table
+    for (const auto& e : early)
+        admit(t, e.id, e.request, e.arrived);
+}
+
+/// Refuses or forgets a request that waits for the first table; false if it doesn't.
+bool drop_early(turn& t, exchange_id id, bool refuses)
+{
+    const auto it = std::find_if(t.st.early.begin(), t.st.early.end(),
+                                 [&](const auto& e) { return e.id == id; });
+    if (it == t.st.early.end())
+        return false;
+    if (refuses)
+        refuse_early(t, id, it->request);
+    t.st.early.erase(it);
+    std::erase_if(t.st.due, [&](const auto& d) { return d.second == id; });
+    return true;
 }
 
 void on(turn& t, const caller_left& ev)
 {
+    if (drop_early(t, ev.exchange, false))
+        return;
     const auto it = t.st.exchanges.find(ev.exchange);
     if (it == t.st.exchanges.end())
         return;
@@ -173,7 +219,8 @@
     while (!t.st.due.empty() && t.st.due.begin()->first <= t.ctx.now) {
         const exchange_id id = t.st.due.begin()->second;
         t.st.due.erase(t.st.due.begin());
-        look_at(t, id);
+        if (!drop_early(t, id, true))
+            look_at(t, id);
     }
     review_list(t);
     ask_for_table(t);
@@ -220,8 +267,11 @@
                                     {{"version", std::to_string(table.version)},
                                      {"routes", std::to_string(table.routes.size())},
                                      {"keys", std::to_string(table.keys.size())}}));
+        const bool first = t.st.table.version == 0;
         t.st.table = std::move(table);
         t.out.emplace_back(set_caller_limits{t.st.table.limits});
+        if (first)
+            admit_early(t);
     }
     review_ready(t);
     return finish(std::move(t));
@@ -229,7 +279,8 @@
 
 bool is_drained(const gateway_state& st, instant now)
 {
-    return st.draining && st.exchanges.empty() && now - st.drain_since >= drain_time;
+    return st.draining && st.exchanges.empty() && st.early.empty() &&
+           now - st.drain_since >= drain_time;
 }
 
 gateway_step drain(gateway_state current, const context& ctx)
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -21,6 +21,8 @@
 /// Bounds of the time to come back that a refused caller is told.
 constexpr microseconds shortest_return{50'000};
 constexpr microseconds longest_return{400'000};
+/// Placements that wait to be told; more are not told.
+constexpr std::size_t most_placements = 512;
 /// Engines take priorities 0 to 9; 5 is their own default. Ranks are spread around it.
 constexpr std::uint8_t first_priority = 3;
 constexpr std::uint8_t last_priority = 9;
@@ -54,8 +56,19 @@
     return static_cast<std::uint8_t>(std::min<int>(last_priority, wanted));
 }
 
-void start(turn& t, exchange_id id, exchange& ex, const std::string& instance)
+/// Other gateways shall hear of what the worker reads now.
+void note_placements(turn& t, const std::string& instance, const engine_demand& demand)
 {
+    auto& placed = t.st.source.placed;
+    for (const auto& p : new_placements(t.st.workers, instance, demand)) {
+        if (placed.size() < most_placements)
+            placed.push_back(p);
+    }
+}
+
+void start(turn& t, exchange_id id, exchange& ex, const worker_choice& choice)
+{
+    const std::string& instance = choice.instance;
     const auto* demand = demand_of(ex);
     const auto* engine = engine_of(t, ex);
     t.st.last_attempt += 1;
@@ -74,6 +87,9 @@
     if (engine != nullptr)
         what.priority = engine_priority(ex);
     what.after = ex.last_event;
+    what.fetch_from = choice.fetch_from;
+    if (demand != nullptr)
+        note_placements(t, instance, *demand);
     t.st.workers = with_started(std::move(t.st.workers), instance, demand, engine);
     t.out.emplace_back(std::move(what));
     look_again(t, id, ex);
@@ -158,14 +174,14 @@
     exchange& ex = t.st.exchanges.at(id);
     const worker_request wanted{ex.terms.service, demand_of(ex), engine_of(t, ex), ex.tried,
                                 t.ctx.self.zone};
-    const std::string instance = choose_worker(t.st.workers, wanted, t.ctx.now, t.ctx.random ^ id);
-    if (instance.empty()) {
+    const worker_choice choice = choose_worker(t.st.workers, wanted, t.ctx.now, t.ctx.random ^ id);
+    if (choice.instance.empty()) {
         fail(t, id, ex,
              error{error_code::unavailable, "choose worker", ex.terms.service.str(),
                    ex.tried.empty() ? "no worker" : "no other worker"});
         return;
     }
-    start(t, id, ex, instance);
+    start(t, id, ex, choice);
 }
 
 void repeat_or_fail(turn& t, exchange_id id, const error& why)
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Time between two queries; an accepted table comes unasked, this is for what gets lost.
-constexpr microseconds query_interval{400'000};
+constexpr microseconds query_interval{300'000};
 /// A control process that doesn't answer within this is left for another.
 constexpr microseconds query_timeout{600'000};
 
@@ -37,10 +37,27 @@
 {
     st.source.asked_at = ctx.now;
     st.source.waits = true;
-    st.source.next_ask =
-        ctx.now + (st.table.version == 0 ? first_query_timeout : query_timeout);
-    out.emplace_back(
-        send_message{st.source.contact, fleet_message(table_query{ctx.self, st.table.version})});
+    st.source.next_ask = ctx.now + (st.table.version == 0 ? first_query_timeout : query_timeout);
+    const table_query query{ctx.self, st.table.version, std::exchange(st.source.placed, {}),
+                            own_shares(st.workers)};
+    if (st.table.version != 0) {
+        out.emplace_back(send_message{st.source.contact, fleet_message(query)});
+        return;
+    }
+    // Whoever answers first ends the wait of all callers.
+    for (const auto& n : st.source.controls) {
+        out.emplace_back(connect_peer{n.id, n.address});
+        out.emplace_back(send_message{n.id, fleet_message(query)});
+    }
+}
+
+/// The largest memory of the engines that the table names.
+std::uint64_t memory_of(const routing_table& table)
+{
+    std::uint64_t most = 0;
+    for (const auto& [id, s] : table.services)
+        most = std::max(most, s.engine ? s.engine->memory_tokens : 0);
+    return most;
 }
 
 /// Seeds stay known, so that a gateway can't lose its last way to control.
@@ -80,6 +97,9 @@
     gateway_state st = std::move(current);
     effects out;
     learn_controls(st.source, news.controls);
+    st.workers = with_placements(std::move(st.workers), news.placed, memory_of(st.table));
+    if (news.certain && from == st.source.contact)
+        st.workers = with_shares(std::move(st.workers), ctx.now, news.running);
     if (news.document && news.document->version > st.table.version)
         out.emplace_back(decode_table{*news.document});
     if (from == st.source.contact) {
--- a/src/libcore/worker_table.cpp
+++ b/src/libcore/worker_table.cpp
@@ -15,9 +15,16 @@
 /// Weight of the newest answer in the moving average of errors.
 constexpr double error_weight = 0.1;
 /// What a worker told of its load loses its weight against the mean with this time constant.
-constexpr double load_age_us = 400'000;
-/// Prompt tokens that an engine reads in a millisecond, a cautious figure for cost alone.
-constexpr double prefill_tokens_per_ms = 50;
+constexpr double load_age_us = 800'000;
+/// Cost of a prompt token that no worker has read, in milliseconds: engines read 30 to 120 in one.
+constexpr double read_cost_ms = 0.02;
+/// Cost of a shared token that some worker has read and this one reads again. It delays the other
+/// requests of the engine, too.
+constexpr double read_again_cost_ms = 0.05;
+/// Cost of a shared token that is fetched from another worker.
+constexpr double fetch_cost_ms = 0.008;
+/// Fewer tokens than this are not worth a fetch.
+constexpr std::uint32_t least_fetch = 256;
 /// What one more running request costs a request's first event, in milliseconds.
 constexpr double running_cost_ms = 1.0;
 /// What leaving the zone costs, in milliseconds; the link takes about one, bytes cost beside.
@@ -30,14 +37,19 @@
 constexpr double crowded_factor = 1.5;
 constexpr double crowded_slack = 2;
 constexpr double crowded_cost_ms = 2'000;
-/// The home of a prompt is believed to hold this share of what only others' requests can have
-/// brought there.
-constexpr double home_share = 0.7;
+/// What a prompt that nobody has read costs more away from its home, in milliseconds: gateways
+/// that haven't heard of each other's placements meet there.
+constexpr double away_cost_ms = 25;
 /// Share of an engine's memory that is believed to keep prompts.
 constexpr double memory_share = 0.8;
 /// Random part of the cost, so that equals take turns, in milliseconds.
 constexpr double jitter_ms = 2;
 
+std::uint64_t kept_tokens(std::uint64_t memory_tokens)
+{
+    return static_cast<std::uint64_t>(memory_share * static_cast<double>(memory_tokens));
+}
+
 bool usable(const worker_record& w, const worker_request& wanted)
 {
     return w.listed.service == wanted.service && !w.listed.draining &&
@@ -92,18 +104,50 @@
     return home;
 }
 
-double engine_cost(const worker_record& w, const engine_demand& demand, bool home, double load,
-                   double slots)
+/// What the workers hold of one prompt.
+struct prompt_view {
+    std::uint32_t most_held = 0; ///< by one worker
+    const worker_record* holder = nullptr;
+    const worker_record* home = nullptr;
+    std::uint32_t shared = 0; ///< tokens of all parts but the request's own
+};
+
+prompt_view view_prompt(const worker_table& table, const worker_request& wanted,
+                        const std::vector<const worker_record*>& fit, instant now)
 {
-    const double prompt = demand.prompt_tokens;
-    double held = held_tokens(w.memory, demand.prompt);
-    if (home && demand.prompt.size() > 1) {
-        const double shared = prompt - demand.prompt.back().tokens;
-        held = std::max(held, home_share * std::max(0.0, shared));
+    prompt_view view;
+    const engine_demand& demand = *wanted.demand;
+    view.home = home_of(fit, home_key(demand));
+    for (std::size_t i = 0; i + 1 < demand.prompt.size(); ++i)
+        view.shared += demand.prompt[i].tokens;
+    // A worker that leaves still gives what it holds.
+    for (const auto& [id, w] : table.workers) {
+        if (w.listed.service != wanted.service || w.held_until > now)
+            continue;
+        const std::uint32_t held = held_tokens(w.memory, demand.prompt);
+        if (held > view.most_held) {
+            view.most_held = held;
+            view.holder = &w;
+        }
     }
+    return view;
+}
+
+double engine_cost(const worker_record& w, const worker_request& wanted, const prompt_view& view,
+                   double load)
+{
+    const engine_demand& demand = *wanted.demand;
+    const bool fetches = wanted.engine != nullptr && wanted.engine->fetches;
+    const double slots = wanted.engine == nullptr ? 0 : wanted.engine->slots;
+    const std::uint32_t held = held_tokens(w.memory, demand.prompt);
+    const double elsewhere = view.most_held > held ? view.most_held - held : 0;
+    const double known = std::max(view.most_held, held);
+    const double unread = std::max(0.0, demand.prompt_tokens - known);
     const double fill = slots > 0 ? load / slots : 0;
-    const double prefill = std::max(0.0, prompt - held) / prefill_tokens_per_ms;
-    return prefill * (1 + fill) + load * running_cost_ms;
+    const double read =
+        unread * read_cost_ms + elsewhere * (fetches ? fetch_cost_ms : read_again_cost_ms);
+    const bool away = view.most_held < view.shared && &w != view.home;
+    return read * (1 + fill) + load * running_cost_ms + (away ? away_cost_ms : 0);
 }
 
 double jitter(const std::string& instance, std::uint64_t random)
@@ -176,8 +220,8 @@
     return next;
 }
 
-std::string choose_worker(const worker_table& table, const worker_request& wanted, instant now,
-                          std::uint64_t random)
+worker_choice choose_worker(const worker_table& table, const worker_request& wanted, instant now,
+                            std::uint64_t random)
 {
     std::vector<const worker_record*> fit;
     for (const auto& [id, w] : table.workers) {
@@ -192,16 +236,14 @@
     double mean = 0;
     for (const auto* w : fit)
         mean += (w->own + others_now(*w, now, mean_of_others)) / static_cast<double>(fit.size());
-    const worker_record* home =
-        wanted.demand == nullptr ? nullptr : home_of(fit, home_key(*wanted.demand));
+    const prompt_view view =
+        wanted.demand == nullptr ? prompt_view{} : view_prompt(table, wanted, fit, now);
     const worker_record* best = nullptr;
     double least = 0;
     for (const auto* w : fit) {
         const double load = w->own + others_now(*w, now, mean_of_others);
-        double cost = wanted.demand == nullptr
-                          ? load * plain_running_cost_ms
-                          : engine_cost(*w, *wanted.demand, w == home, load,
-                                        wanted.engine == nullptr ? 0 : wanted.engine->slots);
+        double cost = wanted.demand == nullptr ? load * plain_running_cost_ms
+                                               : engine_cost(*w, wanted, view, load);
         if (load > crowded_factor * mean + crowded_slack)
             cost += crowded_cost_ms;
         if (w->listed.zone != wanted.zone)
@@ -214,7 +256,71 @@
             least = cost;
         }
     }
-    return best == nullptr ? std::string() : best->listed.instance;
+    if (best == nullptr)
+        return {};
+    worker_choice choice{best->listed.instance, ""};
+    const bool fetches = wanted.engine != nullptr && wanted.engine->fetches &&
+                         view.holder != nullptr && view.holder != best;
+    if (fetches && view.most_held >= held_tokens(best->memory, wanted.demand->prompt) + least_fetch)
+        choice.fetch_from = view.holder->listed.address;
+    return choice;
+}
+
+std::vector<prompt_placement> new_placements(const worker_table& table, const std::string& instance,
+                                             const engine_demand& demand)
+{
+    std::vector<prompt_placement> fresh;
+    const auto it = table.workers.find(instance);
+    if (it == table.workers.end())
+        return fresh;
+    const hash64 worker = hash_of(instance);
+    for (std::size_t i = 0; i + 1 < demand.prompt.size(); ++i) {
+        const prompt_part& part = demand.prompt[i];
+        if (!it->second.memory.parts.contains(part.id))
+            fresh.push_back({part.id, worker, part.tokens});
+    }
+    return fresh;
+}
+
+worker_table with_placements(worker_table current, const std::vector<prompt_placement>& placed,
+                             std::uint64_t memory_tokens)
+{
+    if (placed.empty())
+        return current;
+    std::unordered_map<hash64, worker_record*> by_hash;
+    for (auto& [id, w] : current.workers)
+        by_hash.emplace(hash_of(id), &w);
+    for (const auto& p : placed) {
+        const auto it = by_hash.find(p.worker);
+        if (it != by_hash.end())
+            it->second->memory =
+                with_prompt(std::move(it->second->memory), {prompt_part{p.part, p.tokens}},
+                            kept_tokens(memory_tokens));
+    }
+    return current;
+}
+
+std::vector<worker_share> own_shares(const worker_table& table)
+{
+    std::vector<worker_share> all;
+    for (const auto& [id, w] : table.workers) {
+        if (w.own != 0)
+            all.push_back({hash_of(id), w.own});
+    }
+    return all;
+}
+
+worker_table with_shares(worker_table current, instant now,
+                         const std::vector<worker_share>& running)
+{
+    for (auto& [id, w] : current.workers) {
+        const hash64 worker = hash_of(id);
+        const auto it = std::find_if(running.begin(), running.end(),
+                                     [&](const worker_share& s) { return s.worker == worker; });
+        w.others = it == running.end() ? 0 : it->running;
+        w.told_at = now;
+    }
+    return current;
 }
 
 worker_table with_started(worker_table current, const std::string& instance,
--- a/src/libruntime/peer_bus.cpp
+++ b/src/libruntime/peer_bus.cpp
@@ -25,11 +25,6 @@
 constexpr int linger_ms = 1'000;
 constexpr int handshake_ms = 5'000;
 constexpr int reconnect_ms = 100;
-constexpr int reconnect_max_ms = 2'000;
-/// A connection that is silent for so long is probed, so that a half-open one is found. At 600
-/// connections a probe every 30 s costs 20 small packets a second.
-constexpr int heartbeat_ms = 30'000;
-constexpr int heartbeat_timeout_ms = 10'000;
 constexpr int max_messages_per_turn = 256; ///< then other events have their turn
 constexpr microseconds first_wait{1'000'000};
 constexpr microseconds retry_first{2'000};
@@ -75,10 +70,14 @@
         socket.set(zmq::sockopt::linger, linger_ms);
         socket.set(zmq::sockopt::sndhwm, options.send_queue);
         socket.set(zmq::sockopt::handshake_ivl, handshake_ms);
-        socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_ms);
-        socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
+        socket.set(zmq::sockopt::heartbeat_ivl, static_cast<int>(options.heartbeat.count()));
+        socket.set(zmq::sockopt::heartbeat_timeout,
+                   static_cast<int>(options.heartbeat_timeout.count()));
         socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
-        socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
+        socket.set(zmq::sockopt::reconnect_ivl_max,
+                   static_cast<int>(options.reconnect_max.count()));
+        socket.set(zmq::sockopt::connect_timeout,
+                   static_cast<int>(options.connect_timeout.count()));
         socket.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(wire::max_envelope_size));
         if (!options.keys)
             return;
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -10,6 +10,45 @@
 
 namespace {
 
+template <class Message>
+void put_placements(const std::vector<prompt_placement>& from, Message& to)
+{
+    for (const auto& p : from) {
+        auto& b = *to.add_placed();
+        b.set_part(p.part);
+        b.set_worker(p.worker);
+        b.set_tokens(p.tokens);
+    }
+}
+
+template <class Message>
+std::vector<prompt_placement> get_placements(const Message& from)
+{
+    std::vector<prompt_placement> placed;
+    for (const auto& b : from.placed())
+        placed.push_back({b.part(), b.worker(), b.tokens()});
+    return placed;
+}
+
+template <class Message>
+void put_shares(const std::vector<worker_share>& from, Message& to)
+{
+    for (const auto& s : from) {
+        auto& b = *to.add_running();
+        b.set_worker(s.worker);
+        b.set_running(s.running);
+    }
+}
+
+template <class Message>
+std::vector<worker_share> get_shares(const Message& from)
+{
+    std::vector<worker_share> running;
+    for (const auto& b : from.running())
+        running.push_back({b.worker(), b.running()});
+    return running;
+}
+
 void put(const presence_note& from, pb::PresenceNote& to)
 {
     for (const auto& who : from.known) {
@@ -44,7 +83,8 @@
 result<fleet_message> get(const pb::TableQuery& from)
 {
     return wire::get(from.from()).map([&](auto node) {
-        return fleet_message(table_query{std::move(node), from.version()});
+        return fleet_message(
+            table_query{std::move(node), from.version(), get_placements(from), get_shares(from)});
     });
 }
 
@@ -57,6 +97,8 @@
     to.set_version(from.version);
     if (from.document)
         wire::put(*from.document, *to.mutable_document());
+    put_placements(from.placed, to);
+    put_shares(from.running, to);
 }
 
 result<fleet_message> get(const pb::TableNews& from)
@@ -64,8 +106,9 @@
     auto controls = get_nodes(from.controls());
     if (!controls)
         return tl::unexpected(controls.error());
-    table_news news{from.certain(), get_id<node_id>(from.leader()), std::move(*controls),
-                    from.version(), std::nullopt};
+    table_news news{
+        from.certain(), get_id<node_id>(from.leader()), std::move(*controls), from.version(),
+        std::nullopt,   get_placements(from),           get_shares(from)};
     if (from.has_document())
         news.document = wire::get(from.document());
     return news;
@@ -96,6 +139,8 @@
         [&](const table_query& m) {
             put(m.from, *to.mutable_table_query()->mutable_from());
             to.mutable_table_query()->set_version(m.version);
+            put_placements(m.placed, *to.mutable_table_query());
+            put_shares(m.running, *to.mutable_table_query());
         },
         [&](const table_news& m) { put(m, *to.mutable_table_news()); });
 }
