--- /dev/null
+++ b/src/libcore/control_tables_test.cpp
@@ -0,0 +1,169 @@
+// Routing tables at control: one replica that leads, and one that doesn't.
+
+#include <bluebell/core/control.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bluebell::core;
+
+namespace {
+
+routing_document document(std::uint64_t version, const char* text)
+{
+    return {version, bytes::from(text)};
+}
+
+/// A control replica that votes alone; its writes are durable at once.
+class sole_replica {
+public:
+    sole_replica()
+    {
+        self.id = node_id::from_trusted("control-1");
+        self.role = node_role::control;
+        self.life = 1;
+        fleet.controls = {self};
+    }
+    void load()
+    {
+        disk_loaded fresh;
+        fresh.fresh = true;
+        take(reduce(std::move(st), here(), disk_event(fresh)));
+        for (int i = 0; i < 40; ++i)
+            pass(milliseconds(100));
+    }
+    void pass(microseconds time)
+    {
+        now += time;
+        take(reduce(std::move(st), here(), clock_event(tick{})));
+    }
+    void give(const table_event& ev) { take(reduce(std::move(st), here(), ev)); }
+    void hear(const fleet_message& msg)
+    {
+        const auto from = node_id::from_trusted("router-1");
+        take(reduce(std::move(st), here(), peer_event(message_received{from, msg})));
+    }
+    [[nodiscard]] const table_outcome* reply(const std::string& operation) const
+    {
+        const auto it = replies.find(operation);
+        return it == replies.end() ? nullptr : &it->second;
+    }
+    [[nodiscard]] const table_news& news() const
+    {
+        BOOST_REQUIRE(!told.empty());
+        return told.back();
+    }
+
+    control_state st;
+    node_info self;
+    follower_state fleet;
+    instant now{seconds(100)};
+    std::map<std::string, table_outcome> replies;
+    std::vector<table_news> told;
+
+private:
+    [[nodiscard]] context here() const { return {now, 5, self, fleet}; }
+    void take(control_step done)
+    {
+        st = std::move(done.next);
+        std::uint64_t ticket = 0;
+        for (const auto& e : done.out) {
+            if (const auto* r = std::get_if<table_reply>(&e))
+                replies.insert_or_assign(r->operation, r->outcome);
+            if (const auto* vote = std::get_if<disk_vote>(&e))
+                ticket = std::max(ticket, vote->ticket);
+            if (const auto* append = std::get_if<disk_append>(&e))
+                ticket = std::max(ticket, append->ticket);
+            const auto* sent = std::get_if<send_message>(&e);
+            const auto* msg = sent ? std::get_if<fleet_message>(&sent->what) : nullptr;
+            if (const auto* n = msg ? std::get_if<table_news>(msg) : nullptr)
+                told.push_back(*n);
+        }
+        if (ticket != 0)
+            take(reduce(std::move(st), here(), disk_event(disk_synced{ticket})));
+    }
+};
+
+struct leading_replica : sole_replica {
+    leading_replica() { load(); }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(control_tables)
+
+BOOST_FIXTURE_TEST_CASE(an_offered_table_is_accepted_and_read_back, leading_replica)
+{
+    give(table_offered{"a", document(7, "seven")});
+    BOOST_REQUIRE(reply("a") != nullptr);
+    BOOST_TEST(std::holds_alternative<table_accepted>(*reply("a")));
+    give(table_wanted{"b"});
+    BOOST_REQUIRE(reply("b") != nullptr);
+    BOOST_TEST((std::get<table_given>(*reply("b")).document == document(7, "seven")));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_version_that_is_not_higher_is_acknowledged_and_changes_nothing,
+                        leading_replica)
+{
+    give(table_offered{"a", document(7, "seven")});
+    give(table_offered{"b", document(7, "other")});
+    give(table_offered{"c", document(3, "three")});
+    BOOST_TEST(std::holds_alternative<table_accepted>(*reply("b")));
+    BOOST_TEST(std::holds_alternative<table_accepted>(*reply("c")));
+    BOOST_TEST((st.machine.table == document(7, "seven")));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_table_that_nobody_has_set_is_not_made_up, leading_replica)
+{
+    give(table_wanted{"a"});
+    BOOST_TEST(std::holds_alternative<table_unavailable>(*reply("a")));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_replica_that_does_not_lead_says_so, sole_replica)
+{
+    give(table_offered{"a", document(7, "seven")});
+    give(table_wanted{"b"});
+    BOOST_TEST(std::holds_alternative<table_unavailable>(*reply("a")));
+    BOOST_TEST(std::holds_alternative<table_unavailable>(*reply("b")));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_leader_whose_lease_has_ended_answers_nothing, leading_replica)
+{
+    give(table_offered{"a", document(7, "seven")});
+    now += seconds(5);
+    give(table_wanted{"b"});
+    BOOST_TEST(!std::holds_alternative<table_given>(*reply("b")));
+}
+
+BOOST_FIXTURE_TEST_CASE(gateways_are_told_what_they_lack, leading_replica)
+{
+    give(table_offered{"a", document(7, "seven")});
+    hear(table_query{{}, 0, {}, {}});
+    BOOST_TEST(news().certain);
+    BOOST_TEST(news().document.has_value());
+    hear(table_query{{}, 7, {}, {}});
+    BOOST_TEST(!news().document.has_value());
+    give(table_offered{"b", document(9, "nine")});
+    BOOST_REQUIRE(news().document.has_value());
+    BOOST_TEST(news().document->version == 9U);
+}
+
+BOOST_FIXTURE_TEST_CASE(before_a_leader_is_known_only_a_gateway_without_a_table_gets_one,
+                        sole_replica)
+{
+    disk_loaded found;
+    found.life = 1;
+    found.current_term = 1;
+    node_info other = self;
+    other.id = node_id::from_trusted("control-2");
+    const set_replicas replicas{{self, other}, {self, other}};
+    found.entries = {{1, 1, replicas}, {2, 1, set_table{"x", document(4, "four")}}};
+    const context here{now, 5, self, fleet};
+    st = reduce(std::move(st), here, disk_event(found)).next;
+    hear(table_query{{}, 0, {}, {}});
+    BOOST_TEST(!news().certain);
+    BOOST_TEST((news().document == std::optional(document(4, "four"))));
+    hear(table_query{{}, 3, {}, {}});
+    BOOST_TEST(!news().document.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/testsuite/standins/platform.cpp
@@ -0,0 +1,198 @@
+// Stands in for the platform: its list of workers, and the workers themselves. Two engines answer
+// with event streams, two plain services with a short text.
+
+#include <bluebell/runtime/http_server.h>
+
+#include <cxxopts.hpp>
+
+#include <charconv>
+#include <iostream>
+#include <map>
+
+using namespace bluebell;
+using runtime::find_field;
+using runtime::http_session;
+using runtime::message_head;
+
+namespace {
+
+constexpr core::microseconds event_gap{20'000};
+
+/// One worker: its name, its server, and how often each request ran there.
+struct worker {
+    std::string instance;
+    std::string service;
+    std::uint16_t port = 0;
+    bool draining = false;
+    std::shared_ptr<runtime::http_server> server;
+};
+
+/// A stream in progress.
+struct stream {
+    std::shared_ptr<http_session> session;
+    std::uint64_t next = 1;
+    std::uint64_t last = 0;
+    std::uint64_t cut_after = 0; ///< 0: it ends whole
+    std::unique_ptr<runtime::watcher> timer;
+};
+
+class standin {
+public:
+    standin(std::shared_ptr<runtime::event_loop> loop, std::uint16_t port)
+        : loop_(std::move(loop)), port_(port)
+    {
+    }
+
+    bool open()
+    {
+        list_ = listen(
+            port_, [this](const auto& s, const auto& head, std::string) { answer_list(s, head); });
+        const char* services[] = {"engine", "engine", "plain", "plain"};
+        for (std::uint16_t n = 0; n < 4; ++n) {
+            worker w;
+            w.service = services[n];
+            w.instance = w.service + "-" + std::to_string(n);
+            w.port = static_cast<std::uint16_t>(port_ + 1 + n);
+            w.server = listen(w.port, [this, n](const auto& s, const auto& head, std::string) {
+                run(workers_[n], s, head);
+            });
+            if (w.server == nullptr)
+                return false;
+            workers_.push_back(std::move(w));
+        }
+        return list_ != nullptr;
+    }
+
+private:
+    template <class Take>
+    std::shared_ptr<runtime::http_server> listen(std::uint16_t port, Take take)
+    {
+        runtime::http_server::callbacks calls;
+        calls.request = take;
+        calls.gone = [this](const auto& session) {
+            std::erase_if(streams_, [&](const auto& s) { return s->session == session; });
+        };
+        auto made = runtime::http_server::make(loop_, {"127.0.0.1", port, {}}, std::move(calls));
+        return made ? *made : nullptr;
+    }
+
+    /// GET /instances, POST /drain/INSTANCE, GET /runs (each request that ran, and how often).
+    void answer_list(const std::shared_ptr<http_session>& s, const message_head& head)
+    {
+        const std::string drain = "/drain/";
+        if (head.target.starts_with(drain)) {
+            for (auto& w : workers_)
+                w.draining = w.draining || w.instance == head.target.substr(drain.size());
+            s->reply(200, {}, "");
+            return;
+        }
+        std::string text;
+        if (head.target == "/runs") {
+            for (const auto& [id, n] : runs_)
+                text += id + " " + std::to_string(n) + "\n";
+        } else {
+            for (const auto& w : workers_)
+                text += (text.empty() ? "" : ",") + ("{\"id\":\"" + w.instance) +
+                        "\",\"service\":\"" + w.service +
+                        "\",\"address\":\"127.0.0.1:" + std::to_string(w.port) +
+                        "\",\"zone\":\"a\",\"slots\":4,\"state\":\"" +
+                        (w.draining ? "draining" : "ready") + "\",\"cold-remaining-ms\":0}";
+            text = "{\"instances\":[" + text + "],\"next\":null}";
+        }
+        s->reply(200, {}, text);
+    }
+
+    std::vector<core::header_field> fields(const worker& w, const message_head& head)
+    {
+        return {{"Bluebellproxy-Request-Id",
+                 std::string(find_field(head.fields, "Bluebellproxy-Request-Id"))},
+                {"Bluebellproxy-Server-Stamp", "stamp-" + w.instance},
+                {"Bluebellproxy-Server-Load", "1,0,4"}};
+    }
+
+    void run(const worker& w, const std::shared_ptr<http_session>& s, const message_head& head)
+    {
+        auto answer = fields(w, head);
+        if (find_field(head.fields, "Bluebellproxy-Expect-Instance") != w.instance) {
+            answer.push_back({"Bluebellproxy-Not-Executed", "1"});
+            s->reply(421, answer, "");
+            return;
+        }
+        runs_[std::string(find_field(head.fields, "Bluebellproxy-Request-Id"))] += 1;
+        if (w.service == "plain") {
+            const std::string holder(find_field(head.fields, "Bluebellproxy-Tenant-Id"));
+            s->reply(200, answer, head.method + " " + head.target + " for " + holder + "\n");
+            return;
+        }
+        answer.push_back({"Content-Type", "text/event-stream"});
+        begin_stream(s, head, answer);
+    }
+
+    /// The path ends with the count of events; /cut/ in it breaks the first run off after three.
+    void begin_stream(const std::shared_ptr<http_session>& s, const message_head& head,
+                      const std::vector<core::header_field>& answer)
+    {
+        auto made = std::make_unique<stream>();
+        const std::string_view after = find_field(head.fields, "Last-Event-Id");
+        std::uint64_t last = 0;
+        std::from_chars(after.data(), after.data() + after.size(), last);
+        const auto slash = head.target.rfind('/') + 1;
+        std::from_chars(head.target.data() + slash, head.target.data() + head.target.size(),
+                        made->last);
+        made->session = s;
+        made->next = last + 1;
+        if (after.empty() && head.target.find("/cut/") != std::string::npos)
+            made->cut_after = 3;
+        made->timer = runtime::watcher::timer(*loop_, [this, raw = made.get()] { step(raw); });
+        s->begin(200, answer, std::nullopt);
+        made->timer->arm(event_gap);
+        streams_.push_back(std::move(made));
+    }
+
+    void step(stream* st)
+    {
+        const std::string id = std::to_string(st->next);
+        const bool cut = st->cut_after != 0 && st->next > st->cut_after;
+        st->session->send(cut ? "id: " + id + "\nda" : "id: " + id + "\ndata: e" + id + "\n\n");
+        if (!cut && st->next < st->last) {
+            st->next += 1;
+            st->timer->arm(event_gap);
+            return;
+        }
+        const auto session = st->session;
+        loop_->defer([this, st, session, cut] {
+            std::erase_if(streams_, [&](const auto& s) { return s.get() == st; });
+            if (cut)
+                session->abort();
+            else
+                session->end();
+        });
+    }
+
+    std::shared_ptr<runtime::event_loop> loop_;
+    std::uint16_t port_;
+    std::shared_ptr<runtime::http_server> list_;
+    std::vector<worker> workers_;
+    std::vector<std::unique_ptr<stream>> streams_;
+    std::map<std::string, int> runs_; ///< by request id
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("standin_platform", "The platform's list on PORT, workers behind it.");
+    options.add_options()("port", "first of five ports", cxxopts::value<std::uint16_t>())(
+        "seconds", "stops by itself", cxxopts::value<int>()->default_value("60"));
+    const auto args = options.parse(argc, argv);
+    const auto loop = *runtime::event_loop::make();
+    standin all(loop, args["port"].as<std::uint16_t>());
+    if (!all.open()) {
+        std::cerr << "standin_platform: a port is taken\n";
+        return 1;
+    }
+    const auto end = runtime::watcher::timer(*loop, [&] { loop->stop(); });
+    end->arm(core::seconds(args["seconds"].as<int>()));
+    loop->run();
+    return 0;
+}
