--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -62,6 +62,8 @@
     return ex;
 }
 
+/// A caller that a draining process refuses comes back, to another process, after this.
+constexpr microseconds draining_retry{50'000};
 /// A caller that is refused for want of a table comes back after this part of its patience, the
 /// longest that callers honour: it may come back only once.
 constexpr int return_part = 3;
@@ -102,6 +104,11 @@
 
 void on(turn& t, const request_read& ev)
 {
+    // The process may be ended before an answer that begins so late is whole.
+    if (t.st.draining && t.ctx.now - t.st.drain_since >= drain_time) {
+        refuse_at_once(t, ev.exchange, 503, "draining", ev.request, draining_retry);
+        return;
+    }
     if (t.st.table.version != 0) {
         admit(t, ev.exchange, ev.request, t.ctx.now);
         return;
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -101,7 +101,7 @@
     look_again(t, id, ex);
 }
 
-void pass_events(turn& t, exchange_id id, exchange& ex, std::string data)
+void pass_events(turn& t, exchange_id id, exchange& ex, const std::string& data)
 {
     ex.data += data;
     split_events s = split_at_events(std::move(ex.data));
--- a/src/libcore/gateway_test.cpp
+++ b/src/libcore/gateway_test.cpp
@@ -390,6 +390,19 @@
     BOOST_TEST(is_drained(st, now + seconds(4)));
 }
 
+BOOST_FIXTURE_TEST_CASE(long_after_sigterm_nothing_new_is_taken, ready_gateway)
+{
+    give(request_read{1, request("/stream/x")});
+    take(drain(std::move(st), context{now, 1, self, fleet}));
+    pass(seconds(1));
+    give(request_read{2, request("/safe/x", "r2")});
+    BOOST_TEST(find<start_attempt>() != nullptr);
+    now += seconds(3);
+    give(request_read{3, request("/safe/x", "r3")});
+    BOOST_TEST(refused() == 503);
+    BOOST_TEST(find<start_attempt>() == nullptr);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_drained_process_waits_without_spinning, ready_gateway)
 {
     take(drain(std::move(st), context{now, 1, self, fleet}));
--- a/src/libsettings/rules.cpp
+++ b/src/libsettings/rules.cpp
@@ -101,125 +101,113 @@
 
 constexpr auto visible = "1 to 128 visible ASCII characters";
 
-std::vector<rule> node_rules()
-{
-    return {
-        {"node.role", for_all, true, false, custom_value{"router, agent or control", take_role},
-         ""},
-        {"node.id", for_all, true, false,
-         custom_value{visible, [](auto& s, auto& v) { return take_id(s.self.id, v); }}, ""},
-        {"node.region", for_all, true, false,
-         custom_value{visible, [](auto& s, auto& v) { return take_id(s.self.region, v); }}, ""},
-        {"node.availability_zone", for_all, true, false,
-         custom_value{visible, [](auto& s, auto& v) { return take_id(s.self.zone, v); }}, ""},
-        {"node.listen", for_all, true, false, custom_value{"IP:PORT", take_listen}, ""},
-        {"control.replicas", for_all, true, false,
-         custom_value{"1, 3, 5 or 7 words ID=IP:PORT", take_replicas}, ""},
-        {"admin.listen", for_all, false, false, endpoint_value{[](auto& s) -> auto& {return s.admin;
-}
-} // namespace
-, "none"
-} // namespace bluebell::settings
-, {"admin.operator_token_file", for_all, false, true,
-   text_value{[](auto& s) -> auto& {return s.operator_token_file;
-}
-}
-, "none"
-}
-, {"security.key_file", for_all, false, false, text_value{[](auto& s) -> auto& {return s.key_file;
-}
-}
-, "none"
-}
-, {"log.level", for_all, false, true, custom_value{"info, warning or error", take_log_level},
-   "info"},
-    {"log.folder", for_all, false, false, text_value{[](auto& s) -> auto& {return s.log.folder;
-}
-}
-, "standard error"
-}
-,
-}
-;
-}
+// Where the values of the plain kinds go.
 
-std::vector<rule> role_rules()
+endpoint& admin_of(node_settings& s)
 {
-    return {
-        {"http.listen", for_router, true, false, endpoint_value{[](auto& s) -> auto& {return s.http;
-}
-}
-, ""
-}
-, {"http.max_body_bytes", for_router, false, false,
-   number_value{1024, 64 * 1024 * 1024, [](auto& s) -> auto& {return s.limits.max_body;
-}
-}
-, "4194304"
-}
-, {"http.max_header_bytes", for_router, false, false,
-   number_value{1024, 1024 * 1024, [](auto& s) -> auto& {return s.limits.max_headers;
-}
-}
-, "16384"
-}
-, {"http.idle_timeout_s", for_router, false, false,
-   number_value{1, 86'400, [](auto& s) -> auto& {return s.limits.idle_timeout_s;
+    return s.admin;
 }
+std::string& token_file_of(node_settings& s)
+{
+    return s.operator_token_file;
 }
-, "600"
-}
-, {"http.max_connections", for_router, false, false,
-   number_value{1, 1'000'000, [](auto& s) -> auto& {return s.limits.max_connections;
-}
-}
-, "20000"
-}
-, {"engine.address", for_agent, true, false, endpoint_value{[](auto& s) -> auto& {return s.engine;
-}
-}
-, ""
-}
-,
-    {"engine.models",
-     for_agent,
-     false,
-     true,
-     custom_value{"words", [](auto& s, auto& v) { return take_ids(s.offer.models, v); }},
-     ""},
-    {"engine.services",
-     for_agent,
-     false,
-     true,
-     custom_value{"words", [](auto& s, auto& v) { return take_ids(s.offer.services, v); }},
-     ""},
-    {"engine.slots", for_agent, true, true,
-     number_value{1, 4096, [](auto& s) -> auto& {return s.offer.slots;
+std::string& key_file_of(node_settings& s)
+{
+    return s.key_file;
 }
+std::string& log_folder_of(node_settings& s)
+{
+    return s.log.folder;
 }
-, ""
+endpoint& http_of(node_settings& s)
+{
+    return s.http;
 }
-, {"engine.checks_fence", for_agent, false, false,
-   flag_value{[](auto& s) -> auto& {return s.engine_checks_fence;
+std::uint32_t& max_body_of(node_settings& s)
+{
+    return s.limits.max_body;
 }
+std::uint32_t& max_headers_of(node_settings& s)
+{
+    return s.limits.max_headers;
 }
-, "no"
+std::uint32_t& idle_timeout_of(node_settings& s)
+{
+    return s.limits.idle_timeout_s;
 }
-, {"storage.data_folder", for_control, true, false,
-   text_value{[](auto& s) -> auto& {return s.data_folder;
+std::uint32_t& max_connections_of(node_settings& s)
+{
+    return s.limits.max_connections;
 }
+endpoint& engine_of(node_settings& s)
+{
+    return s.engine;
 }
-, ""
+std::uint32_t& slots_of(node_settings& s)
+{
+    return s.offer.slots;
 }
-, {"platform.list_file", for_control, false, false,
-   text_value{[](auto& s) -> auto& {return s.platform_list;
+bool& checks_fence_of(node_settings& s)
+{
+    return s.engine_checks_fence;
 }
+std::string& data_folder_of(node_settings& s)
+{
+    return s.data_folder;
 }
-, "none"
+std::string& platform_list_of(node_settings& s)
+{
+    return s.platform_list;
 }
-,
+
+std::vector<rule> node_rules()
+{
+    const auto take_node_id = [](auto& s, auto& v) { return take_id(s.self.id, v); };
+    const auto take_region = [](auto& s, auto& v) { return take_id(s.self.region, v); };
+    const auto take_zone = [](auto& s, auto& v) { return take_id(s.self.zone, v); };
+    return {
+        {"node.role", for_all, true, false, custom_value{"router, agent or control", take_role},
+         ""},
+        {"node.id", for_all, true, false, custom_value{visible, take_node_id}, ""},
+        {"node.region", for_all, true, false, custom_value{visible, take_region}, ""},
+        {"node.availability_zone", for_all, true, false, custom_value{visible, take_zone}, ""},
+        {"node.listen", for_all, true, false, custom_value{"IP:PORT", take_listen}, ""},
+        {"control.replicas", for_all, true, false,
+         custom_value{"1, 3, 5 or 7 words ID=IP:PORT", take_replicas}, ""},
+        {"admin.listen", for_all, false, false, endpoint_value{admin_of}, "none"},
+        {"admin.operator_token_file", for_all, false, true, text_value{token_file_of}, "none"},
+        {"security.key_file", for_all, false, false, text_value{key_file_of}, "none"},
+        {"log.level", for_all, false, true, custom_value{"info, warning or error", take_log_level},
+         "info"},
+        {"log.folder", for_all, false, false, text_value{log_folder_of}, "standard error"},
+    };
 }
-;
+
+std::vector<rule> role_rules()
+{
+    constexpr std::uint32_t most_bytes = 64 * 1024 * 1024;
+    constexpr std::uint32_t most_header_bytes = 1024 * 1024;
+    constexpr std::uint32_t most_idle_s = 86'400;
+    const auto take_models = [](auto& s, auto& v) { return take_ids(s.offer.models, v); };
+    const auto take_services = [](auto& s, auto& v) { return take_ids(s.offer.services, v); };
+    return {
+        {"http.listen", for_router, true, false, endpoint_value{http_of}, ""},
+        {"http.max_body_bytes", for_router, false, false,
+         number_value{1024, most_bytes, max_body_of}, "4194304"},
+        {"http.max_header_bytes", for_router, false, false,
+         number_value{1024, most_header_bytes, max_headers_of}, "16384"},
+        {"http.idle_timeout_s", for_router, false, false,
+         number_value{1, most_idle_s, idle_timeout_of}, "600"},
+        {"http.max_connections", for_router, false, false,
+         number_value{1, 1'000'000, max_connections_of}, "20000"},
+        {"engine.address", for_agent, true, false, endpoint_value{engine_of}, ""},
+        {"engine.models", for_agent, false, true, custom_value{"words", take_models}, ""},
+        {"engine.services", for_agent, false, true, custom_value{"words", take_services}, ""},
+        {"engine.slots", for_agent, true, true, number_value{1, 4096, slots_of}, ""},
+        {"engine.checks_fence", for_agent, false, false, flag_value{checks_fence_of}, "no"},
+        {"storage.data_folder", for_control, true, false, text_value{data_folder_of}, ""},
+        {"platform.list_file", for_control, false, false, text_value{platform_list_of}, "none"},
+    };
 }
 
 } // namespace
