--- a/src/include/bluebell/runtime/list_reader.h
+++ b/src/include/bluebell/runtime/list_reader.h
@@ -43,7 +43,7 @@
     std::shared_ptr<byte_stream> stream_; ///< null: not connected
     message_reader reader_;
     std::string body_;
-    std::vector<core::worker_entry> workers_; ///< of the pages read so far
+    std::vector<core::worker_entry> workers_; ///< read so far
     bool reading_ = false;
 };
 
--- /dev/null
+++ b/src/libcore/gateway_test.h
@@ -0,0 +1,162 @@
+/// \file
+/// A gateway with a clock before a few workers, for its tests.
+#pragma once
+
+#include <bluebell/core/gateway.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <utility>
+
+namespace bluebell::core::test {
+
+inline constexpr int worker_count = 3;
+
+inline std::string worker_name(int n)
+{
+    return "w" + std::to_string(n);
+}
+
+inline worker_entry worker(int n, const char* service, bool draining = false)
+{
+    worker_entry w;
+    w.instance = worker_name(n) + service;
+    w.service = service_id::from_trusted(service);
+    w.address = "10.0.0." + std::to_string(n) + ":80";
+    w.zone = zone_id::from_trusted(n % 2 == 0 ? "a" : "b");
+    w.draining = draining;
+    return w;
+}
+
+inline route make_route(const char* prefix, const char* service, bool idempotent, bool streamed,
+                        bool resumable, std::uint32_t workers)
+{
+    route r;
+    r.host = "h";
+    r.path_prefix = prefix;
+    r.idempotent = idempotent;
+    r.streamed = streamed;
+    r.resumable = resumable;
+    r.max_workers = workers;
+    r.time_limit = milliseconds(5'000);
+    r.target = milliseconds(100);
+    r.services = {{service_id::from_trusted(service), 1}};
+    return r;
+}
+
+inline routing_table table(std::uint64_t version = 1)
+{
+    routing_table t;
+    t.version = version;
+    for (const auto& r : {make_route("/safe/", "plain", true, false, false, 2),
+                          make_route("/unsafe/", "plain", false, false, false, 3),
+                          make_route("/stream/", "engine", false, true, true, 3),
+                          make_route("/once/", "engine", false, true, false, 3)})
+        t.routes.emplace(std::pair{r.host, r.path_prefix}, r);
+    t.services[service_id::from_trusted("plain")] = {};
+    t.services[service_id::from_trusted("engine")].engine = engine_terms{8, 100'000, true};
+    t.keys["k1"] = {workspace_id::from_trusted("lenas"), std::nullopt};
+    return t;
+}
+
+inline pass_request request(const std::string& target, const std::string& id = "r1")
+{
+    pass_request r;
+    r.method = "POST";
+    r.target = target;
+    r.host = "h";
+    r.id = request_id::from_trusted(id);
+    r.credential = "k1";
+    r.patience = milliseconds(3'000);
+    return r;
+}
+
+inline worker_answer answer(std::uint16_t status, const std::string& id = "r1")
+{
+    worker_answer a;
+    a.status = status;
+    a.id = request_id::from_trusted(id);
+    a.stamped = true;
+    return a;
+}
+
+/// A gateway with a clock, and what it did last.
+class bench_gateway {
+public:
+    bench_gateway()
+    {
+        self.id = node_id::from_trusted("router-1");
+        self.zone = zone_id::from_trusted("a");
+        st.enabled = true;
+        st.retries = {200, 0, 10'000};
+        st.next_list = instant::max();
+        st.source.next_ask = instant::max();
+        for (auto& [service, budget] : st.budgets)
+            budget.permille = 10'000;
+    }
+
+    void learn(std::uint64_t version = 1)
+    {
+        workers_listed list;
+        for (int n = 0; n < worker_count; ++n) {
+            list.workers.push_back(worker(n, "plain"));
+            list.workers.push_back(worker(n, "engine"));
+        }
+        give(exchange_event(list));
+        take(take_table(std::move(st), context{now, 1, self, fleet}, table(version)));
+    }
+    void give(const exchange_event& ev)
+    {
+        random += 1;
+        take(reduce(std::move(st), context{now, random, self, fleet}, ev));
+    }
+    void pass(microseconds time)
+    {
+        now += time;
+        take(reduce(std::move(st), context{now, 1, self, fleet}, clock_event(tick{})));
+    }
+    void take(gateway_step done)
+    {
+        st = std::move(done.next);
+        out = std::move(done.out);
+    }
+    template <class Effect>
+    [[nodiscard]] const Effect* find() const
+    {
+        for (const auto& e : out) {
+            if (const auto* found = std::get_if<Effect>(&e))
+                return found;
+        }
+        return nullptr;
+    }
+    [[nodiscard]] const start_attempt& started() const
+    {
+        const auto* a = find<start_attempt>();
+        BOOST_REQUIRE(a != nullptr);
+        return *a;
+    }
+    [[nodiscard]] std::uint16_t refused() const
+    {
+        const auto* r = find<pass_refusal>();
+        return r == nullptr ? std::uint16_t{0} : r->status;
+    }
+
+    gateway_state st;
+    effects out;
+    instant now{seconds(100)};
+    node_info self;
+    follower_state fleet;
+    std::uint64_t random = 7;
+};
+
+struct ready_gateway : bench_gateway {
+    ready_gateway()
+    {
+        learn();
+        for (const char* service : {"plain", "engine"})
+            st.budgets[service_id::from_trusted(service)].permille = 10'000;
+    }
+};
+
+} // namespace bluebell::core::test
