Bound what a caller may send while it is answered

Cause: bytes behind a request were kept in memory until its answer had ended, without a bound; found by reading, shown by what_comes_during_an_answer_is_bounded, which failed before. More than one request's worth closes the connection.

--- a/src/libruntime/http_server.cpp
+++ b/src/libruntime/http_server.cpp
@@ -92,8 +92,18 @@
 std::size_t http_session::on_data(std::string_view data)
 {
     const auto server = server_.lock();
-    if (phase_ != phase::reading || server == nullptr)
+    if (server == nullptr)
+        return data.size();
+    if (phase_ != phase::reading) {
+        // The next request waits for the answer to this one; more than one is not held.
+        const auto& limits = server->options_.limits;
+        if (data.size() > std::size_t{limits.max_header_bytes} + limits.max_body_bytes) {
+            LOG(WARNING) << "http: Too much sent during an answer. bytes=" << data.size();
+            stream_->close();
+            on_closed();
+        }
         return 0;
+    }
     if (!head_begun_ && !data.empty()) {
         head_begun_ = true;
         since_ = server->loop_->now();
