--- a/src/include/bluebell/runtime/list_reader.h
+++ b/src/include/bluebell/runtime/list_reader.h
@@ -32,7 +32,7 @@
     void ask(const std::string& page);
     void open();
     std::size_t on_data(std::string_view data);
-    void take_page(std::string body);
+    void take_page(const std::string& body);
     void fail(core::error why);
 
     std::shared_ptr<event_loop> loop_;
--- a/src/libruntime/list_reader.cpp
+++ b/src/libruntime/list_reader.cpp
@@ -101,7 +101,7 @@
     return *used;
 }
 
-void list_reader::take_page(std::string body)
+void list_reader::take_page(const std::string& body)
 {
     auto page = codec_.read_list(body);
     if (!page) {
--- a/src/libruntime/pass_server.cpp
+++ b/src/libruntime/pass_server.cpp
@@ -52,7 +52,8 @@
         return {};
     http_server::callbacks calls;
     calls.request = [this, path = options.ready_path](const std::shared_ptr<http_session>& session,
-                                                      const message_head& head, std::string) {
+                                                      const message_head& head,
+                                                      const std::string&) {
         const bool known = head.method == "GET" && head.target == path;
         const std::uint16_t status = known ? (ready_ ? 200 : 503) : 404;
         session->reply(status, {{"Content-Type", "text/plain"}},
--- a/testsuite/standins/platform.cpp
+++ b/testsuite/standins/platform.cpp
@@ -45,17 +45,17 @@
 
     bool open()
     {
-        list_ = listen(
-            port_, [this](const auto& s, const auto& head, std::string) { answer_list(s, head); });
+        list_ = listen(port_, [this](const auto& s, const auto& head, const std::string&) {
+            answer_list(s, head);
+        });
         const char* services[] = {"engine", "engine", "plain", "plain"};
         for (std::uint16_t n = 0; n < 4; ++n) {
             worker w;
             w.service = services[n];
             w.instance = w.service + "-" + std::to_string(n);
             w.port = static_cast<std::uint16_t>(port_ + 1 + n);
-            w.server = listen(w.port, [this, n](const auto& s, const auto& head, std::string) {
-                run(workers_[n], s, head);
-            });
+            w.server = listen(w.port, [this, n](const auto& s, const auto& head,
+                                                const std::string&) { run(workers_[n], s, head); });
             if (w.server == nullptr)
                 return false;
             workers_.push_back(std::move(w));
