Read a failed disk again, and sync what a killed process left

The replica now asks for its folder to be read again once a second (disk_reopen). The store writes everything that it reads once more before it is used, since pages of a failed write may stand in the cache only. Replication forgets what it knew, as by a restart.

A process killed between write and sync leaves bytes that the next process sees; it took them for durable and began the next segment behind them, then the power failed and took them. A vote renamed and not synced could be lost the same way. The store now syncs the newest segment and the folder's names before it is used.

A third gap found on the way: older segments were removed with one sync at the end, so a loss of power could keep a newer one without an older one. Each removal is now durable before the next.

Tests: store: a failed folder is opened again, what a killed process left is synced (the series of writes is longer, as removals without work no longer sync); replication: after a failed write the folder is read again; the virtual fleet no longer restarts replicas whose disk failed.

--- a/src/include/bluebell/core/effect.h
+++ b/src/include/bluebell/core/effect.h
@@ -5,6 +5,7 @@
 #include <bluebell/core/event.h>
 
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -101,6 +102,11 @@
     term at_term = 0;
     friend bool operator==(const disk_snapshot&, const disk_snapshot&) = default;
 };
+/// Reads the data folder again after a failed write and makes durable what it holds.
+/// disk_loaded or disk_failed answers.
+struct disk_reopen {
+    friend bool operator==(const disk_reopen&, const disk_reopen&) = default;
+};
 /// Reads a part of the saved snapshot; snapshot_part_read answers.
 struct snapshot_read {
     node_id to;
@@ -175,6 +181,7 @@
     friend bool operator==(const wake_at&, const wake_at&) = default;
 };
 enum class log_level : std::uint8_t { info, warning, error };
+[[nodiscard]] std::string_view to_string(log_level level);
 /// One named value of a log line.
 struct log_field {
     std::string name;
@@ -211,10 +218,10 @@
 using effect =
     std::variant<send_message, connect_peer, disconnect_peer, reply_head, reply_chunk, reply_end,
                  reply_error, engine_run, engine_cancel, engine_pause, engine_order_run, disk_vote,
-                 disk_append, disk_snapshot, snapshot_read, snapshot_store, operator_reply, wake_at,
-                 log_line, observe, set_ready, drained, start_attempt, cancel_attempt, pass_head,
-                 pass_data, pass_end, pass_abort, pass_refusal, pass_close, list_workers,
-                 set_caller_limits, decode_table, table_reply>;
+                 disk_append, disk_snapshot, disk_reopen, snapshot_read, snapshot_store,
+                 operator_reply, wake_at, log_line, observe, set_ready, drained, start_attempt,
+                 cancel_attempt, pass_head, pass_data, pass_end, pass_abort, pass_refusal,
+                 pass_close, list_workers, set_caller_limits, decode_table, table_reply>;
 using effects = std::vector<effect>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/event.h
+++ b/src/include/bluebell/core/event.h
@@ -118,7 +118,7 @@
     error why;
     friend bool operator==(const disk_failed&, const disk_failed&) = default;
 };
-/// What was found at the start.
+/// What was found at the start, or when the folder was read again after a failure.
 struct disk_loaded {
     bool fresh =
         false; ///< the data folder was empty: this replica must not vote before it caught up
--- a/src/include/bluebell/core/replication.h
+++ b/src/include/bluebell/core/replication.h
@@ -182,7 +182,7 @@
 enum class replica_health : std::uint8_t {
     loading, ///< the disk has not been read
     good,
-    failed, ///< a write or sync failed: takes no part until it is started anew
+    failed, ///< a write or sync failed: takes no part until the folder is read anew
 };
 
 /// A snapshot that is durable here.
@@ -212,6 +212,7 @@
     instant heard_at{};      ///< last sign of a leader, or the start
     instant election_at{};   ///< a vote is wanted then
     bool installing = false; ///< a received snapshot is being put in place
+    instant reopen_at{};     ///< while failed: the folder is read again then
     std::uint64_t last_ticket = 0;
     std::uint64_t synced_ticket = 0;
     std::uint64_t vote_ticket = 0; ///< newest write of term and vote
--- a/src/include/bluebell/runtime/disk.h
+++ b/src/include/bluebell/runtime/disk.h
@@ -35,6 +35,8 @@
     void run(const core::disk_append& e);
     /// The machine is the node's as of this effect's step; it is encoded here, on the loop.
     void run(const core::disk_snapshot& e, const core::machine_state& machine);
+    /// Reads the folder anew; disk_loaded or disk_failed answers.
+    void run(const core::disk_reopen& e);
     void run(const core::snapshot_read& e);
     void run(const core::snapshot_store& e);
 
--- a/src/include/bluebell/store/file_system.h
+++ b/src/include/bluebell/store/file_system.h
@@ -7,6 +7,7 @@
 #include <bluebell/core/error.h>
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,6 +38,8 @@
     [[nodiscard]] core::result<void> append_unsynced(const std::string& name,
                                                      std::string_view data);
     [[nodiscard]] core::result<void> truncate(const std::string& name, std::uint64_t size);
+    /// Syncs the contents of the file.
+    [[nodiscard]] core::result<void> sync(const std::string& name);
     [[nodiscard]] core::result<void> rename(const std::string& from, const std::string& to);
     [[nodiscard]] core::result<void> remove(const std::string& name);
     [[nodiscard]] core::result<void> sync_names();
@@ -57,11 +60,16 @@
 /// What a memory folder does wrong, counted over all operations that change it.
 enum class disk_fault : std::uint8_t { none, crash, torn_write, disk_full, failed_sync };
 
-/// A folder in memory: every change counts one step; at the chosen step the fault happens.
+/// A folder in memory: every change counts one step; at the chosen step the fault happens, and
+/// that many changes fail in all.
 class memory_folder {
 public:
     memory_folder() = default;
-    memory_folder(disk_fault fault, std::uint64_t at_step) : fault_(fault), at_step_(at_step) {}
+    memory_folder(disk_fault fault, std::uint64_t at_step,
+                  std::uint64_t failures = std::numeric_limits<std::uint64_t>::max())
+        : fault_(fault), at_step_(at_step), failures_left_(failures)
+    {
+    }
 
     [[nodiscard]] core::result<std::vector<std::string>> list() const;
     [[nodiscard]] core::result<std::string> read(const std::string& name) const;
@@ -69,12 +77,17 @@
     [[nodiscard]] core::result<void> append_unsynced(const std::string& name,
                                                      std::string_view data);
     [[nodiscard]] core::result<void> truncate(const std::string& name, std::uint64_t size);
+    /// Syncs the contents of the file.
+    [[nodiscard]] core::result<void> sync(const std::string& name);
     [[nodiscard]] core::result<void> rename(const std::string& from, const std::string& to);
     [[nodiscard]] core::result<void> remove(const std::string& name);
     [[nodiscard]] core::result<void> sync_names();
 
     /// Returns the folder as a crash now would leave it: synced contents under synced names.
     [[nodiscard]] memory_folder after_crash() const;
+    /// Returns the folder as the next process finds it when this one was killed: all that was
+    /// written is seen, synced or not.
+    [[nodiscard]] memory_folder after_kill() const;
     /// Returns the folder with one bit of a file flipped.
     [[nodiscard]] memory_folder with_flipped_bit(const std::string& name, std::size_t bit) const;
     [[nodiscard]] std::uint64_t steps() const { return steps_; }
@@ -92,6 +105,7 @@
     std::vector<file> files_;
     disk_fault fault_ = disk_fault::none;
     std::uint64_t at_step_ = 0;
+    std::uint64_t failures_left_ = 0; ///< once it has failed
     std::uint64_t steps_ = 0;
     bool failed_ = false; ///< the fault has happened: nothing works any more
 };
--- a/src/include/bluebell/store/log_store.h
+++ b/src/include/bluebell/store/log_store.h
@@ -49,7 +49,7 @@
     friend bool operator==(const contents&, const contents&) = default;
 };
 
-/// Owns the folder. After a failed write or sync every further write is refused.
+/// Owns the folder. After a failed write or sync every further write is refused until reopen().
 class log_store {
 public:
     /// Reads the folder and drops a torn tail. Fails with corrupt at step `read log`,
@@ -59,6 +59,10 @@
 
     [[nodiscard]] const contents& found() const { return found_; }
 
+    /// Reads the folder anew after a failed write, and writes everything in it once more: what is
+    /// read may stand in the page cache only. Fails as make() and the writes do.
+    [[nodiscard]] core::result<void> reopen();
+
     [[nodiscard]] core::result<void> write_vote(const vote_record& vote);
     [[nodiscard]] core::result<void> append(const std::vector<record>& records);
     /// Saves a snapshot and removes log files that it covers.
@@ -77,6 +81,8 @@
     };
     explicit log_store(folder files) : files_(std::move(files)) {}
     [[nodiscard]] core::result<void> load();
+    [[nodiscard]] core::result<void> sync_found();
+    [[nodiscard]] core::result<void> rewrite();
     [[nodiscard]] core::result<void> load_segment(const std::string& name, bool newest);
     [[nodiscard]] core::result<void> put_file(const std::string& name, const std::string& data);
     [[nodiscard]] core::result<void> put_snapshot(const snapshot_record& snapshot);
--- a/src/libcore/replication.cpp
+++ b/src/libcore/replication.cpp
@@ -27,6 +27,10 @@
 
 namespace {
 
+/// Time from a failed write to the next reading of the folder. Full and failing disks of the
+/// platform come back within seconds; a reading costs one sync for each file.
+constexpr microseconds reopen_interval{1'000'000};
+
 turn begin(replication_state&& st, const context& ctx)
 {
     return turn{std::move(st), ctx, {}, {}, std::nullopt};
@@ -77,9 +81,23 @@
     t.st.health = replica_health::failed;
     t.st.role = follower_part{};
     t.st.held.clear();
-    say(t, log_level::error, "A write failed: this replica takes no part until it is restarted.",
+    t.st.reopen_at = t.ctx.now + reopen_interval;
+    say(t, log_level::error, "A write failed: this replica takes no part for now.",
         {{"why", to_string(ev.why)}});
     t.out.emplace_back(set_ready{false});
+    t.out.emplace_back(wake_at{t.st.reopen_at});
+}
+
+/// Everything but the identity of the process is forgotten, as by a restart.
+void forget_all(turn& t)
+{
+    replication_state blank;
+    blank.founders = std::move(t.st.founders);
+    blank.limits = t.st.limits;
+    blank.guards = t.st.guards;
+    blank.last_ticket = t.st.last_ticket;
+    blank.synced_ticket = t.st.last_ticket;
+    t.st = std::move(blank);
 }
 
 /// Notes the replicas that the loaded entries set.
@@ -109,6 +127,11 @@
 
 void on(turn& t, const disk_loaded& ev)
 {
+    const bool again = t.st.health == replica_health::failed;
+    if (again) {
+        forget_all(t);
+        t.out.emplace_back(set_ready{true});
+    }
     t.st.health = replica_health::good;
     load_identity(t, ev);
     t.st.log = {ev.snapshot_index, ev.snapshot_term, {ev.entries.begin(), ev.entries.end()}};
@@ -116,8 +139,8 @@
     t.st.durable = t.st.log.last();
     t.st.snapshot = {ev.snapshot_index, ev.snapshot_term};
     load_replicas(t, ev);
-    if (ev.snapshot_index > 0)
-        t.install = ev.snapshot;
+    if (ev.snapshot_index > 0 || again)
+        t.install = ev.snapshot; // without a snapshot: the machine as it was before any entry
     become_follower(t, t.st.current_term, node_id());
     say(t, log_level::info, "Loaded the log.",
         {{"fresh", ev.fresh ? "yes" : "no"},
@@ -147,6 +170,19 @@
         on_election_due(t);
 }
 
+void on_tick_failed(turn& t)
+{
+    const bool asked = t.st.reopen_at == instant::max();
+    if (asked)
+        return;
+    if (t.ctx.now < t.st.reopen_at) {
+        t.out.emplace_back(wake_at{t.st.reopen_at});
+        return;
+    }
+    t.st.reopen_at = instant::max();
+    t.out.emplace_back(disk_reopen{});
+}
+
 void take(turn& t, const disk_event& ev)
 {
     std::visit([&](const auto& e) { on(t, e); }, ev);
@@ -188,7 +224,9 @@
 replication_step reduce(replication_state current, const context& ctx, const disk_event& ev)
 {
     turn t = begin(std::move(current), ctx);
-    if (t.st.health != replica_health::failed)
+    const bool helps =
+        std::holds_alternative<disk_loaded>(ev) || std::holds_alternative<disk_failed>(ev);
+    if (t.st.health != replica_health::failed || helps)
         take(t, ev);
     return finish(std::move(t));
 }
@@ -198,6 +236,8 @@
     turn t = begin(std::move(current), ctx);
     if (t.st.health == replica_health::good)
         on_tick(t);
+    if (t.st.health == replica_health::failed)
+        on_tick_failed(t);
     return finish(std::move(t));
 }
 
--- a/src/libcore/replication_fleet_test.h
+++ b/src/libcore/replication_fleet_test.h
@@ -49,6 +49,7 @@
     std::uint64_t snapshots_installed = 0;
     std::uint64_t crashes = 0;
     std::uint64_t lost_disks = 0;
+    std::uint64_t reopened_disks = 0;
     std::uint64_t member_changes = 0; ///< committed entries that set replicas
     std::uint64_t reads_checked = 0;
 
@@ -146,6 +147,8 @@
     void make_durable(std::size_t n, const effect& e);
     void store_part(std::size_t n, const snapshot_store& e);
     void read_part(std::size_t n, const snapshot_read& e);
+    [[nodiscard]] disk_loaded found_on(const virtual_disk& disk) const;
+    void reopen(std::size_t n);
     void disturb();
     void propose_somewhere();
     void change_somewhere();
--- a/src/libcore/replication_test.cpp
+++ b/src/libcore/replication_test.cpp
@@ -167,6 +167,41 @@
     BOOST_TEST(fleet.committed() == before);
 }
 
+BOOST_AUTO_TEST_CASE(after_a_failed_write_the_folder_is_read_again)
+{
+    const node_info self = {node_id::from_trusted("r0"), node_role::control, {}, {}, {}, 1};
+    const follower_state settings;
+    const auto at = [&](int s) { return context{instant(seconds(s)), 1, self, settings}; };
+    disk_loaded found;
+    found.fresh = false;
+    found.life = 7;
+    found.current_term = 4;
+    found.entries = {{1, 3, no_operation{}}, {2, 4, no_operation{}}};
+    auto done = reduce(replication_state{}, at(1), disk_event(found));
+    const error full{error_code::io_failure, "write file", "log.1", "no space"};
+    done = reduce(std::move(done.next), at(2), disk_event(disk_failed{1, full}));
+    BOOST_TEST((done.next.health == replica_health::failed));
+    const auto asks = [](const effects& out) {
+        return std::any_of(out.begin(), out.end(),
+                           [](const effect& e) { return std::holds_alternative<disk_reopen>(e); });
+    };
+    done = reduce(std::move(done.next), at(4), clock_event(tick{}));
+    BOOST_TEST(asks(done.out));
+    done = reduce(std::move(done.next), at(4), clock_event(tick{}));
+    BOOST_TEST(!asks(done.out)); // one reading at a time
+    done = reduce(std::move(done.next), at(5), disk_event(disk_failed{0, full}));
+    done = reduce(std::move(done.next), at(7), clock_event(tick{}));
+    BOOST_TEST(asks(done.out));
+    found.entries.pop_back(); // the second write had not reached the disk
+    done = reduce(std::move(done.next), at(7), disk_event(found));
+    BOOST_TEST((done.next.health == replica_health::good));
+    BOOST_TEST(done.next.log.last() == 1);
+    BOOST_TEST(done.next.commit == 0);
+    BOOST_TEST(done.next.life == 7);
+    BOOST_REQUIRE(done.install.has_value());
+    BOOST_TEST((*done.install == machine_state{}));
+}
+
 BOOST_AUTO_TEST_CASE(a_failed_sync_ends_the_replica_s_part)
 {
     replica_fleet fleet(6, calm_plan(1), {});
--- a/src/libruntime/disk.cpp
+++ b/src/libruntime/disk.cpp
@@ -38,7 +38,8 @@
     std::uint64_t ticket = 0;
     store::snapshot_record snapshot;
 };
-using job = std::variant<vote_job, append_job, snapshot_job, snapshot_read, snapshot_store>;
+using job =
+    std::variant<vote_job, append_job, snapshot_job, disk_reopen, snapshot_read, snapshot_store>;
 
 store::record to_record(const log_entry& e)
 {
@@ -177,6 +178,16 @@
     void carry_out(const append_job& j) { report(j.ticket, files.append(j.records)); }
     void carry_out(const snapshot_job& j) { report(j.ticket, files.save_snapshot(j.snapshot)); }
 
+    void carry_out(const disk_reopen&)
+    {
+        received.clear();
+        auto found = files.reopen().and_then([this] { return to_loaded(files.found()); });
+        if (found)
+            report(std::move(*found));
+        else
+            report(disk_failed{0, found.error()});
+    }
+
     void carry_out(const snapshot_read& j)
     {
         const auto whole = files.read_snapshot(j.index);
@@ -275,6 +286,11 @@
     impl_->push(snapshot_job{e.ticket, {e.index, e.at_term, wire::encode(machine)}});
 }
 
+void disk::run(const disk_reopen& e)
+{
+    impl_->push(e);
+}
+
 void disk::run(const snapshot_read& e)
 {
     impl_->push(e);
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -43,6 +43,7 @@
     {
         node.ports_.disk->run(e, std::get<control_state>(node.state_.role).machine);
     }
+    void operator()(const disk_reopen& e) const { node.ports_.disk->run(e); }
     void operator()(const snapshot_read& e) const { node.ports_.disk->run(e); }
     void operator()(const snapshot_store& e) const { node.ports_.disk->run(e); }
     void operator()(const operator_reply& e) const
--- a/src/libstore/log_store.cpp
+++ b/src/libstore/log_store.cpp
@@ -57,7 +57,7 @@
 result<log_store> log_store::make(folder files)
 {
     log_store made(std::move(files));
-    if (auto done = made.load(); !done)
+    if (auto done = made.load().and_then([&] { return made.sync_found(); }); !done)
         return tl::unexpected(done.error());
     return made;
 }
@@ -97,6 +97,49 @@
     return {};
 }
 
+/// A process that was killed leaves writes that this one sees though they were never synced; a
+/// loss of power would still take them. Older segments were synced when they were the newest.
+result<void> log_store::sync_found()
+{
+    if (found_.fresh)
+        return {};
+    if (!segments_.empty()) {
+        const auto& newest = segments_.back().name;
+        if (auto done = with(files_, [&](auto& f) { return f.sync(newest); }); !done)
+            return done;
+    }
+    return with(files_, [](auto& f) { return f.sync_names(); });
+}
+
+result<void> log_store::reopen()
+{
+    found_ = {};
+    segments_.clear();
+    begin_segment_ = true;
+    next_segment_ = 1;
+    broken_.reset();
+    auto done = load();
+    return guarded(done ? rewrite() : std::move(done));
+}
+
+result<void> log_store::rewrite()
+{
+    if (found_.fresh)
+        return {};
+    const auto& vote = found_.vote;
+    if (auto done = put_file(vote_file, encode({vote.life, vote.term, vote.voted_for})); !done)
+        return done;
+    if (found_.snapshot) {
+        if (auto done = put_snapshot(*found_.snapshot); !done)
+            return done;
+    }
+    if (found_.records.empty())
+        return remove_segments(0);
+    if (auto done = append(found_.records); !done)
+        return done;
+    return remove_segments(1);
+}
+
 result<void> log_store::load_segment(const std::string& name, bool newest)
 {
     auto data = std::visit([&](const auto& f) { return f.read(name); }, files_);
@@ -194,16 +237,20 @@
     return put_file(snapshot_file, encode({snapshot.index, snapshot.term, snapshot.payload}));
 }
 
-/// Removes the newest first, so that a crash between leaves no gap.
+/// Removes the newest first, each durably before the next, so that a crash between leaves no gap.
 result<void> log_store::remove_segments(std::size_t keep_last)
 {
     while (segments_.size() > keep_last) {
         const auto name = segments_[segments_.size() - 1 - keep_last].name;
-        if (auto done = with(files_, [&](auto& f) { return f.remove(name); }); !done)
+        auto done = with(files_, [&](auto& f) -> result<void> {
+            auto removed = f.remove(name);
+            return removed ? f.sync_names() : removed;
+        });
+        if (!done)
             return done;
         segments_.erase(segments_.end() - 1 - static_cast<std::ptrdiff_t>(keep_last));
     }
-    return with(files_, [](auto& f) { return f.sync_names(); });
+    return {};
 }
 
 result<void> log_store::save_snapshot(const snapshot_record& snapshot)
--- a/src/libstore/memory_folder.cpp
+++ b/src/libstore/memory_folder.cpp
@@ -10,12 +10,16 @@
 
 result<void> memory_folder::begin(std::string_view step)
 {
-    if (failed_)
+    if (failed_ && failures_left_ > 0) {
+        failures_left_ -= 1;
         return fail(error_code::io_failure, step, "", "the disk has failed");
+    }
+    failed_ = false;
     steps_ += 1;
     if (fault_ == disk_fault::none || steps_ != at_step_)
         return {};
     failed_ = true;
+    failures_left_ -= 1;
     return fail(error_code::io_failure, step, "", "injected");
 }
 
@@ -61,19 +65,24 @@
 {
     if (auto done = append_unsynced(name, data); !done)
         return done;
-    if (auto done = begin("sync file"); !done)
+    return sync(name);
+}
+
+result<void> memory_folder::truncate(const std::string& name, std::uint64_t size)
+{
+    if (auto done = begin("truncate file"); !done)
         return done;
     auto& f = files_[names_.at(name)];
+    f.data.resize(size);
     f.synced = f.data;
     return {};
 }
 
-result<void> memory_folder::truncate(const std::string& name, std::uint64_t size)
+result<void> memory_folder::sync(const std::string& name)
 {
-    if (auto done = begin("truncate file"); !done)
+    if (auto done = begin("sync file"); !done)
         return done;
     auto& f = files_[names_.at(name)];
-    f.data.resize(size);
     f.synced = f.data;
     return {};
 }
@@ -114,6 +123,14 @@
     return left;
 }
 
+memory_folder memory_folder::after_kill() const
+{
+    memory_folder left = *this;
+    left.fault_ = disk_fault::none;
+    left.failed_ = false;
+    return left;
+}
+
 memory_folder memory_folder::with_flipped_bit(const std::string& name, std::size_t bit) const
 {
     memory_folder other = *this;
--- a/src/libstore/real_folder.cpp
+++ b/src/libstore/real_folder.cpp
@@ -149,6 +149,20 @@
     return {};
 }
 
+result<void> real_folder::sync(const std::string& name)
+{
+    const int fd = ::openat(folder_, name.c_str(), O_WRONLY | O_CLOEXEC);
+    if (fd < 0)
+        return io_error("open file", name);
+    const bool done = ::fsync(fd) == 0;
+    const int code = errno;
+    ::close(fd);
+    errno = code;
+    if (!done)
+        return io_error("sync file", name);
+    return {};
+}
+
 result<void> real_folder::rename(const std::string& from, const std::string& to)
 {
     if (::renameat(folder_, from.c_str(), folder_, to.c_str()) != 0)
