Let a silent voter of an even number leave

A machine of the core was replaced; its successor came within 2.5 s, so the predecessor did not count as silent yet and the successor joined as a fourth voter. Nobody dismissed the predecessor later: four voters with one gone for good bear no loss, and the loss at the end left no quorum. Nobody counts as silent before the process has listened that long itself. Ruled out: the split of the core (healed 12 s before), the wiped disk (it came back and asked).

--- a/src/include/bluebell/core/roster.h
+++ b/src/include/bluebell/core/roster.h
@@ -35,6 +35,7 @@
     std::vector<node_info> seeds;             ///< from the settings; empty: the roster isn't used
     bool stores = false;                      ///< this process has a disk
     bool founding = false;                    ///< the fleet starts for the first time
+    std::size_t losses = 1;                   ///< voters whose loss at once is to be borne
     std::map<node_id, roster_member> members; ///< without this process
     instant started{};
     instant changed{}; ///< when somebody new was heard
@@ -63,7 +64,8 @@
 [[nodiscard]] std::vector<node_info> present(const roster& r, instant now, const node_info& self);
 
 /// The replicas that should vote: silent ones give way to present ones with a disk that don't
-/// vote yet. Returns an empty list when nothing is to change.
+/// vote yet, and one whose silence only makes the quorum larger leaves. Returns an empty list when
+/// nothing is to change.
 [[nodiscard]] std::vector<node_info> wanted_replicas(const roster& r, instant now,
                                                      const node_info& self,
                                                      const std::vector<node_info>& target);
--- a/src/include/bluebell/settings/settings.h
+++ b/src/include/bluebell/settings/settings.h
@@ -65,6 +65,7 @@
     endpoint worker_list;                   ///< the platform's list of workers
     std::vector<core::node_info> seeds;     ///< control processes to find the others by
     bool founding = false;                  ///< the fleet starts for the first time
+    std::uint32_t losses = 1;               ///< of control machines that are to be borne at once
     std::uint32_t retry_share_permille = 0; ///< repeats that the fleet may add to its requests
     std::uint32_t max_descriptors = 1024;
 
--- a/src/libcore/roster.cpp
+++ b/src/libcore/roster.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr std::string_view part = "roster";
-/// A voter is given up for a newcomer when it is silent for so long.
+/// A voter is given up when it is silent for so long: a successor counts as present four seconds
+/// after its start (catch-up-s), and the voters must be the new ones by then.
 constexpr microseconds voter_silence{2'500'000};
 constexpr std::size_t most_voters = 7;
 
@@ -156,6 +157,35 @@
     return all;
 }
 
+namespace {
+
+/// Nobody counts as silent before this process itself has listened for so long.
+bool is_silent(const roster& r, instant now, const node_info& self, const node_id& id)
+{
+    if (id == self.id)
+        return false;
+    const auto it = r.members.find(id);
+    const instant heard = it == r.members.end() ? r.started : std::max(r.started, it->second.heard);
+    return now - heard >= voter_silence;
+}
+
+/// A silent voter of an even number makes the quorum larger for nothing: without it the rest bear
+/// one loss more. It joins again when it is heard.
+void dismiss_silent(std::vector<node_info>& wanted, const roster& r, instant now,
+                    const node_info& self)
+{
+    const std::size_t fewest = 2 * r.losses + 1;
+    if (wanted.size() % 2 != 0 || wanted.size() <= fewest)
+        return;
+    const auto gone = std::find_if(wanted.begin(), wanted.end(), [&](const node_info& n) {
+        return is_silent(r, now, self, n.id);
+    });
+    if (gone != wanted.end())
+        wanted.erase(gone);
+}
+
+} // namespace
+
 std::vector<node_info> wanted_replicas(const roster& r, instant now, const node_info& self,
                                        const std::vector<node_info>& target)
 {
@@ -163,20 +193,12 @@
         return std::any_of(target.begin(), target.end(),
                            [&](const node_info& n) { return n.id == id; });
     };
-    std::vector<node_info> fresh;
-    for (const auto& [id, m] : r.members) {
-        if (m.what.stores && now - m.heard < presence_time && !votes(id))
-            fresh.push_back(m.what.node);
-    }
-    if (fresh.empty())
-        return {};
-    const auto silent = [&](const node_info& n) {
-        const auto it = r.members.find(n.id);
-        return n.id != self.id &&
-               (it == r.members.end() || now - it->second.heard >= voter_silence);
-    };
+    const auto silent = [&](const node_info& n) { return is_silent(r, now, self, n.id); };
     std::vector<node_info> wanted = target;
-    for (auto& node : fresh) {
+    for (const auto& [id, m] : r.members) {
+        if (!m.what.stores || now - m.heard >= presence_time || votes(id))
+            continue;
+        node_info node = m.what.node;
         const auto same_zone = std::find_if(wanted.begin(), wanted.end(), [&](const auto& n) {
             return silent(n) && n.zone == node.zone;
         });
@@ -186,11 +208,12 @@
         // The life of its disk is learnt from its first answer.
         node.life = 0;
         if (gone != wanted.end())
-            *gone = node;
+            *gone = std::move(node);
         else if (wanted.size() < most_voters)
-            wanted.push_back(node);
+            wanted.push_back(std::move(node));
     }
-    return wanted;
+    dismiss_silent(wanted, r, now, self);
+    return wanted == target ? std::vector<node_info>{} : wanted;
 }
 
 } // namespace bluebell::core
--- a/src/libcore/roster_test.cpp
+++ b/src/libcore/roster_test.cpp
@@ -147,4 +147,37 @@
     BOOST_TEST(wanted.size() == 4U);
 }
 
+// A newcomer joined before its predecessor counted as silent: without the predecessor the voters
+// bear the next loss.
+BOOST_AUTO_TEST_CASE(a_silent_voter_of_an_even_number_leaves)
+{
+    const instant now{seconds(100)};
+    roster r;
+    r.started = instant{seconds(1)};
+    const auto hear = [&](int n, microseconds silence) {
+        r = take(std::move(r), now, control(0), presence_note{{{control(n), true, false, silence}}})
+                .next;
+    };
+    hear(1, microseconds{0});
+    hear(2, seconds(2));
+    hear(3, microseconds{0});
+    const std::vector<node_info> four{control(0), control(1), control(2), control(3)};
+    BOOST_TEST(wanted_replicas(r, now, control(0), four).empty()); // silent for two seconds only
+    r.members.at(control(2).id).heard = now - seconds(3);
+    const auto wanted = wanted_replicas(r, now, control(0), four);
+    BOOST_REQUIRE(wanted.size() == 3U);
+    BOOST_TEST(wanted[2].id.str() == "control-3");
+    r.losses = 2; // five voters bear two losses, three don't
+    BOOST_TEST(wanted_replicas(r, now, control(0), four).empty());
+}
+
+BOOST_AUTO_TEST_CASE(after_a_start_nobody_is_silent_at_once)
+{
+    roster r;
+    r.started = instant{seconds(100)};
+    const std::vector<node_info> four{control(0), control(1), control(2), control(3)};
+    BOOST_TEST(wanted_replicas(r, instant{seconds(101)}, control(0), four).empty());
+    BOOST_TEST(wanted_replicas(r, instant{seconds(103)}, control(0), four).size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
