Log every attempt and answer, bounded and never waited for

Until now a request that went well had no line, lines went to standard error by glog, which waits for a full pipe. Each attempt has a line (worker, load believed there and its age, prompt tokens held, age of the list), each answer one (status, sends, times). glog's lines go through a buffer with bounds in bytes and lines a second; what standard output doesn't take is dropped, counted and told. Values with spaces stand in quotes. Boost.Histogram counts latencies by bound beside the quantiles. Tests: telemetry_test: bounds and drops, quoting, histogram.

--- a/src/bluebell/main.cpp
+++ b/src/bluebell/main.cpp
@@ -39,12 +39,17 @@
     return options;
 }
 
+/// Without a folder the process itself takes glog's lines to standard output.
 void start_log(const settings::log_settings& log, const char* program)
 {
-    FLAGS_logtostderr = log.folder.empty();
     if (!log.folder.empty())
         FLAGS_log_dir = log.folder;
     google::InitGoogleLogging(program);
+    if (!log.folder.empty())
+        return;
+    FLAGS_stderrthreshold = google::GLOG_FATAL;
+    for (google::LogSeverity s = google::GLOG_INFO; s < google::NUM_SEVERITIES; ++s)
+        google::SetLogDestination(s, "");
 }
 
 int run(const std::string& file, bool on_platform, bool only_check, const char* program)
--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -56,6 +56,7 @@
     st.peers.seeds = s.site->seeds;
     st.peers.stores = !s.data_folder.empty();
     st.peers.founding = s.site->founding;
+    st.peers.losses = s.site->losses;
     st.lists = true;
     return st;
 }
@@ -112,6 +113,8 @@
     if (!loop)
         return tl::unexpected(loop.error());
     loop_ = std::move(*loop);
+    if (settings_.log.folder.empty())
+        log_ = runtime::log_output::make(loop_);
     auto node = runtime::node_runner::make(loop_, initial_state(settings_));
     if (!node)
         return tl::unexpected(node.error());
@@ -170,7 +173,7 @@
     http.port = settings_.http.port;
     http.max_body = settings_.limits.max_body;
     http.max_headers = settings_.limits.max_headers;
-    http.idle_seconds = static_cast<int>(settings_.limits.idle_timeout_s);
+    http.idle_time = seconds(settings_.limits.idle_timeout_s);
     http.max_connections = settings_.limits.max_connections;
     auto callers = runtime::caller_server::make(
         loop_, http, [this](event_body body) { dispatch(std::move(body)); });
--- a/src/bluebell/process.h
+++ b/src/bluebell/process.h
@@ -2,6 +2,7 @@
 /// Joins settings, adapters and the node's runner into one running process.
 #pragma once
 
+#include <bluebell/runtime/log_output.h>
 #include <bluebell/runtime/node_runner.h>
 #include <bluebell/settings/settings.h>
 
@@ -38,6 +39,7 @@
     std::string file_;
     settings::node_settings settings_;
     std::shared_ptr<runtime::event_loop> loop_;
+    std::unique_ptr<runtime::log_output> log_; ///< null if lines go to a folder
     std::shared_ptr<runtime::node_runner> node_;
     runtime::pass_codec pass_codec_; ///< outlives the ports that read by it
     runtime::node_ports ports_;
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -45,6 +45,8 @@
     instant attempt_began{};
     bool may_have_run = false;               ///< an earlier attempt was sent and not refused
     bool answering = false;                  ///< the head of an answer was passed on
+    std::uint16_t status = 0;                ///< of that head
+    instant answered{};                      ///< when it was passed on
     std::optional<worker_answer> held;       ///< head of an answer that is not passed on yet
     std::string data;                        ///< its body, or the beginning of an event
     std::optional<std::uint64_t> last_event; ///< newest event passed on whole
--- a/src/include/bluebell/core/worker_table.h
+++ b/src/include/bluebell/core/worker_table.h
@@ -79,6 +79,9 @@
 struct worker_choice {
     std::string instance;   ///< empty: there is no worker
     std::string fetch_from; ///< address of another worker; empty: nothing is to be fetched
+    double load = 0;        ///< requests in progress there, as believed
+    std::uint32_t held = 0; ///< tokens of the prompt that it is believed to hold
+    instant told_at{};      ///< when others' load was last heard of
 
     friend bool operator==(const worker_choice&, const worker_choice&) = default;
 };
--- a/src/include/bluebell/telemetry/metrics.h
+++ b/src/include/bluebell/telemetry/metrics.h
@@ -1,5 +1,5 @@
 /// \file
-/// Rates and quantiles per metric, rank and workspace class, by Boost.Accumulators.
+/// Rates, quantiles and histograms per metric, rank and workspace class.
 #pragma once
 
 #include <bluebell/core/effect.h>
@@ -12,6 +12,11 @@
 /// Quantiles shown for each metric.
 inline constexpr double shown_quantiles[] = {0.5, 0.95, 0.99};
 
+/// Upper bounds of the histograms' buckets, in seconds for times: the objectives of the users'
+/// services lie between 0.15 and 3 s.
+inline constexpr double shown_bounds[] = {0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4,
+                                          0.6,   0.8,  1.2,   2,    3,   5,    10,  20};
+
 /// Length of the window that quantiles and rates are taken over.
 inline constexpr core::microseconds metrics_window = core::seconds(60);
 
@@ -30,7 +35,8 @@
 
     void add(core::instant now, const core::observe& sample);
 
-    /// Returns the page as text, one line a value: totals, rates per second, quantiles.
+    /// Returns the page as text, one line a value: totals, buckets, rates per second,
+    /// quantiles.
     [[nodiscard]] std::string page(core::instant now);
 
 private:
--- a/src/include/bluebell/telemetry/trace.h
+++ b/src/include/bluebell/telemetry/trace.h
@@ -12,7 +12,7 @@
 
 namespace bluebell::telemetry {
 
-/// Returns `PART: TEXT request=ID name=value ...`.
+/// Returns `PART: TEXT request=ID name=value ...`; values with spaces stand in quotes.
 [[nodiscard]] std::string format(const core::log_line& line);
 
 /// One kept line and when it was written, in microseconds since 1970.
@@ -27,7 +27,7 @@
 class trace {
 public:
     /// Lines kept in all, and of one request.
-    static constexpr std::size_t max_lines = 20'000;
+    static constexpr std::size_t max_lines = 6'000;
     static constexpr std::size_t max_lines_of_request = 64;
 
     void add(core::microseconds wall, const core::log_line& line);
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -96,6 +96,8 @@
 void begin_answer(turn& t, exchange_id id, exchange& ex, worker_answer head)
 {
     ex.answering = true;
+    ex.status = head.status;
+    ex.answered = t.ctx.now;
     t.out.emplace_back(pass_head{id, std::move(head)});
     note_first(t, ex);
     look_again(t, id, ex);
@@ -118,6 +120,15 @@
     if (!ex.data.empty())
         t.out.emplace_back(pass_data{id, std::move(ex.data)});
     t.out.emplace_back(pass_end{id});
+    const auto since_arrival = [&](instant at) {
+        return std::to_string(std::chrono::duration_cast<milliseconds>(at - ex.arrived).count());
+    };
+    t.out.emplace_back(make_log(log_level::info, part, "Answered.", ex.request.id,
+                                {{"status", std::to_string(ex.status)},
+                                 {"worker", ex.tried.back()},
+                                 {"sends", std::to_string(ex.sends)},
+                                 {"first_ms", since_arrival(ex.answered)},
+                                 {"passed_ms", since_arrival(t.ctx.now)}}));
     forget(t, id);
 }
 
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -3,6 +3,7 @@
 #include "gateway_pvt.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bluebell::core::gateway {
 
@@ -66,6 +67,31 @@
     }
 }
 
+std::string milliseconds_text(microseconds d)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
+}
+
+/// What decided the choice, and how old it was.
+void log_sent(turn& t, const exchange& ex, const worker_choice& choice)
+{
+    std::vector<log_field> fields{
+        {"service", ex.terms.service.str()},
+        {"worker", choice.instance},
+        {"sends", std::to_string(ex.sends)},
+        {"load", std::to_string(std::lround(choice.load))},
+        {"list_age_ms", milliseconds_text(t.ctx.now - t.st.workers.listed_at)}};
+    if (choice.told_at != instant{})
+        fields.push_back({"load_age_ms", milliseconds_text(t.ctx.now - choice.told_at)});
+    if (const auto* demand = demand_of(ex)) {
+        fields.push_back({"prompt_tokens", std::to_string(demand->prompt_tokens)});
+        fields.push_back({"held_tokens", std::to_string(choice.held)});
+    }
+    if (!choice.fetch_from.empty())
+        fields.push_back({"fetches_from", choice.fetch_from});
+    t.out.emplace_back(make_log(log_level::info, part, "Sent.", ex.request.id, std::move(fields)));
+}
+
 void start(turn& t, exchange_id id, exchange& ex, const worker_choice& choice)
 {
     const std::string& instance = choice.instance;
@@ -92,6 +118,7 @@
         note_placements(t, instance, *demand);
     t.st.workers = with_started(std::move(t.st.workers), instance, demand, engine);
     t.out.emplace_back(std::move(what));
+    log_sent(t, ex, choice);
     look_again(t, id, ex);
 }
 
@@ -154,7 +181,6 @@
         status == 503 ? std::clamp<microseconds>(left / 8, shortest_return, longest_return)
                       : microseconds{0};
     t.out.emplace_back(pass_refusal{id, status, retry_after, std::string(text)});
-    const auto passed = std::chrono::duration_cast<milliseconds>(t.ctx.now - ex.arrived).count();
     t.out.emplace_back(
         make_log(log_level::warning, part, "Refused.", ex.request.id,
                  {{"status", std::to_string(status)},
@@ -162,10 +188,8 @@
                   {"service", ex.terms.service.str()},
                   {"sends", std::to_string(ex.sends)},
                   {"last_worker", ex.tried.empty() ? "none" : ex.tried.back()},
-                  {"passed_ms", std::to_string(passed)},
-                  {"list_age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
-                                                     t.ctx.now - t.st.workers.listed_at)
-                                                     .count())}}));
+                  {"passed_ms", milliseconds_text(t.ctx.now - ex.arrived)},
+                  {"list_age_ms", milliseconds_text(t.ctx.now - t.st.workers.listed_at)}}));
     forget(t, id);
 }
 
--- a/src/libcore/values.cpp
+++ b/src/libcore/values.cpp
@@ -78,6 +78,19 @@
     return buf.data();
 }
 
+std::string_view to_string(log_level level)
+{
+    switch (level) {
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        return "error";
+    }
+    return "";
+}
+
 std::string_view to_string(rank r)
 {
     return rank_names.at(static_cast<std::size_t>(r));
--- a/src/libcore/worker_table.cpp
+++ b/src/libcore/worker_table.cpp
@@ -265,10 +265,14 @@
     }
     if (best == nullptr)
         return {};
-    worker_choice choice{best->listed.instance, ""};
+    worker_choice choice;
+    choice.instance = best->listed.instance;
+    choice.load = best->own + others_now(*best, now, mean_of_others);
+    choice.held = wanted.demand == nullptr ? 0 : held_tokens(best->memory, wanted.demand->prompt);
+    choice.told_at = best->told_at;
     const bool fetches = wanted.engine != nullptr && wanted.engine->fetches &&
                          view.holder != nullptr && view.holder != best;
-    if (fetches && view.most_held >= held_tokens(best->memory, wanted.demand->prompt) + least_fetch)
+    if (fetches && view.most_held >= choice.held + least_fetch)
         choice.fetch_from = view.holder->listed.address;
     return choice;
 }
--- a/src/libsettings/rules.cpp
+++ b/src/libsettings/rules.cpp
@@ -179,7 +179,7 @@
         {"security.key_file", for_all, false, false, text_value{key_file_of}, "none"},
         {"log.level", for_all, false, true, custom_value{"info, warning or error", take_log_level},
          "info"},
-        {"log.folder", for_all, false, false, text_value{log_folder_of}, "standard error"},
+        {"log.folder", for_all, false, false, text_value{log_folder_of}, "standard output"},
     };
 }
 
--- a/src/libtelemetry/metrics.cpp
+++ b/src/libtelemetry/metrics.cpp
@@ -1,4 +1,4 @@
-// Samples into accumulators, two windows deep.
+// Samples into accumulators, two windows deep, and into histograms since the start.
 
 #include <bluebell/telemetry/metrics.h>
 
@@ -7,6 +7,7 @@
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 
 #include <array>
 #include <cstdio>
@@ -16,6 +17,7 @@
 
 using namespace core;
 namespace acc = boost::accumulators;
+namespace histogram = boost::histogram;
 
 namespace {
 
@@ -32,6 +34,15 @@
                           std::begin(shown_quantiles), std::end(shown_quantiles)));
 }
 
+/// Counts of samples by upper bound; the last bucket has none.
+using bucket_axis = histogram::axis::variable<double>;
+using bucket_counts = decltype(histogram::make_histogram(bucket_axis()));
+
+bucket_counts make_buckets()
+{
+    return histogram::make_histogram(bucket_axis(std::begin(shown_bounds), std::end(shown_bounds)));
+}
+
 /// Name, rank and class of one series.
 struct series_key {
     std::string metric;
@@ -46,6 +57,7 @@
     window_set last = make_window();
     std::uint64_t count = 0; ///< since the start; never falls
     double sum = 0;
+    bucket_counts buckets = make_buckets(); ///< the same samples
 };
 
 std::string labels(const series_key& key, const std::string& more = "")
@@ -61,6 +73,23 @@
     return buf.data();
 }
 
+/// One line for each bound: how many samples were at most that large.
+std::string buckets_text(const std::string& name, const series_key& key, const series& s)
+{
+    std::string text;
+    double below = s.buckets.at(-1);
+    const auto line = [&](const std::string& bound, double n) {
+        text += name + "_bucket" + labels(key, ",le=\"" + bound + "\"") + " " + number(n) + "\n";
+    };
+    line(number(shown_bounds[0]), below);
+    for (int i = 0; i < s.buckets.axis().size(); ++i) {
+        below += s.buckets.at(i);
+        line(number(s.buckets.axis().value(i + 1)), below);
+    }
+    line("+Inf", static_cast<double>(s.count));
+    return text;
+}
+
 } // namespace
 
 struct metrics::impl {
@@ -121,6 +150,7 @@
     s.now(sample.value);
     s.count += 1;
     s.sum += sample.value;
+    s.buckets(sample.value);
 }
 
 std::string metrics::page(instant now)
@@ -131,6 +161,7 @@
     for (const auto& [key, s] : impl_->all) {
         const std::string name = "bluebell_" + key.metric;
         text += name + "_count" + labels(key) + " " + std::to_string(s.count) + "\n";
+        text += buckets_text(name, key, s);
         text += name + "_sum" + labels(key) + " " + number(s.sum) + "\n";
         text += name + "_per_second" + labels(key) + " " +
                 number(static_cast<double>(acc::count(s.last)) / window) + "\n";
--- a/src/libtelemetry/telemetry_test.cpp
+++ b/src/libtelemetry/telemetry_test.cpp
@@ -1,5 +1,6 @@
-// Metrics and traces stay bounded and tell what went in.
+// Metrics, logs and traces stay bounded and tell what went in.
 
+#include <bluebell/telemetry/log_buffer.h>
 #include <bluebell/telemetry/metrics.h>
 #include <bluebell/telemetry/trace.h>
 
@@ -52,6 +53,54 @@
                std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(a_histogram_counts_all_samples_below_each_bound)
+{
+    auto m = telemetry::metrics::make(instant(seconds(0)));
+    for (const double s : {0.001, 0.12, 0.25, 0.25, 70.0})
+        m.add(instant(seconds(1)), sample("w", s));
+    const std::string page = m.page(instant(seconds(2)));
+    const auto count = [&](const std::string& bound) {
+        const std::string label = ",le=\"" + bound + "\"} ";
+        const auto at = page.find(label);
+        return at == std::string::npos ? -1 : std::stoi(page.substr(at + label.size()));
+    };
+    BOOST_TEST(count("0.005") == 1);
+    BOOST_TEST(count("0.15") == 2);
+    BOOST_TEST(count("0.3") == 4);
+    BOOST_TEST(count("20") == 4);
+    BOOST_TEST(count("+Inf") == 5);
+}
+
+BOOST_AUTO_TEST_CASE(a_log_drops_what_exceeds_its_bounds_and_tells)
+{
+    const telemetry::log_limits limits{1'000, 10, 5};
+    const instant start{seconds(100)};
+    auto log = telemetry::make_log_buffer(limits, start);
+    for (int i = 0; i < 8; ++i)
+        log = with_line(std::move(log), start, log_level::info, "line " + std::to_string(i));
+    BOOST_TEST(log.dropped == 3U);
+    log = with_line(std::move(log), start, log_level::error, "an error");
+    BOOST_TEST(log.text.find("count=3 all=3\nan error\n") != std::string::npos);
+    log = with_line(std::move(log), start + seconds(1), log_level::info, "later");
+    BOOST_TEST(log.text.ends_with("an error\nlater\n"));
+    log = without_first(std::move(log), 7);
+    BOOST_TEST(log.text.starts_with("line 1\n"));
+    log = with_line(std::move(log), start + seconds(2), log_level::error, std::string(2'000, 'x'));
+    BOOST_TEST(log.dropped == 4U);
+    BOOST_TEST(log.text.size() < limits.max_bytes);
+}
+
+BOOST_AUTO_TEST_CASE(values_with_spaces_stand_in_quotes)
+{
+    const log_line line{log_level::info,
+                        "gateway",
+                        "Refused.",
+                        request_id::from_trusted("r1"),
+                        {{"why", "no \"other\" worker"}, {"status", "503"}}};
+    BOOST_TEST(telemetry::format(line) ==
+               "gateway: Refused. request=r1 why=\"no \\\"other\\\" worker\" status=503");
+}
+
 BOOST_AUTO_TEST_CASE(a_trace_keeps_the_newest_requests)
 {
     telemetry::trace t;
--- a/src/libtelemetry/trace.cpp
+++ b/src/libtelemetry/trace.cpp
@@ -6,13 +6,37 @@
 
 using namespace core;
 
+namespace {
+
+/// A value with a space, a quote or an equals sign is quoted, so that a line can be split.
+void add_value(std::string& text, const std::string& value)
+{
+    if (!value.empty() && value.find_first_of(" \"=") == std::string::npos) {
+        text += value;
+        return;
+    }
+    text += '"';
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            text += '\\';
+        text += c;
+    }
+    text += '"';
+}
+
+} // namespace
+
 std::string format(const log_line& line)
 {
     std::string text = line.part + ": " + line.text;
     if (!line.request.empty())
         text += " request=" + line.request.str();
-    for (const auto& f : line.fields)
-        text += " " + f.name + "=" + f.value;
+    for (const auto& f : line.fields) {
+        text += ' ';
+        text += f.name;
+        text += '=';
+        add_value(text, f.value);
+    }
     return text;
 }
 
