Serve the chat API by the strict HTTP server, too

Cause: evhttp takes a request with two lengths, a signed length, folded headers and bare line feeds, and misses a length with a space before the colon and an unknown transfer coding, so that a body is read as the next request. The pass-through front already had a strict reader (Boost.Beast's parser). The chat API now stands on the same server; its own guard of connections, its session over evhttp and their workarounds go. Operators' pages stay on evhttp. A header that is too large now gets 431, not 400: the case in testsuite/bad_input asks for that exactly. New cases there: seven framings that could hide a request, each refused with one answer.

--- a/src/include/bluebell/runtime/byte_stream.h
+++ b/src/include/bluebell/runtime/byte_stream.h
@@ -25,11 +25,18 @@
         std::function<void(const core::error* why)> closed;
         /// A connection that connect() began is made.
         std::function<void()> connected;
+        /// The system took bytes that were queued; see unsent().
+        std::function<void()> taken;
     };
 
+    /// Unacknowledged bytes, or a peer that takes none, break a connection after this; only so a
+    /// silent path is noticed. Within the time that the platform's callers wait.
+    static constexpr core::microseconds default_stall{2'500'000};
+
     /// Takes over an accepted descriptor.
-    [[nodiscard]] static std::shared_ptr<byte_stream> adopt(std::shared_ptr<event_loop> loop,
-                                                            int descriptor);
+    [[nodiscard]] static std::shared_ptr<byte_stream>
+    adopt(std::shared_ptr<event_loop> loop, int descriptor,
+          core::microseconds stall = default_stall);
     /// Begins to connect. Fails with unavailable at step `connect`.
     [[nodiscard]] static core::result<std::shared_ptr<byte_stream>>
     connect(std::shared_ptr<event_loop> loop, const std::string& host, std::uint16_t port);
@@ -46,21 +53,22 @@
 
     /// Queues bytes; they are sent before the loop waits.
     void write(std::string_view data);
-    /// Bytes that the peer's side has not taken.
+    /// Bytes that the system has not taken; none once closed.
     [[nodiscard]] std::size_t unsent() const;
     /// Bytes that were read and not used.
     [[nodiscard]] bool has_unread() const { return !pending_.empty(); }
 
     /// Closes at once; no callback follows.
     void close();
-    /// Sends what is queued, then closes. What the peer still sends is dropped meanwhile, so that
-    /// it isn't told a reset before it has read the answer.
+    /// Sends what is queued, then closes; taken and closed may still be called back. What the peer
+    /// still sends is dropped meanwhile, so that it isn't told a reset before it has read the
+    /// answer.
     void finish();
 
     [[nodiscard]] const std::string& peer() const { return peer_; }
 
 private:
-    byte_stream(std::shared_ptr<event_loop> loop, int descriptor);
+    byte_stream(std::shared_ptr<event_loop> loop, int descriptor, core::microseconds stall);
     static void on_ready(int descriptor, short what, void* self);
     void read();
     void take(std::string_view data);
--- a/src/include/bluebell/runtime/http_server.h
+++ b/src/include/bluebell/runtime/http_server.h
@@ -34,8 +34,10 @@
     void end();
     /// Breaks the answer off by closing the connection.
     void abort();
+    /// Closes the connection without the answer's end, once the system took what was sent.
+    void break_off() { close_gently(); }
 
-    /// The answer's bytes that the caller hasn't taken.
+    /// The answer's bytes that the system hasn't taken; none once the connection is closed.
     [[nodiscard]] std::size_t unsent() const { return stream_->unsent(); }
 
 private:
@@ -51,6 +53,7 @@
     void start();
     std::size_t on_data(std::string_view data);
     void on_closed();
+    void on_taken();
     void refuse(const core::error& why);
     void finish_request();
     void close_gently();
@@ -76,6 +79,10 @@
     std::uint16_t port = 0;
     core::caller_limits limits;
     std::size_t max_connections = 3'000;
+    /// From a request's first byte to its last; a body may not take longer than a connection may be
+    /// idle, either.
+    core::microseconds request_time = core::microseconds::max();
+    core::microseconds stall_time = byte_stream::default_stall; ///< callers that take nothing
 
     friend bool operator==(const http_server_options&, const http_server_options&) = default;
 };
@@ -89,6 +96,10 @@
             request;
         /// The caller closed the connection while its request was being answered.
         std::function<void(const std::shared_ptr<http_session>&)> gone;
+        /// Optional: the system took bytes of an answer, or the connection closed behind its end.
+        std::function<void(const std::shared_ptr<http_session>&)> taken;
+        /// Optional: the JSON body for a request that can't be read.
+        std::function<std::string(const core::error& why)> refusal;
     };
 
     /// Listens. Fails with unavailable at step `listen`.
--- a/src/include/bluebell/runtime/message_reader.h
+++ b/src/include/bluebell/runtime/message_reader.h
@@ -20,6 +20,7 @@
     std::string target;                  ///< requests
     std::uint16_t status = 0;            ///< answers
     bool keep_alive = false;             ///< the connection may be used again
+    bool old_version = false;            ///< HTTP/1.0, which has no chunks
     bool until_close = false;            ///< answers: the body ends with the connection
     std::optional<std::uint64_t> length; ///< of the body; none: chunked or until close
     std::vector<core::header_field> fields;
--- a/src/libruntime/admin_server.cpp
+++ b/src/libruntime/admin_server.cpp
@@ -1,6 +1,6 @@
 // The operators' pages over evhttp.
 
-#include "caller_http_pvt.h"
+#include "admin_http_pvt.h"
 
 #include <bluebell/core/visit.h>
 #include <bluebell/runtime/admin_server.h>
--- a/src/libruntime/byte_stream.cpp
+++ b/src/libruntime/byte_stream.cpp
@@ -21,8 +21,6 @@
 namespace {
 
 constexpr std::size_t read_size = 64 * 1024;
-/// Unacknowledged bytes break the connection after this; only so a silent path is noticed.
-constexpr int user_timeout_ms = 2'500;
 /// An idle connection is probed after this, in seconds, and given up after so many probes.
 constexpr int keep_idle_s = 5;
 constexpr int keep_interval_s = 1;
@@ -36,11 +34,11 @@
     (void)::setsockopt(fd, level, name, &value, sizeof value);
 }
 
-void set_options(int fd)
+void set_options(int fd, core::microseconds stall)
 {
     evutil_make_socket_nonblocking(fd);
     set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(stall.count() / 1000));
     set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keep_idle_s);
     set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keep_interval_s);
@@ -49,10 +47,10 @@
 
 } // namespace
 
-byte_stream::byte_stream(std::shared_ptr<event_loop> loop, int descriptor)
+byte_stream::byte_stream(std::shared_ptr<event_loop> loop, int descriptor, core::microseconds stall)
     : loop_(std::move(loop)), descriptor_(descriptor), out_(evbuffer_new())
 {
-    set_options(descriptor_);
+    set_options(descriptor_, stall);
     readable_ = event_new(loop_->base(), descriptor_, EV_READ | EV_PERSIST, &on_ready, this);
     writable_ = event_new(loop_->base(), descriptor_, EV_WRITE | EV_PERSIST, &on_ready, this);
 }
@@ -63,9 +61,10 @@
     evbuffer_free(out_);
 }
 
-std::shared_ptr<byte_stream> byte_stream::adopt(std::shared_ptr<event_loop> loop, int descriptor)
+std::shared_ptr<byte_stream> byte_stream::adopt(std::shared_ptr<event_loop> loop, int descriptor,
+                                                core::microseconds stall)
 {
-    return std::shared_ptr<byte_stream>(new byte_stream(std::move(loop), descriptor));
+    return std::shared_ptr<byte_stream>(new byte_stream(std::move(loop), descriptor, stall));
 }
 
 core::result<std::shared_ptr<byte_stream>>
@@ -142,10 +141,7 @@
         return;
     }
     if (n == 0) {
-        if (finishing_)
-            close();
-        else
-            fail(nullptr);
+        fail(nullptr);
         return;
     }
     if (!finishing_)
@@ -209,6 +205,7 @@
     flush_wanted_ = false;
     if (descriptor_ < 0 || connecting_)
         return;
+    bool took = false;
     while (evbuffer_get_length(out_) > 0) {
         const int n = evbuffer_write(out_, descriptor_);
         if (n < 0 && errno == EAGAIN)
@@ -219,11 +216,17 @@
             // What the peer sent before it closed is still to be read: the read side tells.
             evbuffer_drain(out_, evbuffer_get_length(out_));
             if (finishing_)
-                close();
+                fail(nullptr);
             return;
         }
+        took = true;
     }
     watch_writable(evbuffer_get_length(out_) > 0);
+    const auto self = shared_from_this();
+    if (took && calls_.taken)
+        calls_.taken();
+    if (descriptor_ < 0)
+        return;
     if (finishing_ && evbuffer_get_length(out_) == 0 && linger_ == nullptr) {
         ::shutdown(descriptor_, SHUT_WR);
         linger_ = watcher::timer(*loop_, [this] { close(); });
@@ -244,7 +247,7 @@
 
 std::size_t byte_stream::unsent() const
 {
-    return evbuffer_get_length(out_);
+    return descriptor_ < 0 ? 0 : evbuffer_get_length(out_);
 }
 
 void byte_stream::close()
@@ -269,8 +272,13 @@
     finishing_ = true;
     pending_.clear();
     // Keeps itself alive until the linger ends.
-    loop_->defer([calls = std::exchange(calls_, {})] {});
-    calls_.closed = [self = shared_from_this()](const core::error*) {};
+    callbacks before = std::exchange(calls_, {});
+    calls_.taken = before.taken;
+    calls_.closed = [self = shared_from_this(), closed = before.closed](const core::error* why) {
+        if (closed)
+            closed(why);
+    };
+    loop_->defer([calls = std::move(before)] {});
     calls_.data = [](std::string_view data) { return data.size(); };
     want_flush();
     if (writing_ == false && flush_wanted_ == false)
--- a/src/libruntime/caller_server.cpp
+++ b/src/libruntime/caller_server.cpp
@@ -1,17 +1,16 @@
-// The callers' HTTP server: requests to events, reply effects to sessions.
+// The callers' side of the chat API.
 
-#include "caller_http_pvt.h"
-#include "caller_session_pvt.h"
-#include "connection_guard_pvt.h"
+#include "caller_reply_pvt.h"
 
 #include <bluebell/core/visit.h>
 #include <bluebell/runtime/caller_server.h>
 
-#include <event2/http.h>
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <cctype>
 #include <random>
+#include <utility>
 
 namespace bluebell::runtime {
 
@@ -19,16 +18,10 @@
 
 namespace {
 
-constexpr int listen_backlog = 1024;
 /// Descriptors kept for everything but callers. Without any left, accepting would fail for ever
 /// and wake the loop each time.
 constexpr std::size_t other_descriptors = 256;
 
-/// Every method that evhttp knows is taken, so that the refusal is ours to word.
-constexpr ev_uint16_t all_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
-                                    EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
-                                    EVHTTP_REQ_TRACE | EVHTTP_REQ_CONNECT | EVHTTP_REQ_PATCH;
-
 /// Random part of the request ids that this process makes.
 std::uint64_t run_number()
 {
@@ -49,208 +42,218 @@
     return std::min(wanted, all > 2 * other_descriptors ? all - other_descriptors : all / 2);
 }
 
-bufferevent* make_buffer(event_base*, void* guard)
+wire::http_request to_request(const message_head& head, std::string body)
 {
-    return static_cast<connection_guard*>(guard)->accept();
+    wire::http_request r{head.method, head.target, {}, std::move(body)};
+    for (const auto& f : head.fields) {
+        std::string name = f.name;
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        r.headers[std::move(name)] = f.value;
+    }
+    return r;
 }
 
-} // namespace
+http_server_options server_options(const caller_server_options& options)
+{
+    http_server_options http;
+    http.host = options.host;
+    http.port = options.port;
+    http.limits.max_header_bytes = static_cast<std::uint32_t>(options.max_headers);
+    http.limits.max_body_bytes = static_cast<std::uint32_t>(options.max_body);
+    http.limits.header_time = options.request_time;
+    http.limits.idle_time = options.idle_time;
+    http.max_connections = connections_within(options.max_connections);
+    http.request_time = options.request_time;
+    http.stall_time = options.stall_time;
+    return http;
+}
 
-struct caller_server::shared_parts {
-    caller_session::shared value;
-};
+} // namespace
 
 result<std::shared_ptr<caller_server>> caller_server::make(std::shared_ptr<event_loop> loop,
                                                            const caller_server_options& options,
                                                            sink on_event)
 {
-    std::shared_ptr<caller_server> s(new caller_server(std::move(loop), std::move(on_event)));
-    const std::weak_ptr<caller_server> weak = s;
-    s->guard_ = std::make_shared<connection_guard>(
-        s->loop_, connection_guard::limits{connections_within(options.max_connections),
-                                           options.request_time});
-    caller_session::callbacks calls;
-    calls.gone = [weak](const request_id& id) {
-        if (const auto server = weak.lock())
-            server->gone(id);
+    std::shared_ptr<caller_server> s(
+        new caller_server(std::move(loop), options.max_unsent, std::move(on_event)));
+    http_server::callbacks calls;
+    calls.request = [raw = s.get()](const session_ptr& session, const message_head& head,
+                                    std::string body) {
+        raw->take(session, head, std::move(body));
     };
-    calls.too_slow = [weak](const request_id& id) {
-        if (const auto server = weak.lock()) {
-            server->close(id);
-            server->on_event_(caller_event(caller_gone{id}));
-        }
-    };
-    calls.drained = [weak](const request_id& id, std::uint32_t n) {
-        if (const auto server = weak.lock())
-            server->on_event_(caller_event(caller_drained{id, n}));
-    };
-    calls.flushed = [weak] {
-        if (const auto server = weak.lock())
-            server->flushed();
+    calls.gone = [raw = s.get()](const session_ptr& session) { raw->gone(session); };
+    calls.taken = [raw = s.get()](const session_ptr& session) { raw->taken(session); };
+    calls.refusal = [raw = s.get()](const error& why) {
+        return wire::error_json(why, run_outcome::not_run, raw->new_id());
     };
-    s->parts_ = std::make_shared<const shared_parts>(
-        shared_parts{{s->loop_, s->guard_, std::move(calls), options.stall_seconds,
-                      options.idle_seconds, options.max_unsent}});
-    if (const auto done = s->listen(options); !done)
-        return tl::unexpected(done.error());
+    auto http = http_server::make(s->loop_, server_options(options), std::move(calls));
+    if (!http)
+        return tl::unexpected(http.error());
+    s->http_ = std::move(*http);
     return s;
 }
 
-result<void> caller_server::listen(const caller_server_options& options)
-{
-    http_ = evhttp_new(loop_->base());
-    evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(options.max_body));
-    evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(options.max_headers));
-    evhttp_set_timeout(http_, options.idle_seconds);
-    evhttp_set_allowed_methods(http_, all_methods);
-    evhttp_set_bevcb(http_, &make_buffer, guard_.get());
-    evhttp_set_gencb(http_, &caller_server::on_request, this);
-    evhttp_bound_socket* bound =
-        evhttp_bind_socket_with_handle(http_, options.host.c_str(), options.port);
-    if (bound == nullptr)
-        return fail(error_code::unavailable, "listen for callers",
-                    options.host + ":" + std::to_string(options.port), "can't bind");
-    ::listen(evhttp_bound_socket_get_fd(bound), listen_backlog);
-    guard_->watch(evhttp_bound_socket_get_listener(bound));
-    return {};
-}
-
 caller_server::~caller_server()
 {
-    for (const auto& [id, session] : sessions_)
-        session->cut();
-    if (http_ != nullptr)
-        evhttp_free(http_);
-    loop_->settle();
+    for (const auto& [id, reply] : replies_)
+        reply->cut();
 }
 
-void caller_server::on_request(evhttp_request* request, void* self)
+request_id caller_server::new_id()
 {
-    static_cast<caller_server*>(self)->take(request);
+    made_ += 1;
+    return request_id::from_trusted("r" + std::to_string(run_number()) + "-" +
+                                    std::to_string(made_));
 }
 
-void caller_server::take(evhttp_request* request)
+void caller_server::take(const session_ptr& session, const message_head& head, std::string body)
 {
-    const auto fallback = request_id::from_trusted("r" + std::to_string(run_number()) + "-" +
-                                                   std::to_string(++made_));
-    const auto refuse = [&](const error& why) {
-        reply_error_json(request, why, run_outcome::not_run, microseconds{0}, fallback);
-    };
-    auto parsed = wire::parse_request(read_request(request), fallback);
+    const request_id fallback = new_id();
+    auto parsed = wire::parse_request(to_request(head, std::move(body)), fallback);
     if (!parsed) {
-        refuse(parsed.error());
+        reply_error_json(*session, parsed.error(), run_outcome::not_run, microseconds{0}, fallback);
         return;
     }
-    if (!std::holds_alternative<wire::probe>(*parsed) && !speaks_http_1_1(request)) {
-        refuse({error_code::unsupported_version, "accept request", "", "HTTP/1.1 is required"});
+    if (!std::holds_alternative<wire::probe>(*parsed) && head.old_version) {
+        const error why{error_code::unsupported_version, "accept request", "",
+                        "HTTP/1.1 is required"};
+        reply_error_json(*session, why, run_outcome::not_run, microseconds{0}, fallback);
         return;
     }
-    std::visit([&]<class What>(What&& what) { take(request, std::forward<What>(what)); },
+    std::visit([&]<class What>(What&& what) { take(session, std::forward<What>(what)); },
                std::move(*parsed));
 }
 
-void caller_server::take(evhttp_request* request, const wire::probe& page)
+void caller_server::take(const session_ptr& session, const wire::probe& page)
 {
     const bool good = ready_ || page == wire::probe::health;
-    reply_json(request, good ? 200 : 503, good ? R"({"ok":true})" : R"({"ok":false})");
+    reply_json(*session, good ? 200 : 503, good ? R"({"ok":true})" : R"({"ok":false})");
 }
 
-void caller_server::take(evhttp_request* request, wire::parsed_call call)
+void caller_server::take(const session_ptr& session, wire::parsed_call call)
 {
     const request_id id = call.what.id;
-    if (sessions_.contains(id)) {
+    if (replies_.contains(id)) {
         const error why{error_code::conflict, "accept request", "", "the request id is in use"};
-        reply_error_json(request, why, run_outcome::not_run, microseconds{0}, id);
+        reply_error_json(*session, why, run_outcome::not_run, microseconds{0}, id);
         return;
     }
-    open(request, id, call.what.workspace);
+    open(session, id, call.what.workspace);
     on_event_(caller_event(request_arrived{std::move(call.what), call.streamed}));
 }
 
 /// A caller that comes back replaces its own earlier connection, which may not have noticed yet
 /// that it broke.
-void caller_server::take(evhttp_request* request, const wire::parsed_resume& resume)
+void caller_server::take(const session_ptr& session, const wire::parsed_resume& resume)
 {
     if (const auto earlier = find(resume.request)) {
         if (earlier->workspace() != resume.workspace) {
             const error why{error_code::not_found, "resume answer", "", "no such request"};
-            reply_error_json(request, why, run_outcome::unknown, microseconds{0}, resume.request);
+            reply_error_json(*session, why, run_outcome::unknown, microseconds{0}, resume.request);
             return;
         }
-        close(resume.request);
-        earlier->cut();
+        close(resume.request, [](caller_reply& reply) { reply.cut(); });
     }
-    open(request, resume.request, resume.workspace);
+    open(session, resume.request, resume.workspace);
     on_event_(caller_event(resume_arrived{resume.request, resume.workspace, resume.last_event}));
 }
 
-void caller_server::open(evhttp_request* request, const request_id& id,
+void caller_server::open(const session_ptr& session, const request_id& id,
                          const workspace_id& workspace)
 {
-    const std::shared_ptr<const caller_session::shared> common(parts_, &parts_->value);
-    sessions_.emplace(id, caller_session::make(common, request, id, workspace));
+    replies_.emplace(id, std::make_shared<caller_reply>(session, id, workspace));
+    requests_.emplace(session.get(), id);
 }
 
-std::shared_ptr<caller_session> caller_server::find(const request_id& id)
+std::shared_ptr<caller_reply> caller_server::find(const request_id& id)
 {
-    const auto it = sessions_.find(id);
-    return it == sessions_.end() ? nullptr : it->second;
+    const auto it = replies_.find(id);
+    return it == replies_.end() ? nullptr : it->second;
 }
 
-/// Forgets a session whose reply is about to end.
-void caller_server::close(const request_id& id)
+/// Forgets a reply and ends it; its last bytes are still to leave.
+template <class End>
+void caller_server::close(const request_id& id, End end)
 {
-    sessions_.erase(id);
-    unflushed_ += 1;
+    const auto it = replies_.find(id);
+    if (it == replies_.end())
+        return;
+    const auto reply = std::move(it->second);
+    replies_.erase(it);
+    requests_.erase(reply->session().get());
+    end(*reply);
+    if (reply->session()->unsent() > 0)
+        flushing_.insert(reply->session());
 }
 
-void caller_server::gone(const request_id& id)
+void caller_server::gone(const session_ptr& session)
 {
-    if (sessions_.erase(id) > 0)
-        on_event_(caller_event(caller_gone{id}));
+    const auto it = requests_.find(session.get());
+    if (it == requests_.end())
+        return;
+    const request_id id = it->second;
+    requests_.erase(it);
+    replies_.erase(id);
+    on_event_(caller_event(caller_gone{id}));
 }
 
-void caller_server::flushed()
+void caller_server::taken(const session_ptr& session)
 {
-    unflushed_ -= 1;
-    if (unflushed_ == 0 && on_flushed_)
+    if (session->unsent() == 0 && flushing_.erase(session) > 0 && flushing_.empty() && on_flushed_)
         std::exchange(on_flushed_, nullptr)();
+    const auto it = requests_.find(session.get());
+    if (it == requests_.end())
+        return;
+    const request_id id = it->second;
+    const auto reply = find(id);
+    if (const auto n = reply->take_drained(); n > 0)
+        on_event_(caller_event(caller_drained{id, n}));
 }
 
 void caller_server::when_flushed(std::function<void()> done)
 {
-    if (unflushed_ == 0)
+    if (flushing_.empty())
         done();
     else
         on_flushed_ = std::move(done);
 }
 
+/// Closes the connection of a caller that takes its answer too slowly.
+void caller_server::cut_slow(const std::shared_ptr<caller_reply>& reply)
+{
+    const request_id id = reply->id();
+    requests_.erase(reply->session().get());
+    replies_.erase(id);
+    reply->session()->abort();
+    loop_->defer([sink = on_event_, id] { sink(caller_event(caller_gone{id})); });
+}
+
 void caller_server::run(const reply_head& e)
 {
-    if (const auto s = find(e.request))
-        s->head(e);
+    if (const auto r = find(e.request))
+        r->head(e);
 }
 
 void caller_server::run(const reply_chunk& e)
 {
-    if (const auto s = find(e.request))
-        s->chunk(e);
+    const auto r = find(e.request);
+    if (r == nullptr)
+        return;
+    if (r->session()->unsent() > max_unsent_)
+        cut_slow(r);
+    else
+        r->chunk(e);
 }
 
 void caller_server::run(const reply_end& e)
 {
-    if (const auto s = find(e.request)) {
-        close(e.request);
-        s->end();
-    }
+    close(e.request, [](caller_reply& reply) { reply.end(); });
 }
 
 void caller_server::run(const reply_error& e)
 {
-    if (const auto s = find(e.request)) {
-        close(e.request);
-        s->error(e);
-    }
+    close(e.request, [&](caller_reply& reply) { reply.error(e); });
 }
 
 } // namespace bluebell::runtime
--- a/src/libruntime/http_server.cpp
+++ b/src/libruntime/http_server.cpp
@@ -86,6 +86,13 @@
         if (const auto me = self.lock())
             me->on_closed();
     };
+    const auto server = server_.lock();
+    if (server != nullptr && server->calls_.taken) {
+        calls.taken = [self = weak_from_this()] {
+            if (const auto me = self.lock())
+                me->on_taken();
+        };
+    }
     stream_->start(std::move(calls));
 }
 
@@ -141,7 +148,16 @@
         status = why.step == "read body" ? 413 : 431;
     LOG(WARNING) << "http: Refused. status=" << status << " step=\"" << why.step << "\" text=\""
                  << why.text << "\"";
-    reply(status, {{"Content-Type", "application/json"}}, "{\"error\":\"bad request\"}");
+    const auto server = server_.lock();
+    const bool worded = server != nullptr && server->calls_.refusal;
+    reply(status, {{"Content-Type", "application/json"}},
+          worded ? server->calls_.refusal(why) : R"({"error":"bad request"})");
+}
+
+void http_session::on_taken()
+{
+    if (const auto server = server_.lock())
+        server->calls_.taken(shared_from_this());
 }
 
 void http_session::on_closed()
@@ -154,6 +170,8 @@
     server->forget(self);
     if (before == phase::answering)
         server->calls_.gone(self);
+    else if (before == phase::closed && server->calls_.taken)
+        server->calls_.taken(self);
 }
 
 void http_session::write_head(std::uint16_t status, const std::vector<core::header_field>& fields)
@@ -263,8 +281,8 @@
     const auto& limits = server->options_.limits;
     if (!head_begun_)
         return now - since_ > limits.idle_time;
-    // A body may take as long as a connection may be idle.
-    return now - since_ > (reader_.head_done() ? limits.idle_time : limits.header_time);
+    const auto time = reader_.head_done() ? limits.idle_time : limits.header_time;
+    return now - since_ > std::min(time, server->options_.request_time);
 }
 
 // The server.
@@ -306,7 +324,7 @@
 void http_server::on_accept(evconnlistener*, int descriptor, sockaddr*, int, void* self)
 {
     auto* server = static_cast<http_server*>(self);
-    auto stream = byte_stream::adopt(server->loop_, descriptor);
+    auto stream = byte_stream::adopt(server->loop_, descriptor, server->options_.stall_time);
     if (server->sessions_.size() >= server->options_.max_connections) {
         LOG(WARNING) << "http: Too many connections. limit=" << server->options_.max_connections;
         return;
--- a/src/libruntime/message_reader.cpp
+++ b/src/libruntime/message_reader.cpp
@@ -41,6 +41,7 @@
     {
         head.method = to_string(method);
         head.target = to_string(target);
+        head.old_version = version == 10;
         if (version != 10 && version != 11)
             ec = http::error::bad_version;
     }
--- a/testsuite/bad_input/run.sh
+++ b/testsuite/bad_input/run.sh
@@ -22,7 +22,25 @@
 expect 'HTTP/1.0 is refused' status 400 --http1.0 -H "$me" -d '{}' "$url/v1/chat/completions"
 head -c 5000000 /dev/zero >"$work/large"
 expect 'oversized body' status 413 -H "$me" -H 'Expect:' --data-binary "@$work/large" "$url/v1/chat/completions"
-expect 'oversized header' status 400 -H "$me" -H "X-Long: $(head -c 20000 /dev/zero | tr '\0' a)" -d '{}' "$url/v1/chat/completions"
+expect 'oversized header' status 431 -H "$me" -H "X-Long: $(head -c 20000 /dev/zero | tr '\0' a)" -d '{}' "$url/v1/chat/completions"
+
+# Framing that could hide a request in another's body: refused, and the connection ends.
+framing() {
+    local fd
+    exec {fd}<>"/dev/tcp/127.0.0.1/$http"
+    printf 'POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n%s\r\n%b\r\n\r\n{}{}GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n' "$me" "$1" >&"$fd"
+    timeout 2 cat <&"$fd" >"$work/framing" || true
+    exec {fd}>&-
+    grep -q '^HTTP/1.1 400' "$work/framing" && [ "$(grep -c '^HTTP/1.1' "$work/framing")" = 1 ]
+}
+expect 'two lengths' framing 'Content-Length: 2\r\nContent-Length: 4'
+expect 'a length beside a coding' framing 'Content-Length: 2\r\nTransfer-Encoding: chunked'
+expect 'an unknown coding' framing 'Transfer-Encoding: xchunked'
+expect 'a signed length' framing 'Content-Length: +2'
+expect 'a space before the colon' framing 'Content-Length : 2'
+expect 'a bare line feed' framing 'Content-Length: 2\nX-A: b'
+expect 'a folded header' framing 'Content-Length: 2\r\nX-A: b\r\n c'
+expect 'the error has step and outcome' grep -q '"outcome":"not_run"' "$work/framing"
 
 # Garbage, silence and half a request on every port, held open while others work.
 for p in $((port + 1)) $((port + 2)) $((port + 3)) "$http"; do
