Tell no partial sums of loads, and restarted gateways all placements

The routers' lines Sent show load=0, 50 to 260 ms old, at workers with several in progress, right after a change of leader: the new leader told sums of the few gateways that it had heard as if they were whole. It now tells none for 1.2 s, by when all have asked it. And what was told of a crowd no longer ages towards the mean for the bound.

Cause 2, found in reading: a gateway that restarts keeps its id, and the leader told it only what was placed since its former life last asked; it learnt nothing of earlier placements. The leader now goes by the gateway's life, and tells a fresh one all at once. Not measured by itself yet. The age of the list in the log was that of its last change; it is now that of its last reading.

--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -39,6 +39,7 @@
 
 /// A gateway that asks this leader for the routing table.
 struct table_subscriber {
+    incarnation life = 0; ///< a restarted gateway knows nothing of what this one was told
     instant heard{};
     std::uint64_t version = 0;         ///< as it last confirmed
     std::uint64_t sent = 0;            ///< newest that was sent unasked
--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -74,7 +74,8 @@
     /// Absent: the receiver's is as new. When not certain, for a receiver without any table only.
     std::optional<routing_document> document;
     std::vector<prompt_placement> placed; ///< by other gateways, since the receiver's last query
-    std::vector<worker_share> running;    ///< all other gateways' together, when certain
+    /// All other gateways' together. Absent while the leader may not have heard all of them yet.
+    std::optional<std::vector<worker_share>> running;
     std::uint64_t list = 0; ///< names the leader's newest list of workers; 0: it has no fresh one
     std::optional<std::vector<worker_entry>> workers; ///< absent: the receiver has this list
 
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -22,12 +22,16 @@
 constexpr std::size_t most_offers = 64;
 /// What a gateway has in progress counts for so long after it last said so.
 constexpr microseconds share_time{1'500'000};
+/// A new leader has heard all gateways after this: they ask each 0.3 s, and turn away from one that
+/// is silent for 0.6 s.
+constexpr microseconds counting_time{1'200'000};
 /// Time between two readings of the platform's list, and how long one counts as fresh.
 constexpr microseconds list_interval{700'000};
 constexpr microseconds list_time{1'600'000};
 /// A list that isn't answered is asked for again after this.
 constexpr microseconds list_timeout{1'500'000};
-/// Placements that a leader remembers for gateways that ask late, and tells in one answer.
+/// Placements that a leader remembers for gateways that ask late, and tells in one answer. One that
+/// has just started is told all at once, about 200 KB.
 constexpr std::size_t most_placements = 8'192;
 constexpr std::size_t most_told = 512;
 
@@ -166,9 +170,10 @@
                                              table_subscriber& s)
 {
     const std::uint64_t first = lead.placed - lead.prompts.size();
+    const std::size_t most = s.placed == 0 ? most_placements : most_told;
     std::uint64_t at = std::max(first, s.placed);
     std::vector<prompt_placement> told;
-    for (; at < lead.placed && told.size() < most_told; ++at) {
+    for (; at < lead.placed && told.size() < most; ++at) {
         const auto& p = lead.prompts[at - first];
         if (p.from != to)
             told.push_back(p.what);
@@ -177,9 +182,13 @@
     return told;
 }
 
-/// What the gateways but one have in progress, by worker.
-std::vector<worker_share> running_elsewhere(const control_turn& t, const node_id& to)
+/// What the gateways but one have in progress, by worker. A sum that lacks some of them would make
+/// busy workers look idle to all at once.
+std::optional<std::vector<worker_share>> running_elsewhere(const control_turn& t, const node_id& to)
 {
+    const auto* leader = std::get_if<leader_part>(&t.st.log.role);
+    if (leader == nullptr || t.ctx.now - leader->elected_at < counting_time)
+        return std::nullopt;
     std::map<hash64, std::uint32_t> sums;
     for (const auto& [id, s] : t.st.lead.subscribers) {
         if (id == to || t.ctx.now - s.heard >= share_time)
@@ -200,6 +209,10 @@
     if (t.leads()) {
         note_placements(t.st.lead, from, msg.placed);
         auto& s = t.st.lead.subscribers[from];
+        if (s.life != msg.from.life) {
+            s = table_subscriber{};
+            s.life = msg.from.life;
+        }
         news.placed = placements_for(t.st.lead, from, s);
         news.running = running_elsewhere(t, from);
         if (list_is_fresh(t)) {
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -37,9 +37,9 @@
         take(reduce(std::move(st), here(), clock_event(tick{})));
     }
     void give(const table_event& ev) { take(reduce(std::move(st), here(), ev)); }
-    void hear(const fleet_message& msg)
+    void hear(const fleet_message& msg, const char* who = "router-1")
     {
-        const auto from = node_id::from_trusted("router-1");
+        const auto from = node_id::from_trusted(who);
         take(reduce(std::move(st), here(), peer_event(message_received{from, msg})));
     }
     [[nodiscard]] const table_outcome* reply(const std::string& operation) const
@@ -166,4 +166,38 @@
     BOOST_TEST(!news().document.has_value());
 }
 
+// A sum of those that a new leader happens to have heard makes busy workers look idle.
+BOOST_FIXTURE_TEST_CASE(a_new_leader_tells_no_shares_before_it_has_heard_all, leading_replica)
+{
+    table_query query;
+    query.from.id = node_id::from_trusted("router-1");
+    query.running = {{7, 3}};
+    auto& leader = std::get<leader_part>(st.log.role);
+    leader.elected_at = now;
+    hear(fleet_message(query));
+    BOOST_TEST(!news().running.has_value());
+    leader.elected_at = now - milliseconds(1'300);
+    hear(fleet_message(query));
+    BOOST_TEST(news().running.has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_restarted_gateway_is_told_all_placements_again, leading_replica)
+{
+    const auto ask = [&](const char* who, incarnation life, std::vector<prompt_placement> placed) {
+        table_query query;
+        query.from.id = node_id::from_trusted(who);
+        query.from.life = life;
+        query.placed = std::move(placed);
+        hear(fleet_message(query), who);
+        return news().placed.size();
+    };
+    std::vector<prompt_placement> many;
+    for (hash64 n = 0; n < 1'000; ++n)
+        many.push_back({n, 1, 10});
+    ask("router-2", 1, many);
+    BOOST_TEST(ask("router-1", 1, {}) == 1'000U);
+    BOOST_TEST(ask("router-1", 1, {}) == 0U);
+    BOOST_TEST(ask("router-1", 2, {}) == 1'000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -104,6 +104,7 @@
         st.workers = with_list(std::move(st.workers), ctx.now, *news.workers);
     else if (news.list != st.source.list)
         return;
+    st.workers.listed_at = ctx.now;
     st.source.list = news.list;
     st.next_list = std::max(st.next_list, ctx.now + leader_list_time);
 }
@@ -119,8 +120,8 @@
         take_workers(st, ctx, news);
     learn_controls(st.source, news.controls);
     st.workers = with_placements(std::move(st.workers), news.placed, memory_of(st.table));
-    if (news.certain && from == st.source.contact)
-        st.workers = with_shares(std::move(st.workers), ctx.now, news.running);
+    if (news.certain && news.running && from == st.source.contact)
+        st.workers = with_shares(std::move(st.workers), ctx.now, *news.running);
     if (news.document && news.document->version > st.table.version)
         out.emplace_back(decode_table{*news.document});
     if (from == st.source.contact) {
--- a/src/libcore/worker_table.cpp
+++ b/src/libcore/worker_table.cpp
@@ -251,7 +251,9 @@
         const double load = w->own + others_now(*w, now, mean_of_others);
         double cost = wanted.demand == nullptr ? load * plain_running_cost_ms
                                                : engine_cost(*w, wanted, view, load);
-        if (load > crowded_factor * mean + crowded_slack)
+        // What was told of a crowd counts in full until something newer is told.
+        const double most = std::max(load, w->own + static_cast<double>(w->others));
+        if (most > crowded_factor * mean + crowded_slack)
             cost += crowded_cost_ms;
         if (w->listed.zone != wanted.zone)
             cost += zone_cost_ms;
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -120,7 +120,8 @@
     if (from.document)
         wire::put(*from.document, *to.mutable_document());
     put_placements(from.placed, to);
-    put_shares(from.running, to);
+    if (from.running)
+        put_shares(*from.running, *to.mutable_running());
     to.set_list(from.list);
     if (!from.workers)
         return;
@@ -136,8 +137,10 @@
         return tl::unexpected(controls.error());
     table_news news{
         from.certain(), get_id<node_id>(from.leader()), std::move(*controls), from.version(),
-        std::nullopt,   get_placements(from),           get_shares(from),     from.list(),
+        std::nullopt,   get_placements(from),           std::nullopt,         from.list(),
         std::nullopt};
+    if (from.has_running())
+        news.running = get_shares(from.running());
     if (from.has_document())
         news.document = wire::get(from.document());
     if (from.has_workers()) {
