--- a/testsuite/standins/platform.cpp
+++ b/testsuite/standins/platform.cpp
@@ -38,8 +38,8 @@
 
 class standin {
 public:
-    standin(std::shared_ptr<runtime::event_loop> loop, std::uint16_t port)
-        : loop_(std::move(loop)), port_(port)
+    standin(std::shared_ptr<runtime::event_loop> loop, std::uint16_t port, std::uint16_t shown)
+        : loop_(std::move(loop)), port_(port), shown_(shown)
     {
     }
 
@@ -94,7 +94,7 @@
             for (const auto& w : workers_)
                 text += (text.empty() ? "" : ",") + ("{\"id\":\"" + w.instance) +
                         "\",\"service\":\"" + w.service +
-                        "\",\"address\":\"127.0.0.1:" + std::to_string(w.port) +
+                        "\",\"address\":\"127.0.0.1:" + std::to_string(shown_ + w.port - port_) +
                         "\",\"zone\":\"a\",\"slots\":4,\"state\":\"" +
                         (w.draining ? "draining" : "ready") + "\",\"cold-remaining-ms\":0}";
             text = "{\"instances\":[" + text + "],\"next\":null}";
@@ -171,6 +171,7 @@
 
     std::shared_ptr<runtime::event_loop> loop_;
     std::uint16_t port_;
+    std::uint16_t shown_; ///< stands for port_ in the list, before a proxy
     std::shared_ptr<runtime::http_server> list_;
     std::vector<worker> workers_;
     std::vector<std::unique_ptr<stream>> streams_;
@@ -183,10 +184,12 @@
 {
     cxxopts::Options options("standin_platform", "The platform's list on PORT, workers behind it.");
     options.add_options()("port", "first of five ports", cxxopts::value<std::uint16_t>())(
+        "shown", "first port as the list shows it, if another", cxxopts::value<std::uint16_t>())(
         "seconds", "stops by itself", cxxopts::value<int>()->default_value("60"));
     const auto args = options.parse(argc, argv);
     const auto loop = *runtime::event_loop::make();
-    standin all(loop, args["port"].as<std::uint16_t>());
+    const auto port = args["port"].as<std::uint16_t>();
+    standin all(loop, port, args.count("shown") != 0 ? args["shown"].as<std::uint16_t>() : port);
     if (!all.open()) {
         std::cerr << "standin_platform: a port is taken\n";
         return 1;
