Fetch from a prompt's home what nobody is known to hold

Placements are lost with all processes, and a gateway that starts knows none; it then let engines read whole prompts that their rendezvous home still held. The chosen worker now fetches from that home, or from the second one, which is the home of before where workers came since. Weighed: reading each engine's list of held prompts at a start (exact, but a call that delays the engine, and a reader of its own): not built.

--- a/src/libcore/worker_table.cpp
+++ b/src/libcore/worker_table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace bluebell::core {
 
@@ -90,26 +91,37 @@
     return demand.prompt[n > 1 ? n - 2 : 0].id;
 }
 
-/// Rendezvous hashing: every gateway finds the same home without a shared table.
-const worker_record* home_of(const std::vector<const worker_record*>& workers, hash64 key)
+/// Where a prompt belongs, and where it would without that worker.
+struct prompt_homes {
+    const worker_record* first = nullptr;
+    const worker_record* second = nullptr;
+};
+
+/// Rendezvous hashing: every gateway finds the same homes without a shared table. Where workers
+/// came, the home of before is the second one now.
+prompt_homes homes_of(const std::vector<const worker_record*>& workers, hash64 key)
 {
-    const worker_record* home = nullptr;
+    prompt_homes homes;
     hash64 best = 0;
+    hash64 next = 0;
     for (const auto* w : workers) {
         const hash64 weight = hash_of(w->listed.instance, key);
-        if (home == nullptr || weight > best) {
-            home = w;
-            best = weight;
+        if (homes.first == nullptr || weight > best) {
+            homes.second = std::exchange(homes.first, w);
+            next = std::exchange(best, weight);
+        } else if (homes.second == nullptr || weight > next) {
+            homes.second = w;
+            next = weight;
         }
     }
-    return home;
+    return homes;
 }
 
 /// What the workers hold of one prompt.
 struct prompt_view {
     std::uint32_t most_held = 0; ///< by one worker
     const worker_record* holder = nullptr;
-    const worker_record* home = nullptr;
+    prompt_homes homes;
     std::uint32_t shared = 0; ///< tokens of all parts but the request's own
 };
 
@@ -118,7 +130,7 @@
 {
     prompt_view view;
     const engine_demand& demand = *wanted.demand;
-    view.home = home_of(fit, home_key(demand));
+    view.homes = homes_of(fit, home_key(demand));
     for (std::size_t i = 0; i + 1 < demand.prompt.size(); ++i)
         view.shared += demand.prompt[i].tokens;
     // A worker that leaves still gives what it holds.
@@ -147,10 +159,24 @@
     const double fill = slots > 0 ? load / slots : 0;
     const double read =
         unread * read_cost_ms + elsewhere * (fetches ? fetch_cost_ms : read_again_cost_ms);
-    const bool away = view.most_held < view.shared && &w != view.home;
+    const bool away = view.most_held < view.shared && &w != view.homes.first;
     return read * (1 + fill) + load * running_cost_ms + (away ? away_cost_ms : 0);
 }
 
+/// Where the chosen worker shall fetch from; null: nowhere. What no worker is known to hold may
+/// still be at a home of the prompt: a gateway that has just started knows nothing of the time
+/// before.
+const worker_record* source_for(const worker_record& chosen, std::uint32_t held,
+                                const prompt_view& view)
+{
+    const std::uint32_t known = view.most_held > held ? view.most_held - held : 0;
+    const std::uint32_t unknown =
+        view.shared - std::min(view.shared, std::max(view.most_held, held));
+    if (unknown > known && unknown >= least_fetch)
+        return &chosen == view.homes.first ? view.homes.second : view.homes.first;
+    return known >= least_fetch && view.holder != &chosen ? view.holder : nullptr;
+}
+
 double jitter(const std::string& instance, std::uint64_t random)
 {
     constexpr double scale = 1.0 / 65'536;
@@ -272,10 +298,10 @@
     choice.load = best->own + others_now(*best, now, mean_of_others);
     choice.held = wanted.demand == nullptr ? 0 : held_tokens(best->memory, wanted.demand->prompt);
     choice.told_at = best->told_at;
-    const bool fetches = wanted.engine != nullptr && wanted.engine->fetches &&
-                         view.holder != nullptr && view.holder != best;
-    if (fetches && view.most_held >= choice.held + least_fetch)
-        choice.fetch_from = view.holder->listed.address;
+    if (wanted.demand != nullptr && wanted.engine != nullptr && wanted.engine->fetches) {
+        if (const auto* source = source_for(*best, choice.held, view))
+            choice.fetch_from = source->listed.address;
+    }
     return choice;
 }
 
--- a/src/libcore/worker_table_test.cpp
+++ b/src/libcore/worker_table_test.cpp
@@ -56,6 +56,29 @@
     BOOST_TEST(chosen(t, d, instant{seconds(2)}, 5) == "w2engine");
 }
 
+// After a restart nobody knows what is held where: the prompt's home may have it still.
+BOOST_AUTO_TEST_CASE(a_prompt_that_nobody_is_known_to_hold_is_fetched_from_its_home)
+{
+    const auto d = demand_of(1);
+    auto t = engines(6);
+    const auto choose = [&](std::uint64_t random) {
+        return choose_worker(t, {service, &d, &engine, none_tried, zone}, instant{seconds(2)},
+                             random);
+    };
+    const auto at_home = choose(5);
+    const std::string home = t.workers.at(at_home.instance).listed.address;
+    BOOST_TEST(!at_home.fetch_from.empty());
+    BOOST_TEST(at_home.fetch_from != home);
+    // Where its home is crowded, another worker fetches from there.
+    t = with_shares(std::move(t), instant{seconds(2)}, {{hash_of(at_home.instance), 30}});
+    const auto away = choose(5);
+    BOOST_TEST(away.instance != at_home.instance);
+    BOOST_TEST(away.fetch_from == home);
+    // What is known goes before a guess.
+    t = holding(std::move(t), away.instance, d);
+    BOOST_TEST(choose(5).fetch_from.empty());
+}
+
 // Shares of others age towards the mean; a crowd must not look like the mean by that.
 BOOST_AUTO_TEST_CASE(a_crowd_that_was_told_a_while_ago_is_still_avoided)
 {
