Ask for the first table at one control process

A table of 273 KB was asked for at three control processes each 0.2 s until one came, by 29 gateways with links of 10 Mbit/s: the copies filled the links. A gateway now asks all for the version alone, and the first that names one for its document; a leader doesn't send a document again that is on its way. Tests: gateway_test, control_tables_test: asked once, not sent twice at once.

--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -61,6 +61,7 @@
     std::vector<prompt_placement> placed; ///< by the sender since its last query
     std::vector<worker_share> running;    ///< the sender's own; idle workers are left out
     std::uint64_t list = 0;               ///< newest list of workers that it had from a leader
+    bool names_only = false;              ///< the answer names its version, without the document
 
     friend bool operator==(const table_query&, const table_query&) = default;
 };
@@ -70,7 +71,7 @@
     bool certain = false;            ///< the sender leads: no newer table is in force
     node_id leader;                  ///< as far as known
     std::vector<node_info> controls; ///< control processes heard lately
-    std::uint64_t version = 0;
+    std::uint64_t version = 0;       ///< newest that the sender has
     /// Absent: the receiver's is as new. When not certain, for a receiver without any table only.
     std::optional<routing_document> document;
     std::vector<prompt_placement> placed; ///< by other gateways, since the receiver's last query
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -62,6 +62,7 @@
     instant asked_at{};
     instant next_ask{};
     bool waits = false;                   ///< the last query isn't answered
+    instant fetch_until{};                ///< the first table is awaited from `contact` until then
     std::vector<prompt_placement> placed; ///< to be told with the next query
     std::uint64_t list = 0;               ///< newest list of workers that came from a leader
 
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -16,6 +16,9 @@
 constexpr microseconds subscriber_time{3'000'000};
 /// A table that a gateway hasn't confirmed is not sent again unasked before this.
 constexpr microseconds push_timeout{400'000};
+/// A document is not sent to a gateway again before this: at the users' size one takes a quarter of
+/// a second on a gateway's link of 10 Mbit/s.
+constexpr microseconds document_time{700'000};
 /// Time between two looks at who should vote.
 constexpr microseconds voter_interval{500'000};
 /// Offers that may wait for the log.
@@ -144,6 +147,7 @@
     news.controls = present(t.st.peers, t.ctx.now, t.ctx.self);
     if (!news.certain) {
         const routing_document& table = newest_table(t);
+        news.version = table.version;
         if (version == 0 && table.version != 0)
             news.document = table;
         return news;
@@ -223,9 +227,16 @@
         s.running = msg.running;
         s.heard = t.ctx.now;
         s.version = msg.version;
-        if (msg.version < t.st.machine.table.version)
+        const bool on_its_way = s.sent == news.version && t.ctx.now - s.sent_at < document_time;
+        if (on_its_way)
+            news.document.reset();
+        if (news.document && !msg.names_only) {
+            s.sent = news.version;
             s.sent_at = t.ctx.now;
+        }
     }
+    if (msg.names_only)
+        news.document.reset();
     t.out.emplace_back(send_message{from, fleet_message(std::move(news))});
 }
 
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -200,4 +200,24 @@
     BOOST_TEST(ask("router-1", 2, {}) == 1'000U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_table_is_named_without_its_document_and_not_sent_twice_at_once,
+                        leading_replica)
+{
+    give(table_offered{"a", document(7, "seven")});
+    table_query query;
+    query.from.id = node_id::from_trusted("router-1");
+    query.names_only = true;
+    hear(fleet_message(query));
+    BOOST_TEST(news().version == 7U);
+    BOOST_TEST(!news().document.has_value());
+    query.names_only = false;
+    hear(fleet_message(query));
+    BOOST_TEST(news().document.has_value());
+    hear(fleet_message(query)); // the first copy is on its way
+    BOOST_TEST(!news().document.has_value());
+    now += milliseconds(800);
+    hear(fleet_message(query));
+    BOOST_TEST(news().document.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -20,6 +20,9 @@
 /// The same for a gateway that has no table and so can serve nobody.
 constexpr microseconds first_query_interval{100'000};
 constexpr microseconds first_query_timeout{200'000};
+/// The first table is asked for elsewhere when it hasn't come within this. Asked of all at once,
+/// the copies would fill a gateway's link for seconds.
+constexpr microseconds first_table_timeout{1'000'000};
 
 /// The control process after the present one, in the order of their ids.
 node_info next_contact(const table_source& source)
@@ -40,13 +43,17 @@
     st.source.asked_at = ctx.now;
     st.source.waits = true;
     st.source.next_ask = ctx.now + (st.table.version == 0 ? first_query_timeout : query_timeout);
-    const table_query query{ctx.self, st.table.version, std::exchange(st.source.placed, {}),
-                            own_shares(st.workers), st.source.list};
+    table_query query{ctx.self,
+                      st.table.version,
+                      std::exchange(st.source.placed, {}),
+                      own_shares(st.workers),
+                      st.source.list,
+                      st.table.version == 0};
     if (st.table.version != 0) {
         out.emplace_back(send_message{st.source.contact, fleet_message(query)});
         return;
     }
-    // Whoever answers first ends the wait of all callers.
+    // Whoever answers first is asked for its table.
     for (const auto& n : st.source.controls) {
         out.emplace_back(connect_peer{n.id, n.address});
         out.emplace_back(send_message{n.id, fleet_message(query)});
@@ -95,6 +102,15 @@
 
 namespace {
 
+/// Asks for the first table where one is.
+void fetch_first_table(gateway_state& st, const context& ctx, const node_id& from, effects& out)
+{
+    st.source.contact = from;
+    st.source.fetch_until = ctx.now + first_table_timeout;
+    const table_query query{ctx.self, 0, {}, own_shares(st.workers), st.source.list, false};
+    out.emplace_back(send_message{from, fleet_message(query)});
+}
+
 /// A leader's list takes the place of one that this process would read itself.
 void take_workers(gateway_state& st, const context& ctx, const table_news& news)
 {
@@ -124,9 +140,11 @@
         st.workers = with_shares(std::move(st.workers), ctx.now, *news.running);
     if (news.document && news.document->version > st.table.version)
         out.emplace_back(decode_table{*news.document});
-    if (from == st.source.contact) {
+    const bool lacks = st.table.version == 0 && !news.document;
+    if (lacks && news.version != 0 && ctx.now >= st.source.fetch_until) {
+        fetch_first_table(st, ctx, from, out);
+    } else if (from == st.source.contact) {
         st.source.waits = false;
-        const bool lacks = st.table.version == 0 && !news.document;
         st.source.next_ask = ctx.now + (lacks ? first_query_interval : query_interval);
         const auto leader =
             std::find_if(st.source.controls.begin(), st.source.controls.end(),
--- a/src/libcore/gateway_test.cpp
+++ b/src/libcore/gateway_test.cpp
@@ -291,6 +291,46 @@
     BOOST_TEST(started().fetch_from == address);
 }
 
+// Copies from all control processes at once would fill the link of a small machine for seconds.
+BOOST_AUTO_TEST_CASE(the_first_table_is_asked_for_at_one_control_process_only)
+{
+    node_info self;
+    self.id = node_id::from_trusted("router-1");
+    const follower_state fleet;
+    gateway_state st;
+    st.enabled = true;
+    for (const char* name : {"control-1", "control-2", "control-3"}) {
+        node_info seed;
+        seed.id = node_id::from_trusted(name);
+        st.source.seeds.push_back(seed);
+    }
+    const auto at = [&](int ms) { return context{instant(milliseconds(ms)), 1, self, fleet}; };
+    // Queries in the step, those for the document alone.
+    const auto queries = [](const effects& out) {
+        std::pair<int, int> n{0, 0};
+        for (const auto& e : out) {
+            const auto* sent = std::get_if<send_message>(&e);
+            const auto* msg = sent ? std::get_if<fleet_message>(&sent->what) : nullptr;
+            const auto* query = msg ? std::get_if<table_query>(msg) : nullptr;
+            if (query != nullptr)
+                (query->names_only ? n.first : n.second) += 1;
+        }
+        return n;
+    };
+    auto done = reduce(std::move(st), at(1'000), clock_event(tick{}));
+    BOOST_TEST((queries(done.out) == std::pair(3, 0)));
+    table_news news;
+    news.version = 5;
+    const auto hear = [&](const char* who, int ms) {
+        done = take_news(std::move(done.next), at(ms), node_id::from_trusted(who), news);
+        return queries(done.out);
+    };
+    BOOST_TEST((hear("control-2", 1'010) == std::pair(0, 1)));
+    BOOST_TEST((hear("control-1", 1'011) == std::pair(0, 0)));
+    BOOST_TEST((hear("control-3", 1'500) == std::pair(0, 0)));
+    BOOST_TEST((hear("control-3", 2'100) == std::pair(0, 1))); // the first one didn't bring it
+}
+
 BOOST_AUTO_TEST_CASE(events_are_split_only_where_they_end)
 {
     const auto s = split_at_events("id: 7\ndata: x\n\nid:8\ndata: y\n\nid: 9\n");
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -106,7 +106,7 @@
 {
     return wire::get(from.from()).map([&](auto node) {
         return fleet_message(table_query{std::move(node), from.version(), get_placements(from),
-                                         get_shares(from), from.list()});
+                                         get_shares(from), from.list(), from.names_only()});
     });
 }
 
@@ -179,6 +179,7 @@
             put_placements(m.placed, *to.mutable_table_query());
             put_shares(m.running, *to.mutable_table_query());
             to.mutable_table_query()->set_list(m.list);
+            to.mutable_table_query()->set_names_only(m.names_only);
         },
         [&](const table_news& m) { put(m, *to.mutable_table_news()); });
 }
