Mend what a second reading found

- Placements told to a gateway that has no table yet were dropped there, so a restarted gateway still missed those of before: they are told once it has a table.
The test asked without a version and could not see it; it now asks as a gateway does, and without a table gets none.
- Two constants bounded how soon a document follows another; one is left.
- A log value with a line feed could begin a line of its own; control characters are shown as "?".
- A backlog of log lines was moved once for each 4 KB written; now once.
- http_session had two names for closing when all is sent.

--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -42,7 +42,7 @@
     incarnation life = 0; ///< a restarted gateway knows nothing of what this one was told
     instant heard{};
     std::uint64_t version = 0;         ///< as it last confirmed
-    std::uint64_t sent = 0;            ///< newest that was sent unasked
+    std::uint64_t sent = 0;            ///< newest that was sent
     std::uint64_t placed = 0;          ///< count of placements that it was told or told itself
     std::vector<worker_share> running; ///< as it last said
     instant sent_at{};
--- a/src/include/bluebell/runtime/http_server.h
+++ b/src/include/bluebell/runtime/http_server.h
@@ -35,7 +35,7 @@
     /// Breaks the answer off by closing the connection.
     void abort();
     /// Closes the connection without the answer's end, once the system took what was sent.
-    void break_off() { close_gently(); }
+    void close_gently();
 
     /// The answer's bytes that the system hasn't taken; none once the connection is closed.
     [[nodiscard]] std::size_t unsent() const { return stream_->unsent(); }
@@ -56,7 +56,6 @@
     void on_taken();
     void refuse(const core::error& why);
     void finish_request();
-    void close_gently();
     void write_head(std::uint16_t status, const std::vector<core::header_field>& fields);
     [[nodiscard]] bool is_overdue(core::instant now) const;
 
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -14,10 +14,8 @@
 constexpr std::string_view part = "tables";
 /// A gateway that asked within this is told of a new table at once.
 constexpr microseconds subscriber_time{3'000'000};
-/// A table that a gateway hasn't confirmed is not sent again unasked before this.
-constexpr microseconds push_timeout{400'000};
-/// A document is not sent to a gateway again before this: at the users' size one takes a quarter of
-/// a second on a gateway's link of 10 Mbit/s.
+/// A document that a gateway hasn't confirmed is not followed by another before this. It must come
+/// in half of config-apply-ms (2 s), or the next one may be late.
 constexpr microseconds document_time{700'000};
 /// Time between two looks at who should vote.
 constexpr microseconds voter_interval{500'000};
@@ -217,7 +215,8 @@
             s = table_subscriber{};
             s.life = msg.from.life;
         }
-        news.placed = placements_for(t.st.lead, from, s);
+        if (msg.version != 0)
+            news.placed = placements_for(t.st.lead, from, s); // without a table they'd be dropped
         news.running = running_elsewhere(t, from);
         if (list_is_fresh(t)) {
             news.list = t.st.lead.list;
@@ -278,7 +277,7 @@
                                 {{"version", std::to_string(table.version)},
                                  {"bytes", std::to_string(table.text.size())}}));
     for (auto& [id, s] : t.st.lead.subscribers) {
-        const bool busy = s.version < s.sent && t.ctx.now - s.sent_at < push_timeout;
+        const bool busy = s.version < s.sent && t.ctx.now - s.sent_at < document_time;
         if (t.ctx.now - s.heard >= subscriber_time || busy)
             continue;
         s.sent = table.version;
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -183,10 +183,12 @@
 
 BOOST_FIXTURE_TEST_CASE(a_restarted_gateway_is_told_all_placements_again, leading_replica)
 {
-    const auto ask = [&](const char* who, incarnation life, std::vector<prompt_placement> placed) {
+    const auto ask = [&](const char* who, incarnation life, std::uint64_t version,
+                         std::vector<prompt_placement> placed) {
         table_query query;
         query.from.id = node_id::from_trusted(who);
         query.from.life = life;
+        query.version = version;
         query.placed = std::move(placed);
         hear(fleet_message(query), who);
         return news().placed.size();
@@ -194,10 +196,11 @@
     std::vector<prompt_placement> many;
     for (hash64 n = 0; n < 1'000; ++n)
         many.push_back({n, 1, 10});
-    ask("router-2", 1, many);
-    BOOST_TEST(ask("router-1", 1, {}) == 1'000U);
-    BOOST_TEST(ask("router-1", 1, {}) == 0U);
-    BOOST_TEST(ask("router-1", 2, {}) == 1'000U);
+    ask("router-2", 1, 1, many);
+    BOOST_TEST(ask("router-1", 1, 1, {}) == 1'000U);
+    BOOST_TEST(ask("router-1", 1, 1, {}) == 0U);
+    BOOST_TEST(ask("router-1", 2, 0, {}) == 0U); // it has no table to use them by
+    BOOST_TEST(ask("router-1", 2, 1, {}) == 1'000U);
 }
 
 BOOST_FIXTURE_TEST_CASE(a_table_is_named_without_its_document_and_not_sent_twice_at_once,
--- a/src/libcore/replication_fleet_test.h
+++ b/src/libcore/replication_fleet_test.h
@@ -16,6 +16,10 @@
 
 namespace bluebell::core::test {
 
+inline constexpr std::int64_t ms = 1'000; ///< in microseconds, the fleet's unit of time
+
+[[nodiscard]] node_info make_node(std::size_t n);
+
 /// What goes wrong in a run, and how often. Shares are in permille.
 struct fault_plan {
     std::size_t replicas = 3; ///< voters at the start
--- a/src/libruntime/caller_reply_pvt.h
+++ b/src/libruntime/caller_reply_pvt.h
@@ -39,7 +39,7 @@
     void end();
     void error(const core::reply_error& e);
     /// Closes the connection without the answer's end, once what was sent has been taken.
-    void cut() { session_->break_off(); }
+    void cut() { session_->close_gently(); }
 
     /// Returns the bytes of answer that were taken since the last call, in whole chunks.
     [[nodiscard]] std::uint32_t take_drained();
--- a/src/libruntime/log_output.cpp
+++ b/src/libruntime/log_output.cpp
@@ -96,15 +96,18 @@
     void flush()
     {
         const std::lock_guard guard(lock);
-        while (!buffer.text.empty()) {
-            const std::size_t part = std::min<std::size_t>(buffer.text.size(), PIPE_BUF);
-            const auto n = can_write() ? ::write(STDOUT_FILENO, buffer.text.data(), part) : 0;
+        std::size_t written = 0;
+        while (written < buffer.text.size()) {
+            const std::size_t part = std::min<std::size_t>(buffer.text.size() - written, PIPE_BUF);
+            const auto n =
+                can_write() ? ::write(STDOUT_FILENO, buffer.text.data() + written, part) : 0;
             if (n <= 0) {
                 retry->arm(retry_interval);
-                return;
+                break;
             }
-            buffer = without_first(std::move(buffer), static_cast<std::size_t>(n));
+            written += static_cast<std::size_t>(n);
         }
+        buffer = without_first(std::move(buffer), written);
     }
 };
 
--- a/src/libtelemetry/telemetry_test.cpp
+++ b/src/libtelemetry/telemetry_test.cpp
@@ -99,6 +99,13 @@
                         {{"why", "no \"other\" worker"}, {"status", "503"}}};
     BOOST_TEST(telemetry::format(line) ==
                "gateway: Refused. request=r1 why=\"no \\\"other\\\" worker\" status=503");
+    const log_line forged{log_level::info,
+                          "gateway",
+                          "Refused.",
+                          request_id(),
+                          {{"target", "/a\nerror gateway: forged"}}};
+    BOOST_TEST(telemetry::format(forged) ==
+               "gateway: Refused. target=\"/a?error gateway: forged\"");
 }
 
 BOOST_AUTO_TEST_CASE(a_trace_keeps_the_newest_requests)
--- a/src/libtelemetry/trace.cpp
+++ b/src/libtelemetry/trace.cpp
@@ -2,16 +2,25 @@
 
 #include <bluebell/telemetry/trace.h>
 
+#include <algorithm>
+
 namespace bluebell::telemetry {
 
 using namespace core;
 
 namespace {
 
-/// A value with a space, a quote or an equals sign is quoted, so that a line can be split.
+bool is_control(char c)
+{
+    return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
+}
+
+/// A value that could be taken for more than one is quoted; no value may begin a line of its own.
 void add_value(std::string& text, const std::string& value)
 {
-    if (!value.empty() && value.find_first_of(" \"=") == std::string::npos) {
+    const bool plain = !value.empty() && value.find_first_of(" \"=") == std::string::npos &&
+                       std::none_of(value.begin(), value.end(), is_control);
+    if (plain) {
         text += value;
         return;
     }
@@ -19,7 +28,7 @@
     for (const char c : value) {
         if (c == '"' || c == '\\')
             text += '\\';
-        text += c;
+        text += is_control(c) ? '?' : c;
     }
     text += '"';
 }
