Let the soak's proxy hear its orders, and show that the soak can fail

The proxy now reads its own orders, repeats each one, and the run fails unless all were carried out. One link fault loses answers (held, then reset) and is drawn more often; the route of requests that may run once has three attempts, so that a wrong repeat would show.

--- a/testsuite/soak/fault_proxy.cpp
+++ b/testsuite/soak/fault_proxy.cpp
@@ -4,7 +4,8 @@
 //   LINK delay MS       forwards everything so much later
 //   LINK reset          resets the connections that are open now
 //   LINK refuse         resets new connections at once, until pass
-// LINK is the number of the link on the command line, from 0.
+// LINK is the number of the link on the command line, from 0. Each order is repeated on standard
+// output as it is carried out.
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -186,6 +187,7 @@
         std::cerr << "fault_proxy: no such link: " << line << "\n";
         return;
     }
+    std::cout << line << std::endl; // the order is known to have come
     proxy_link& l = *links[n];
     if (mode == "hold") {
         l.held[value == "to" ? to_target : back] = true;
--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -65,8 +65,13 @@
 for n in 1 2 3; do links+=("127.0.0.1:$((port + 30 + n))=$(ip_of control-$n):$((port + 12))"); done
 mkfifo "$work/orders"
 exec {orders}<>"$work/orders" # for both, or opening would wait for the other end
-start proxy "$SOAK_BIN/fault_proxy" "${links[@]}" <"$work/orders"
-order() { echo "$*" >&"$orders"; }
+# Not by start: a command in the background reads nothing unless its own input is redirected.
+"$SOAK_BIN/fault_proxy" "${links[@]}" <"$work/orders" >"$work/proxy.log" 2>&1 &
+pids+=($!)
+order() {
+    echo "$*" >>"$work/ordered"
+    echo "$*" >&"$orders"
+}
 for name in "${names[@]}"; do
     supervise "$name" &
     pids+=($!)
@@ -108,9 +113,10 @@
         sleep "$time"
         order "$link pass"
         ;;
-    7)
+    7 | 11 | 12) # what was answered meanwhile is lost
         order "$link hold back"
         sleep "$time"
+        order "$link reset"
         order "$link pass"
         ;;
     8)
@@ -138,7 +144,7 @@
 lost_at=$((SECONDS + 2))
 while [ $SECONDS -lt $stop_at ]; do
     # The draws stay in this shell, so that a seed draws the same series.
-    fault $((RANDOM % 11)) "${names[$((RANDOM % 6))]}" $((RANDOM % 11)) $((RANDOM % 18 + 2)) &
+    fault $((RANDOM % 13)) "${names[$((RANDOM % 6))]}" $((RANDOM % 11)) $((RANDOM % 18 + 2)) &
     faults+=($!)
     if [ $SECONDS -ge $lost_at ] && [ $SECONDS -lt $((stop_at - 4)) ] && [ $((RANDOM % 6)) = 0 ]; then
         lose_disk
@@ -148,6 +154,8 @@
 done
 wait "${faults[@]}" 2>/dev/null || true
 for n in $(seq 0 10); do order "$n pass"; done
+carried_out() { [ "$(sort "$work/ordered")" = "$(sort "$work/proxy.log")" ]; }
+wait_for carried_out
 touch "$work/healed"
 code=0
 wait "$client" || code=$?
--- a/testsuite/soak/soak_operator.cpp
+++ b/testsuite/soak/soak_operator.cpp
@@ -26,7 +26,9 @@
     };
     return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
            route("safe", R"("kind":"safe","timeout-ms":2000,"service":"plain","attempts":3)") +
-           "," + route("unsafe", R"("kind":"unsafe","timeout-ms":2000,"service":"plain")") + "," +
+           "," +
+           route("unsafe", R"("kind":"unsafe","timeout-ms":2000,"service":"plain","attempts":3)") +
+           "," +
            route("stream", R"("kind":"streaming","timeout-ms":3000,"service":"engine",)"
                            R"("attempts":3,"stream-resume":true)") +
            "," +
