Play load patterns with the gateways' reducers before modelled workers

Change: the fleet loop takes pass-through requests: modelled engines and plain services, callers that come back, thirteen patterns by name, from 75 gateways before 59 engines to four times that.

--- a/bench/baseline_loop.cpp
+++ b/bench/baseline_loop.cpp
@@ -114,7 +114,7 @@
             },
             [&](const agent_start& f) { is_available_[static_cast<std::size_t>(f.agent)] = true; },
             [&](const agent_drain& f) { is_available_[static_cast<std::size_t>(f.agent)] = false; },
-            [](const router_stop&) {}, [](const control_partition&) {});
+            [](const auto&) {}); // the other faults concern no engine
         record_loads(-1);
     }
 
--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -4,6 +4,7 @@
 
 #include "baseline_loop.h"
 #include "bound_check.h"
+#include "pass_callers.h"
 #include "virtual_time.h"
 
 #include <bluebell/core/reducer.h>
@@ -25,6 +26,11 @@
 constexpr microseconds resend_delay{200'000};
 /// Time from the submission of a call with crash_marker to the crash of its engine.
 constexpr microseconds crash_delay{50'000};
+/// Time that the platform takes to answer with its list of workers.
+constexpr microseconds list_delay{20'000};
+/// Retries of pass-through requests in thousandths, for the whole fleet, as on the users' platform.
+constexpr std::uint32_t retry_permille = 200;
+constexpr std::uint32_t max_retry_balance_permille = 10'000;
 /// A call whose body contains this text crashes the engine that runs it.
 constexpr std::string_view crash_marker = "crash";
 
@@ -59,7 +65,9 @@
                 start_agent(i);
         }
         for (int i = 0; i < scenario_.routers; ++i)
-            start_node(make_node("router-" + std::to_string(i), node_role::router), router_state{});
+            start_router(i);
+        if (scenario_.pass)
+            start_pass_through();
         for (const auto& stream : scenario_.streams)
             schedule_next_call(stream,
                                std::max(from_seconds(stream.from_s), from_seconds(warm_up_s)));
@@ -107,12 +115,51 @@
     void start_control()
     {
         const node_info self = make_node("control-0", node_role::control);
-        start_node(self, control_state{});
+        control_state st;
+        st.reads_worker_list = scenario_.pass.has_value();
+        start_node(self, std::move(st));
         disk_loaded loaded;
         loaded.was_empty = true;
         dispatch(self.id, disk_event(loaded));
     }
 
+    static node_id router_id(int n) { return node_id::from_trusted("router-" + std::to_string(n)); }
+
+    void start_router(int n)
+    {
+        router_state st;
+        if (scenario_.pass) {
+            st.gateway.enabled = true;
+            st.gateway.table_sync.seeds = {make_node("control-0", node_role::control)};
+            st.gateway.retry_config = {retry_permille, 0, max_retry_balance_permille};
+        }
+        start_node(make_node(router_id(n).str(), node_role::router), std::move(st));
+    }
+
+    void start_pass_through()
+    {
+        std::vector<node_id> gateways;
+        for (int i = 0; i < scenario_.routers; ++i)
+            gateways.push_back(router_id(i));
+        workers_.emplace(
+            *scenario_.pass, clock_, scenario_.seed,
+            [this](const node_id& to, exchange_event ev) { dispatch(to, std::move(ev)); },
+            result_.pass);
+        callers_.emplace(
+            *scenario_.pass, clock_, scenario_.seed, std::move(gateways), *workers_,
+            [this](const node_id& to, exchange_event ev) {
+                const bool up = nodes_[to].up;
+                dispatch(to, std::move(ev));
+                return up;
+            },
+            result_.pass);
+        callers_->start(from_seconds(scenario_.duration_s));
+        clock_.schedule(from_seconds(1), [this] {
+            dispatch(node_id::from_trusted("control-0"),
+                     table_event(table_submitted{"op", {1, bytes::from("table")}}));
+        });
+    }
+
     agent_offer make_offer() const
     {
         agent_offer o;
@@ -339,6 +386,45 @@
         schedule_sync(from, e);
     }
 
+    void apply_effect(const node_id& from, simulated_node&, const read_worker_list&)
+    {
+        clock_.schedule(clock_.now() + list_delay, [this, from] {
+            if (workers_)
+                dispatch(from, exchange_event(worker_list_received{workers_->list()}));
+        });
+    }
+    void apply_effect(const node_id& from, simulated_node&, const decode_table& e)
+    {
+        clock_.schedule(clock_.now(), [this, from, version = e.document.version] {
+            dispatch(from, table_event(
+                               table_decoded{pass_callers::make_table(*scenario_.pass, version)}));
+        });
+    }
+    void apply_effect(const node_id& from, simulated_node&, const start_attempt& e)
+    {
+        workers_->start(from, e);
+    }
+    void apply_effect(const node_id& from, simulated_node&, const cancel_attempt& e)
+    {
+        workers_->cancel(from, e.attempt);
+    }
+    void apply_effect(const node_id&, simulated_node&, const pass_head& e) { callers_->on(e); }
+    void apply_effect(const node_id&, simulated_node&, const pass_end& e) { callers_->on(e); }
+    void apply_effect(const node_id&, simulated_node&, const pass_abort& e) { callers_->on(e); }
+    void apply_effect(const node_id&, simulated_node&, const pass_error_reply& e)
+    {
+        callers_->on(e);
+    }
+
+    void restart_routers()
+    {
+        for (int i = 0; i < scenario_.routers; ++i) {
+            workers_->cancel_all(router_id(i));
+            callers_->lose_gateway(router_id(i));
+            start_router(i);
+        }
+    }
+
     /// Effects that have no result in the simulation.
     template <class Effect>
     void apply_effect(const node_id&, simulated_node&, const Effect&)
@@ -404,7 +490,12 @@
             [&](const router_stop& f) {
                 nodes_[node_id::from_trusted("router-" + std::to_string(f.router))].up = false;
             },
-            [&](const control_partition& f) { control_is_partitioned_ = f.active; });
+            [&](const control_partition& f) { control_is_partitioned_ = f.active; },
+            [&](const routers_restart&) { restart_routers(); },
+            [&](const workers_stop& f) { workers_->stop_workers(f.service, f.share, f.down_time); },
+            [&](const workers_slow& f) {
+                workers_->slow_workers(f.service, f.share, f.factor, f.duration);
+            });
     }
 
     static int agent_number(const node_id& id)
@@ -445,6 +536,8 @@
     bool control_is_partitioned_ = false;
     bound_check bound_check_;
     run_result result_;
+    std::optional<worker_pool> workers_;
+    std::optional<pass_callers> callers_;
 };
 
 } // namespace
--- /dev/null
+++ b/bench/load_patterns.cpp
@@ -0,0 +1,225 @@
+// Plays patterns of load with the reducers of many gateways before many workers, and checks who is
+// served, who is refused, and how evenly work is spread. Each pattern has a name that --only takes.
+
+#include "checks.h"
+#include "scenario.h"
+
+#include <cxxopts.hpp>
+
+#include <cstdio>
+#include <functional>
+#include <iostream>
+
+namespace bench {
+
+namespace {
+
+/// The requests begin when tables, lists and the first reports have arrived.
+constexpr double load_from_s = 4;
+constexpr double load_s = 14;
+/// The platform's bound on the share of requests that reach a worker over twice the mean plus 3.
+constexpr double max_over_limit_share = 0.03;
+
+/// A fleet of the size of the largest known deployment, times `scale`.
+scenario make_fleet(std::uint64_t seed, double scale)
+{
+    scenario s;
+    s.seed = seed;
+    s.agents = 0;
+    s.routers = static_cast<int>(75 * scale);
+    s.duration_s = load_from_s + load_s;
+    const auto count = [&](double n) { return static_cast<int>(n * scale); };
+    pass_scenario pass;
+    pass.from_s = load_from_s;
+    pass.groups = {{"engine", count(59), 32, 96, true}, {"plain", count(5), 6, 24, false}};
+    request_kind question{"question", "engine", 321 * scale, milliseconds(400),
+                          milliseconds(4'000)};
+    question.streamed = question.repeatable = true;
+    question.max_workers = 2;
+    question.events = 8.68;
+    question.sessions = count(633);
+    question.common_prompts = 4;
+    question.common_tokens = 2'520;
+    question.session_tokens = 6'100;
+    question.question_tokens = 580;
+    request_kind summary = question;
+    summary.name = "summary";
+    summary.per_s = 371 * scale;
+    summary.target = milliseconds(600);
+    summary.timeout = milliseconds(3'000);
+    summary.priority = 1;
+    summary.repeatable = false;
+    summary.max_workers = 1;
+    summary.events = 3.76;
+    summary.sessions = count(732);
+    summary.common_prompts = 78;
+    summary.common_tokens = 341;
+    summary.session_tokens = 1'700;
+    summary.question_tokens = 360;
+    request_kind notice = question;
+    notice.name = "notice";
+    notice.per_s = 93.4 * scale;
+    notice.target = milliseconds(1'500);
+    notice.timeout = milliseconds(12'000);
+    notice.priority = 2;
+    notice.events = 46.6;
+    notice.sessions = count(276);
+    notice.common_prompts = 78;
+    notice.common_tokens = 103;
+    notice.session_tokens = 500;
+    notice.question_tokens = 110;
+    request_kind claim{"claim", "plain", 196 * scale, milliseconds(150), milliseconds(1'000)};
+    claim.priority = 2;
+    claim.work = milliseconds(30);
+    request_kind lookup = claim;
+    lookup.name = "lookup";
+    lookup.per_s = 78.6 * scale;
+    lookup.repeatable = true;
+    lookup.max_workers = 2;
+    pass.kinds = {question, summary, notice, claim, lookup};
+    s.pass = std::move(pass);
+    return s;
+}
+
+/// One pattern: what it changes about the usual load, and what it must keep.
+struct pattern {
+    std::string name;
+    std::string answers; ///< the question that it answers
+    double scale = 1;
+    std::function<void(scenario&)> change;
+    bool checks_limit = true; ///< the platform's bound holds: no worker is in trouble
+    /// Least share of the most urgent kind that is served within its target; 0: not checked.
+    double urgent_in_target = 0;
+};
+
+void add_surge(scenario& s, const std::string& kind, double factor, double from_s, double until_s)
+{
+    s.pass->surges.push_back({kind, factor, load_from_s + from_s, load_from_s + until_s});
+}
+
+void add_fault(scenario& s, double at_s, fault_kind kind)
+{
+    s.faults.push_back({load_from_s + at_s, std::move(kind)});
+}
+
+std::vector<pattern> patterns()
+{
+    const auto nothing = [](scenario&) {};
+    const auto burst = [](scenario& s) { add_surge(s, "", 3, 5, 10); };
+    return {
+        {"cold_start", "do many gateways that begin at once spread their work?", 1, nothing, true,
+         0.95},
+        {"cold_start_300", "the same with 300 gateways", 4, nothing, true, 0.95},
+        {"burst_all", "does a sudden burst of all kinds overload single workers?", 1, burst},
+        {"burst_all_300", "the same with 300 gateways", 4, burst},
+        {"burst_one_kind", "what does a burst of one kind cost the others?", 1,
+         [](scenario& s) { add_surge(s, "summary", 2.5, 5, 12); }, true, 0.95},
+        {"hot_prompt", "is a prompt that many ask for spread over as many workers as it needs?", 1,
+         [](scenario& s) {
+             s.pass->hot_sessions.push_back({"summary", 0.28, load_from_s + 5, load_from_s + 11});
+         },
+         true, 0.95},
+        {"silent_leader", "does the bound hold without reports of other gateways?", 1,
+         [](scenario& s) {
+             add_fault(s, 5, control_partition{true});
+             add_fault(s, 8, control_partition{false});
+         },
+         true, 0.95},
+        {"restart", "how soon does a fleet serve again that has lost all gateways?", 1,
+         [](scenario& s) { add_fault(s, 5, routers_restart{}); }},
+        {"engines_lost", "where does the work of lost engines go?", 1,
+         [](scenario& s) {
+             add_fault(s, 5, workers_stop{"engine", 0.2, milliseconds(3'500)});
+         },
+         false, 0.9},
+        {"slow_engines", "is work kept off engines that have become slow?", 1,
+         [](scenario& s) {
+             add_fault(s, 5, workers_slow{"engine", 0.25, 3, milliseconds(6'000)});
+         },
+         false, 0.9},
+        {"pressed", "who is served when callers press three times as hard and engines are lost?", 1,
+         [](scenario& s) {
+             add_surge(s, "", 3, 4, 12);
+             add_fault(s, 5, workers_stop{"engine", 0.25, milliseconds(6'000)});
+         },
+         false},
+        {"impatient", "what do callers cost who come back at once?", 1,
+         [](scenario& s) {
+             add_surge(s, "", 3, 5, 10);
+             s.pass->impatient = true;
+             s.pass->resends = 3;
+         }},
+        {"leaving", "is work of callers that leave ended?", 1,
+         [](scenario& s) { s.pass->leaving_share = 0.2; }},
+    };
+}
+
+void print_kinds(const scenario& s, const run_result& r)
+{
+    for (std::size_t kind = 0; kind < s.pass->kinds.size(); ++kind) {
+        const auto& k = s.pass->kinds[kind];
+        const pass_selection all{kind, load_from_s, s.duration_s - 1};
+        std::printf("    %-10s in target %.3f  served %.3f  refused %.3f  failed %.3f\n",
+                    k.name.c_str(), share_in_target(r.pass, all, k.target),
+                    share_with_outcome(r.pass, all, pass_outcome::served),
+                    share_with_outcome(r.pass, all, pass_outcome::refused),
+                    share_with_outcome(r.pass, all, pass_outcome::failed));
+    }
+}
+
+void run_pattern(const pattern& p, std::uint64_t seed, std::vector<check>& checks)
+{
+    scenario s = make_fleet(seed, p.scale);
+    p.change(s);
+    const run_result r = run(s, real_fleet{});
+    const auto over_limit = [&](const std::string& service) {
+        return worst_over_limit_share(r.pass, service, load_from_s, s.duration_s);
+    };
+    const double over = over_limit("");
+    std::printf("%s: %s\n  requests %zu  over limit, worst 5 s %.4f (engines %.4f, plain "
+                "%.4f)  highest load %.1f of mean  "
+                "read again %llu k tokens  fetched %llu k  in vain %llu\n",
+                p.name.c_str(), p.answers.c_str(), r.pass.requests.size(), over,
+                over_limit("engine"), over_limit("plain"), r.pass.highest_load_to_mean,
+                static_cast<unsigned long long>(r.pass.reread_tokens / 1000),
+                static_cast<unsigned long long>(r.pass.fetched_tokens / 1000),
+                static_cast<unsigned long long>(r.pass.runs_in_vain));
+    print_kinds(s, r);
+    if (p.checks_limit)
+        checks.push_back(
+            {"load." + p.name + ".over_limit", over, relation::at_most, max_over_limit_share});
+    if (p.urgent_in_target > 0)
+        checks.push_back(
+            {"load." + p.name + ".urgent_in_target",
+             share_in_target(r.pass, {0, load_from_s, s.duration_s - 1}, s.pass->kinds[0].target),
+             relation::at_least, p.urgent_in_target});
+}
+
+} // namespace
+
+} // namespace bench
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("load_patterns", "Plays patterns of load against targets.");
+    options.add_options()("seed", "Seed of all runs",
+                          cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "only", "Play the patterns whose name begins so",
+        cxxopts::value<std::string>()->default_value(""))(
+        "known-red", "File that lists checks known to fail",
+        cxxopts::value<std::string>()->default_value(""))("help", "Print this help and exit");
+    const auto args = options.parse(argc, argv);
+    if (args.count("help") != 0) {
+        std::cout << options.help();
+        return 0;
+    }
+    std::vector<bench::check> checks;
+    for (const auto& p : bench::patterns()) {
+        if (p.name.starts_with(args["only"].as<std::string>()))
+            bench::run_pattern(p, args["seed"].as<std::uint64_t>(), checks);
+    }
+    return bench::print_report(checks,
+                               bench::read_known_red(args["known-red"].as<std::string>())) == 0
+               ? 0
+               : 1;
+}
--- a/bench/outcome.h
+++ b/bench/outcome.h
@@ -2,6 +2,7 @@
 /// The outcome of each call of a run, and the figures computed from them.
 #pragma once
 
+#include "pass_scenario.h"
 #include "workload.h"
 
 #include <map>
@@ -42,6 +43,7 @@
     std::uint64_t messages = 0;
     std::uint64_t events = 0;
     instant last_admission_to_draining_at{}; ///< last call submitted to a draining agent's engine
+    pass_result pass;
 
     friend bool operator==(const run_result&, const run_result&) = default;
 };
--- /dev/null
+++ b/bench/pass_scenario.h
@@ -0,0 +1,132 @@
+/// \file
+/// Pass-through requests of a run: the kinds of requests, the workers that serve them, and the
+/// outcome of each request.
+#pragma once
+
+#include <bluebell/core/time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bench {
+
+using namespace bluebell::core;
+
+/// Requests of one kind, from many sessions.
+struct request_kind {
+    std::string name;
+    std::string service;
+    double per_s = 1;          ///< mean of a Poisson process
+    microseconds target{};     ///< desired time to the first event or to the answer
+    microseconds timeout{};    ///< the caller waits this long, and so does its route
+    std::uint8_t priority = 0; ///< rank; 0 is served first
+    bool streamed = false;
+    bool repeatable = false; ///< idempotent, or its stream may be resumed
+    std::uint32_t max_workers = 1;
+    double events = 1;      ///< mean events of a stream
+    microseconds work{0};   ///< mean time that a plain service works on it
+    int sessions = 0;       ///< each has a prompt part of its own; 0: requests have no prompt
+    int common_prompts = 1; ///< sessions share this many first parts
+    std::uint32_t common_tokens = 0;
+    std::uint32_t session_tokens = 0;
+    std::uint32_t question_tokens = 0; ///< of the last part, which no other request has
+};
+
+/// Equal workers of one service.
+struct worker_group {
+    std::string service;
+    int count = 1;
+    std::uint32_t slots = 1; ///< requests that one worker runs at once
+    std::uint32_t queue = 0; ///< requests that wait at one worker; further ones are refused
+    bool runs_models = false;
+};
+
+/// Multiplies the rate of one kind, or of all, during a window.
+struct surge {
+    std::string kind; ///< empty: all kinds
+    double factor = 1;
+    double from_s = 0;
+    double until_s = 0;
+};
+
+/// During a window, a share of one kind's requests comes from a single session.
+struct hot_session {
+    std::string kind;
+    double share = 0;
+    double from_s = 0;
+    double until_s = 0;
+};
+
+/// The callers and workers of pass-through requests.
+struct pass_scenario {
+    std::vector<request_kind> kinds;
+    std::vector<worker_group> groups;
+    std::vector<surge> surges;
+    std::vector<hot_session> hot_sessions;
+    double from_s = 0; ///< first request, in seconds
+    /// A refused caller comes back this often, after the stated time or, if `impatient`, at once.
+    int resends = 1;
+    bool impatient = false;
+    double leaving_share = 0; ///< share of the callers that leave after a third of their timeout
+};
+
+enum class pass_outcome : std::uint8_t {
+    open,
+    served,
+    refused, ///< with a status that promises that it didn't run
+    failed,
+    left, ///< the caller left
+};
+
+/// One request as its caller saw it, with its resends.
+struct pass_record {
+    std::size_t kind = 0; ///< index in pass_scenario::kinds
+    instant arrived_at{};
+    instant first_event_at{}; ///< zero: none came
+    instant ended_at{};
+    pass_outcome outcome = pass_outcome::open;
+
+    friend bool operator==(const pass_record&, const pass_record&) = default;
+};
+
+/// One request's arrival at a worker.
+struct worker_arrival {
+    instant at{};
+    std::string service;
+    bool over_limit = false; ///< the worker held over twice the mean of its service, plus 3
+
+    friend bool operator==(const worker_arrival&, const worker_arrival&) = default;
+};
+
+/// What a run's pass-through requests came to.
+struct pass_result {
+    std::vector<pass_record> requests;
+    std::vector<worker_arrival> arrivals;
+    double highest_load_to_mean = 0; ///< highest number at one worker, over the service's mean + 1
+    std::uint64_t reread_tokens = 0; ///< of shared parts that some worker had already read
+    std::uint64_t fetched_tokens = 0;
+    std::uint64_t runs_in_vain = 0; ///< runs that were broken off before their end
+
+    friend bool operator==(const pass_result&, const pass_result&) = default;
+};
+
+/// Returns the highest share of arrivals over the limit in any five seconds that have at least 20
+/// of them, among the arrivals from from_s until until_s. An empty service counts all.
+[[nodiscard]] double worst_over_limit_share(const pass_result& r, const std::string& service,
+                                            double from_s, double until_s);
+
+/// Selects requests by kind and arrival time.
+struct pass_selection {
+    std::size_t kind = 0;
+    double from_s = 0;
+    double until_s = 1e9;
+};
+/// Share of the selected requests that were served with their first event within the target.
+[[nodiscard]] double share_in_target(const pass_result& r, const pass_selection& s,
+                                     microseconds target);
+/// Share of the selected requests that ended with this outcome.
+[[nodiscard]] double share_with_outcome(const pass_result& r, const pass_selection& s,
+                                        pass_outcome outcome);
+
+} // namespace bench
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -4,9 +4,11 @@
 
 #include "fake_engine.h"
 #include "outcome.h"
+#include "pass_scenario.h"
 
 #include <bluebell/core/config.h>
 
+#include <optional>
 #include <set>
 #include <variant>
 #include <vector>
@@ -46,8 +48,23 @@
 struct control_partition {
     bool active = true;
 };
+/// All routers stop and start again, without any state.
+struct routers_restart {};
+/// A share of a service's workers loses its runs and caches, and is down for this time.
+struct workers_stop {
+    std::string service;
+    double share = 0;
+    microseconds down_time{3'000'000};
+};
+/// A share of a service's workers takes longer by this factor.
+struct workers_slow {
+    std::string service;
+    double share = 0;
+    double factor = 2;
+    microseconds duration{3'000'000};
+};
 using fault_kind = std::variant<engine_crash, agent_stop, agent_start, agent_drain, router_stop,
-                                control_partition>;
+                                control_partition, routers_restart, workers_stop, workers_slow>;
 /// A fault and the second at which it happens.
 struct fault {
     double at_s = 0;
@@ -75,6 +92,7 @@
     std::vector<fault> faults;
     crash_callers crashes;
     fleet_config config;
+    std::optional<pass_scenario> pass; ///< pass-through requests besides the chats
 };
 
 // Policies that choose an engine for each call. The baselines see the engines' queues without
