Choose workers so that equal knowledge at all gateways overloads none

Cause: every gateway took the worker of the lowest cost by sums that are up to 0.3 s old; 75 gateways then take the same one, and all leave it at the same threshold. Change: an engine is chosen by the prompt's homes (rendezvous hashing); a loaded engine turns requests away in proportion to its load; a prompt that many ask for has as many homes as its share of the requests needs; of plain workers, the less loaded of two drawn ones is taken. A home fetches what it is known to lack. Errors of a worker count less with time. worker_choice is split from worker_table.

--- /dev/null
+++ b/src/include/bluebell/core/worker_choice.h
@@ -0,0 +1,38 @@
+/// \file
+/// Chooses a worker for a request by what a gateway knows of the workers. No gateway knows what the
+/// others choose at the same moment, so the choice is made such that equal knowledge at all of them
+/// overloads no worker.
+#pragma once
+
+#include <bluebell/core/worker_table.h>
+
+namespace bluebell::core {
+
+/// What a request requires of its worker.
+struct worker_criteria {
+    const service_id& service;
+    const engine_demand* demand = nullptr;           ///< null: the request asks for no model
+    const engine_config* engine = nullptr;           ///< null: the service has no engines
+    const std::vector<std::string>& tried_instances; ///< not to be chosen again
+    const zone_id& zone; ///< availability zone of this process; workers in it are preferred
+};
+
+/// The worker that was chosen for a request, and the estimates behind the choice.
+struct worker_choice {
+    std::string instance;            ///< empty: no worker is eligible
+    std::string fetch_from;          ///< address of the worker to fetch the prompt from, or empty
+    double load = 0;                 ///< estimate of the requests in progress at the worker
+    std::uint32_t cached_tokens = 0; ///< estimate of the prompt's tokens in the worker's cache
+    instant load_reported_at{}; ///< when the load of other gateways was last reported; 0: never
+
+    friend bool operator==(const worker_choice&, const worker_choice&) = default;
+};
+
+/// Chooses a worker. An engine is chosen by the prompt: the first of the prompt's homes that isn't
+/// too loaded. A plain service's worker is the less loaded of two that are drawn at random.
+/// `random` must be uniformly distributed.
+[[nodiscard]] worker_choice choose_worker(const worker_table& table,
+                                          const worker_criteria& criteria, instant now,
+                                          std::uint64_t random);
+
+} // namespace bluebell::core
--- a/src/include/bluebell/core/worker_table.h
+++ b/src/include/bluebell/core/worker_table.h
@@ -1,10 +1,11 @@
 /// \file
 /// A gateway's view of the workers: the platform's list, their reported load, an estimate of the
-/// prompts in their caches, and their recent errors. Chooses a worker for a request.
+/// prompts in their caches, and their recent errors.
 #pragma once
 
 #include <bluebell/core/exchange.h>
 #include <bluebell/core/fleet_message.h>
+#include <bluebell/core/prompt_share.h>
 
 #include <map>
 #include <string>
@@ -49,6 +50,7 @@
     std::uint32_t consecutive_failures = 0; ///< attempts in a row that brought no answer
     instant backoff_until{}; ///< no new requests before this, unless all workers back off
     double error_rate = 0;   ///< moving average of the share of answers that are errors, 0 to 1
+    instant answered_at{};   ///< when error_rate was last updated
     prompt_cache_estimate prompt_cache; ///< used for engines only
 
     friend bool operator==(const worker_record&, const worker_record&) = default;
@@ -57,42 +59,21 @@
 /// All known workers.
 struct worker_table {
     std::map<std::string, worker_record> workers; ///< by instance
+    prompt_shares recent_prompts;                 ///< of this process's requests, by home_hash
     bool list_received = false;                   ///< a list was received since the start
     instant list_received_at{}; ///< when the newest list was received or confirmed
 
     friend bool operator==(const worker_table&, const worker_table&) = default;
 };
 
+/// Returns the hash that determines the prompt's homes: that of its last shared part, 0 without
+/// any.
+[[nodiscard]] hash64 home_hash(const engine_demand& demand);
+
 /// Applies a new list of workers. Workers that aren't in the list are removed.
 [[nodiscard]] worker_table with_list(worker_table current, instant now,
                                      const std::vector<worker_entry>& list);
 
-/// What a request requires of its worker.
-struct worker_criteria {
-    const service_id& service;
-    const engine_demand* demand = nullptr;           ///< null: the request asks for no model
-    const engine_config* engine = nullptr;           ///< null: the service has no engines
-    const std::vector<std::string>& tried_instances; ///< not to be chosen again
-    const zone_id& zone; ///< availability zone of this process; workers in it are preferred
-};
-
-/// The worker that was chosen for a request, and the estimates behind the choice.
-struct worker_choice {
-    std::string instance;            ///< empty: no worker is eligible
-    std::string fetch_from;          ///< address of the worker to fetch the prompt from, or empty
-    double load = 0;                 ///< estimate of the requests in progress at the worker
-    std::uint32_t cached_tokens = 0; ///< estimate of the prompt's tokens in the worker's cache
-    instant load_reported_at{}; ///< when the load of other gateways was last reported; 0: never
-
-    friend bool operator==(const worker_choice&, const worker_choice&) = default;
-};
-
-/// Chooses the worker with the lowest expected cost, that is, the earliest answer. `random` decides
-/// between workers of about equal cost.
-[[nodiscard]] worker_choice choose_worker(const worker_table& table,
-                                          const worker_criteria& criteria, instant now,
-                                          std::uint64_t random);
-
 /// Returns the prompt's shared parts that aren't yet in the estimate of the worker's cache, to
 /// report them to the other gateways.
 [[nodiscard]] std::vector<cached_prompt> find_new_cached_prompts(const worker_table& table,
@@ -125,10 +106,14 @@
 [[nodiscard]] worker_table with_load(worker_table current, const std::string& instance, instant now,
                                      const worker_load& load);
 
-/// Records that the worker answered, which ends its back-off. `is_error` means that the answer was
-/// an error or unusable.
+/// Records that the worker answered at `now`, which ends its back-off. `is_error` means that the
+/// answer was an error or unusable.
 [[nodiscard]] worker_table with_answer(worker_table current, const std::string& instance,
-                                       bool is_error);
+                                       instant now, bool is_error);
+
+/// Returns the share of the worker's answers that are errors, as expected now. An old share counts
+/// less, so that a worker that was avoided for its errors is tried again.
+[[nodiscard]] double expected_error_rate(const worker_record& w, instant now);
 
 /// Records an attempt that failed without an answer. The worker backs off, longer with each failure
 /// in a row.
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -102,6 +102,9 @@
     exchange ex = make_exchange(t, *r, *holder, request, arrived_at);
     auto& budget = t.st.retry_budgets[ex.policy.service];
     budget = add_retry_credit(budget, t.ctx.now, t.st.retry_config);
+    if (ex.request.demand)
+        t.st.workers.recent_prompts = with_request(std::move(t.st.workers.recent_prompts),
+                                                   home_hash(*ex.request.demand), t.ctx.now);
     t.st.exchanges.insert_or_assign(id, std::move(ex));
     assign_worker(t, id);
 }
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -98,7 +98,7 @@
     const std::string worker = ex.tried_instances.back();
     ex.may_have_run = true;
     end_attempt(t, ex, true);
-    t.st.workers = with_answer(std::move(t.st.workers), worker, true);
+    t.st.workers = with_answer(std::move(t.st.workers), worker, t.ctx.now, true);
     retry_or_fail(t, id, error{error_code::corrupt, "read answer", worker, std::string(reason)});
 }
 
@@ -154,7 +154,7 @@
     ex.held_head.reset();
     const std::string worker = ex.tried_instances.back();
     const bool server_error = head.status >= 500;
-    t.st.workers = with_answer(std::move(t.st.workers), worker, server_error);
+    t.st.workers = with_answer(std::move(t.st.workers), worker, t.ctx.now, server_error);
     const bool is_retryable = server_error && ex.policy.repeatable;
     const bool is_false_promise = promises_not_run(head.status);
     ex.may_have_run = true;
@@ -202,7 +202,7 @@
     }
     const bool streamed = is_success(ev.head.status) && ex->policy.streamed;
     if (streamed || ev.head.length.value_or(0) > max_held_bytes) {
-        t.st.workers = with_answer(std::move(t.st.workers), worker, false);
+        t.st.workers = with_answer(std::move(t.st.workers), worker, t.ctx.now, false);
         worker_answer head = ev.head;
         if (streamed)
             head.length.reset(); // the stream may be resumed, and then its length may differ
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway_pvt.h"
 
+#include <bluebell/core/worker_choice.h>
+
 #include <algorithm>
 #include <cmath>
 
--- a/src/libcore/gateway_test.h
+++ b/src/libcore/gateway_test.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <bluebell/core/gateway.h>
+#include <bluebell/core/worker_choice.h>
 
 #include <boost/test/unit_test.hpp>
 
