Limit what a worker may send, and read no faster than the caller

Change: limits for interim answers, bytes of other answers and refusals (1 MiB), heads that drip (2 s), chunk headers and trailers (as heads), one event and held answers (256 KiB), pages of the list of workers. A caller with over 256 KiB unsent pauses its worker's connection, by an effect of the reducer. A resumable stream without a whole event for four target gaps (1 s at least) goes on at another worker. An answer that would promise 'not run' falsely is replaced however long it is. A Keep-Alive time of 0 isn't used.

--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -128,6 +128,12 @@
     friend bool operator==(const pass_caller_disconnected&,
                            const pass_caller_disconnected&) = default;
 };
+/// The caller reads its answer more slowly than it arrives, or has caught up.
+struct pass_caller_lagging {
+    exchange_id exchange = 0;
+    bool lagging = false;
+    friend bool operator==(const pass_caller_lagging&, const pass_caller_lagging&) = default;
+};
 /// The head of a worker's answer was received.
 struct attempt_head {
     attempt_number attempt = 0;
@@ -163,8 +169,9 @@
     friend bool operator==(const worker_list_failed&, const worker_list_failed&) = default;
 };
 using exchange_event =
-    std::variant<pass_request_received, pass_caller_disconnected, attempt_head, attempt_data,
-                 attempt_completed, attempt_broken, worker_list_received, worker_list_failed>;
+    std::variant<pass_request_received, pass_caller_disconnected, pass_caller_lagging, attempt_head,
+                 attempt_data, attempt_completed, attempt_broken, worker_list_received,
+                 worker_list_failed>;
 
 // Effects.
 
@@ -187,6 +194,12 @@
     attempt_number attempt = 0;
     friend bool operator==(const cancel_attempt&, const cancel_attempt&) = default;
 };
+/// Stops or resumes reading the answer of an attempt.
+struct pause_attempt {
+    attempt_number attempt = 0;
+    bool paused = false;
+    friend bool operator==(const pause_attempt&, const pause_attempt&) = default;
+};
 /// Sends the head of the answer to the caller.
 struct pass_head {
     exchange_id exchange = 0;
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -26,8 +26,9 @@
     bool repeatable = false;       ///< it may run more than once, or its stream may be resumed
     bool resumable = false;        ///< it may be resumed even after events were sent to the caller
     microseconds target_latency{}; ///< as route::target_latency
-    std::uint8_t priority = 0;     ///< rank; 0 is served first
-    std::uint32_t max_workers = 1; ///< maximum number of workers tried
+    microseconds target_event_gap{}; ///< as route::target_event_gap
+    std::uint8_t priority = 0;       ///< rank; 0 is served first
+    std::uint32_t max_workers = 1;   ///< maximum number of workers tried
 
     friend bool operator==(const exchange_policy&, const exchange_policy&) = default;
 };
@@ -49,6 +50,8 @@
     bool answer_started = false;                ///< the head of an answer was sent to the caller
     std::uint16_t answer_status = 0;            ///< status in that head
     instant answer_started_at{};                ///< when that head was sent
+    instant progressed_at{};                    ///< when a stream last brought a whole event
+    bool caller_lags = false;                   ///< the answer must not be read at present
     std::optional<worker_answer> held_head;     ///< head of an answer that is not sent yet
     std::string pending_data;                   ///< body of the held answer, or an incomplete event
     std::optional<std::uint64_t> last_event_id; ///< last complete event sent to the caller
--- a/src/include/bluebell/core/retry.h
+++ b/src/include/bluebell/core/retry.h
@@ -36,6 +36,9 @@
     bool granted = false;
 };
 
+/// Returns whether the balance covers a retry.
+[[nodiscard]] bool has_retry(const retry_budget& budget);
+
 /// Takes one retry from the budget if its balance covers one.
 [[nodiscard]] retry_grant try_spend_retry(retry_budget current, instant now,
                                           const retry_budget_config& config);
--- a/src/include/bluebell/runtime/byte_stream.h
+++ b/src/include/bluebell/runtime/byte_stream.h
@@ -55,6 +55,10 @@
     /// Passes unconsumed bytes to the data callback again before the event loop waits.
     void redeliver_unread();
 
+    /// Stops or resumes reading. While reading is paused, the peer can't send more than the
+    /// system's buffers hold, and its close is not noticed.
+    void pause_reading(bool paused);
+
     /// Queues bytes, which are sent before the event loop waits.
     void write(std::string_view data);
     /// Returns the number of queued bytes not written to the socket yet; 0 after close().
@@ -92,6 +96,7 @@
     evbuffer* output_ = nullptr;
     std::string unread_; ///< bytes read but not consumed
     bool connecting_ = false;
+    bool reading_paused_ = false;
     bool flush_scheduled_ = false;
     bool waiting_writable_ = false;         ///< waiting until the socket is writable
     bool closing_ = false;                  ///< closes when all queued bytes are sent
--- a/src/include/bluebell/runtime/message_reader.h
+++ b/src/include/bluebell/runtime/message_reader.h
@@ -38,7 +38,8 @@
 /// Parses consecutive messages from the bytes of a connection.
 class message_reader {
 public:
-    /// Returns a reader of requests with these limits.
+    /// Returns a reader of requests with these limits. max_head_bytes also limits the header of
+    /// each chunk and the trailers.
     [[nodiscard]] static message_reader requests(std::uint32_t max_head_bytes,
                                                  std::uint32_t max_body_bytes);
     /// Returns a reader of responses; the size of their bodies is not limited.
--- a/src/include/bluebell/runtime/pass_server.h
+++ b/src/include/bluebell/runtime/pass_server.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace bluebell::runtime {
 
@@ -53,6 +54,7 @@
     void handle_request(const std::shared_ptr<http_session>& session, const message_head& head,
                         std::string body);
     void on_disconnected(const std::shared_ptr<http_session>& session);
+    void on_written(const std::shared_ptr<http_session>& session);
     std::shared_ptr<http_session> take_session(core::exchange_id id);
     core::result<void> open_readiness(const std::shared_ptr<event_loop>& loop,
                                       const pass_server_options& options);
@@ -65,6 +67,7 @@
     core::exchange_id last_exchange_ = 0;
     std::unordered_map<core::exchange_id, std::shared_ptr<http_session>> sessions_;
     std::unordered_map<const http_session*, core::exchange_id> exchanges_;
+    std::unordered_set<core::exchange_id> lagging_; ///< reported as lagging
 };
 
 } // namespace bluebell::runtime
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -57,6 +57,7 @@
     ex.policy.resumable = r.streamed && r.resumable;
     ex.policy.repeatable = r.streamed ? r.resumable : r.idempotent;
     ex.policy.target_latency = r.target_latency;
+    ex.policy.target_event_gap = r.target_event_gap;
     ex.policy.priority = holder.priority.value_or(r.priority);
     ex.policy.max_workers = std::max<std::uint32_t>(1, r.max_workers);
     ex.arrived_at = arrived_at;
@@ -173,6 +174,21 @@
     remove_exchange(t, ev.exchange);
 }
 
+/// A lagging caller stops the reading of its answer, so that what it hasn't read stays limited. The
+/// time in which it lags doesn't count as a stall of the worker.
+void on(turn& t, const pass_caller_lagging& ev)
+{
+    const auto it = t.st.exchanges.find(ev.exchange);
+    if (it == t.st.exchanges.end() || it->second.caller_lags == ev.lagging)
+        return;
+    exchange& ex = it->second;
+    ex.caller_lags = ev.lagging;
+    ex.progressed_at = t.ctx.now;
+    if (ex.attempt != 0)
+        t.out.emplace_back(pause_attempt{ex.attempt, ev.lagging});
+    reschedule_timer(t, ev.exchange, ex);
+}
+
 /// Reports a change of the process's readiness for requests.
 void update_readiness(turn& t)
 {
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -44,7 +44,9 @@
 /// An answer that isn't a stream is held until it is complete if it has at most this size, in
 /// bytes, so that the request can be retried if the answer breaks. A larger answer is sent to the
 /// caller as it arrives.
-constexpr std::size_t max_held_bytes = std::size_t{1024} * 1024;
+constexpr std::size_t max_held_bytes = std::size_t{256} * 1024;
+/// Maximum size of one event of a stream, in bytes.
+constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 
 /// Returns the exchange of the attempt and sets `id`, or returns null if the attempt has ended.
 exchange* find_exchange(turn& t, attempt_number attempt, exchange_id& id)
@@ -108,6 +110,7 @@
     ex.answer_started = true;
     ex.answer_status = head.status;
     ex.answer_started_at = t.ctx.now;
+    ex.progressed_at = t.ctx.now;
     t.out.emplace_back(pass_head{id, std::move(head)});
     record_first_answer(t, ex);
     reschedule_timer(t, id, ex);
@@ -119,8 +122,13 @@
     ex.pending_data += data;
     split_events s = split_at_events(std::move(ex.pending_data));
     ex.pending_data = std::move(s.incomplete_event);
+    if (ex.pending_data.size() > max_event_bytes) {
+        discard_answer(t, id, ex, "an event is too long");
+        return;
+    }
     if (s.complete_events.empty())
         return;
+    ex.progressed_at = t.ctx.now;
     if (s.last_event_id)
         ex.last_event_id = s.last_event_id;
     t.out.emplace_back(pass_data{id, std::move(s.complete_events)});
@@ -160,7 +168,7 @@
     ex.may_have_run = true;
     if (is_retryable && ex.sent_attempts < ex.policy.max_workers) {
         const auto it = t.st.retry_budgets.find(ex.policy.service);
-        if (it != t.st.retry_budgets.end() && it->second.balance_permille >= 1000) {
+        if (it != t.st.retry_budgets.end() && has_retry(it->second)) {
             retry_or_fail(t, id,
                           error{error_code::unavailable, "run request", worker,
                                 "status " + std::to_string(head.status)});
@@ -201,6 +209,10 @@
         return;
     }
     const bool streamed = is_success(ev.head.status) && ex->policy.streamed;
+    if (promises_not_run(ev.head.status)) {
+        ex->held_head = ev.head; // never sent, see handle_held_answer
+        return;
+    }
     if (streamed || ev.head.length.value_or(0) > max_held_bytes) {
         t.st.workers = with_answer(std::move(t.st.workers), worker, t.ctx.now, false);
         worker_answer head = ev.head;
@@ -226,6 +238,8 @@
         t.out.emplace_back(pass_data{id, ev.data});
         return;
     }
+    if (ex->held_head && promises_not_run(ex->held_head->status))
+        return; // the body isn't needed
     ex->pending_data += ev.data;
     if (ex->pending_data.size() <= max_held_bytes || !ex->held_head)
         return;
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -17,6 +17,13 @@
 /// latency times this factor, but not before the minimum time.
 constexpr int slow_attempt_factor = 3;
 constexpr microseconds min_slow_attempt_time{800'000};
+/// A stream that has brought no whole event for its target gap times this factor has stalled, but
+/// not before the minimum time. It is resumed at another worker if it may be. Bytes that complete
+/// no event don't count as progress.
+constexpr int stall_factor = 4;
+constexpr microseconds min_stall_time{1'000'000};
+/// As min_stall_time, for a route that states no target gap.
+constexpr microseconds default_stall_time{2'000'000};
 /// A request with less time until its deadline isn't retried.
 constexpr microseconds min_retry_time{20'000};
 /// An answer that was started is aborted this long after its deadline. The worker should end a
@@ -43,12 +50,30 @@
     return ex.request.demand ? &*ex.request.demand : nullptr;
 }
 
+/// Returns after which time without a whole event a stream has stalled.
+microseconds stall_time(const exchange_policy& policy)
+{
+    if (policy.target_event_gap.count() == 0)
+        return default_stall_time;
+    return std::max<microseconds>(min_stall_time, policy.target_event_gap * stall_factor);
+}
+
+/// Returns when the stream has stalled if it brings no whole event until then. Never, if it can't
+/// be resumed: the worker's silence is no reason to end it before its deadline.
+instant stalls_at(const exchange& ex)
+{
+    const bool can_resume =
+        ex.policy.resumable && ex.attempt != 0 && ex.sent_attempts < ex.policy.max_workers;
+    return can_resume && !ex.caller_lags ? ex.progressed_at + stall_time(ex.policy)
+                                         : instant::max();
+}
+
 /// Returns when the exchange must be checked next: at its deadline, or earlier if its attempt may
-/// be replaced because it is slow.
+/// be replaced because it is slow or has stalled.
 instant next_timer_at(const exchange& ex)
 {
     if (ex.answer_started)
-        return ex.deadline + stream_grace;
+        return std::min(ex.deadline + stream_grace, stalls_at(ex));
     const bool has_attempts_left = ex.policy.repeatable && ex.sent_attempts < ex.policy.max_workers;
     if (!has_attempts_left || ex.attempt == 0)
         return ex.deadline;
@@ -127,6 +152,9 @@
         add_new_cached_prompts(t, instance, *demand);
     t.st.workers = with_attempt_started(std::move(t.st.workers), instance, demand, engine);
     t.out.emplace_back(std::move(effect));
+    ex.progressed_at = t.ctx.now;
+    if (ex.caller_lags)
+        t.out.emplace_back(pause_attempt{ex.attempt, true});
     log_attempt(t, ex, choice);
     reschedule_timer(t, id, ex);
 }
@@ -155,6 +183,28 @@
     refuse(t, id, ex.may_have_run ? 502 : 503, to_string(failure));
 }
 
+/// Resumes a stalled stream at another worker. Without a retry to spend, it goes on as it is.
+void handle_stall(turn& t, exchange_id id, exchange& ex)
+{
+    if (t.ctx.now < stalls_at(ex)) {
+        reschedule_timer(t, id, ex);
+        return;
+    }
+    const bool has_time = ex.deadline - t.ctx.now > min_retry_time;
+    if (!has_time || !has_retry(t.st.retry_budgets[ex.policy.service])) {
+        ex.progressed_at = t.ctx.now; // checked again after the same time
+        reschedule_timer(t, id, ex);
+        return;
+    }
+    const std::string worker = ex.tried_instances.back();
+    ex.may_have_run = true;
+    end_attempt(t, ex, true);
+    t.st.workers = with_failure(std::move(t.st.workers), worker, t.ctx.now);
+    retry_or_fail(
+        t, id,
+        error{error_code::deadline_exceeded, "read answer", worker, "no event came for too long"});
+}
+
 } // namespace
 
 void reschedule_timer(turn& t, exchange_id id, exchange& ex)
@@ -251,6 +301,10 @@
     if (it == t.st.exchanges.end())
         return;
     exchange& ex = it->second;
+    if (ex.answer_started && t.ctx.now < ex.deadline) {
+        handle_stall(t, id, ex);
+        return;
+    }
     if (t.ctx.now < ex.deadline) {
         const std::string worker = ex.tried_instances.back();
         ex.may_have_run = true;
--- a/src/libcore/retry.cpp
+++ b/src/libcore/retry.cpp
@@ -40,6 +40,11 @@
     return next;
 }
 
+bool has_retry(const retry_budget& budget)
+{
+    return budget.balance_permille >= retry_cost_permille;
+}
+
 retry_grant try_spend_retry(retry_budget current, instant now, const retry_budget_config& config)
 {
     retry_budget next = with_time_credit(current, now, config);
--- a/src/libruntime/byte_stream.cpp
+++ b/src/libruntime/byte_stream.cpp
@@ -110,7 +110,7 @@
     }
     if ((events & EV_WRITE) != 0)
         stream->flush();
-    if ((events & EV_READ) != 0 && stream->descriptor_ >= 0)
+    if ((events & EV_READ) != 0 && stream->descriptor_ >= 0 && !stream->reading_paused_)
         stream->read();
 }
 
@@ -126,7 +126,8 @@
         return;
     }
     watch_writable(false);
-    event_add(readable_, nullptr);
+    if (!reading_paused_)
+        event_add(readable_, nullptr);
     if (handlers_.connected)
         handlers_.connected();
     flush();
@@ -187,6 +188,19 @@
     });
 }
 
+void byte_stream::pause_reading(bool paused)
+{
+    if (paused == reading_paused_)
+        return;
+    reading_paused_ = paused;
+    if (descriptor_ < 0 || connecting_)
+        return;
+    if (paused)
+        event_del(readable_);
+    else
+        event_add(readable_, nullptr);
+}
+
 void byte_stream::write(std::string_view data)
 {
     if (descriptor_ < 0 || data.empty())
--- a/src/libruntime/list_reader.cpp
+++ b/src/libruntime/list_reader.cpp
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr std::uint32_t max_head_bytes = 16 * 1024;
+/// Maximum size of one page of the list, in bytes.
+constexpr std::size_t max_page_bytes = std::size_t{4} * 1024 * 1024;
+/// Maximum number of workers in a list.
+constexpr std::size_t max_workers = 50'000;
 
 } // namespace
 
@@ -85,12 +89,22 @@
 std::size_t worker_list_reader::on_data(std::string_view data)
 {
     const auto self = shared_from_this();
+    if (!is_reading_) {
+        // Bytes without a request: the next answer could not be told from them.
+        stream_->close();
+        stream_.reset();
+        return data.size();
+    }
     const auto consumed = reader_.read(data);
     if (!consumed) {
         fail({error_code::corrupt, "read list", host_, consumed.error().text});
         return data.size();
     }
     body_ += reader_.take_body();
+    if (body_.size() > max_page_bytes || workers_.size() > max_workers) {
+        fail({error_code::too_large, "read list", host_, "the list is too long"});
+        return data.size();
+    }
     if (!reader_.done())
         return *consumed;
     constexpr int status_ok = 200;
--- a/src/libruntime/message_reader.cpp
+++ b/src/libruntime/message_reader.cpp
@@ -167,6 +167,10 @@
             if (n == 0)
                 break;
         }
+        // What the parser leaves is the beginning of a chunk's header or of the trailers.
+        if (!p.is_done() && data.size() - consumed > max_head_bytes)
+            return core::fail(error_code::too_large, "read body", "",
+                              "chunk header or trailers too long");
         return consumed;
     }
 
--- a/src/libruntime/pass_server.cpp
+++ b/src/libruntime/pass_server.cpp
@@ -13,6 +13,11 @@
 
 namespace {
 
+/// A caller lags when more bytes of its answer than this wait to be sent, until only
+/// max_caught_up_bytes do.
+constexpr std::size_t max_unsent_bytes = std::size_t{256} * 1024;
+constexpr std::size_t max_caught_up_bytes = std::size_t{64} * 1024;
+
 /// Formats a duration as seconds with three decimals.
 std::string format_seconds(microseconds t)
 {
@@ -36,6 +41,9 @@
     handlers.disconnected = [raw = s.get()](const std::shared_ptr<http_session>& session) {
         raw->on_disconnected(session);
     };
+    handlers.written = [raw = s.get()](const std::shared_ptr<http_session>& session) {
+        raw->on_written(session);
+    };
     auto http = http_server::make(loop, options.callers, std::move(handlers));
     if (!http)
         return tl::unexpected(http.error());
@@ -92,6 +100,15 @@
     on_event_(exchange_event(pass_caller_disconnected{id}));
 }
 
+void pass_server::on_written(const std::shared_ptr<http_session>& session)
+{
+    if (lagging_.empty() || session->unsent_bytes() > max_caught_up_bytes)
+        return;
+    const auto it = exchanges_.find(session.get());
+    if (it != exchanges_.end() && lagging_.erase(it->second) != 0)
+        on_event_(exchange_event(pass_caller_lagging{it->second, false}));
+}
+
 std::shared_ptr<http_session> pass_server::take_session(exchange_id id)
 {
     const auto it = sessions_.find(id);
@@ -100,6 +117,7 @@
     auto session = std::move(it->second);
     sessions_.erase(it);
     exchanges_.erase(session.get());
+    lagging_.erase(id);
     return session;
 }
 
@@ -113,8 +131,11 @@
 void pass_server::run(const pass_data& e)
 {
     const auto it = sessions_.find(e.exchange);
-    if (it != sessions_.end())
-        it->second->send(e.data);
+    if (it == sessions_.end())
+        return;
+    it->second->send(e.data);
+    if (it->second->unsent_bytes() > max_unsent_bytes && lagging_.insert(e.exchange).second)
+        on_event_(exchange_event(pass_caller_lagging{e.exchange, true}));
 }
 
 void pass_server::run(const pass_end& e)
--- a/src/libruntime/worker_channel.cpp
+++ b/src/libruntime/worker_channel.cpp
@@ -19,22 +19,36 @@
 constexpr microseconds connect_timeout{300'000};
 /// Maximum size of the head of a worker's answer, in bytes.
 constexpr std::uint32_t max_answer_head_bytes = 64 * 1024;
-/// Time for which an idle channel may be used if the worker states none.
+/// Maximum number of interim answers (1xx) before an answer.
+constexpr std::uint32_t max_interim_answers = 16;
+/// Maximum size of all that arrives before an answer and isn't part of it, in bytes: interim
+/// answers and late answers to earlier requests.
+constexpr std::size_t max_unrelated_bytes = std::size_t{1024} * 1024;
+/// Time from the first byte of an answer's head to its last, and from the head of a refusal to its
+/// end.
+constexpr microseconds head_timeout{2'000'000};
+/// Time for which an idle channel may be used if the worker states none, and at most.
 constexpr microseconds default_keep_alive{4'000'000};
+constexpr int max_keep_alive_s = 60;
 /// An idle channel is closed this long before the worker would close it.
 constexpr microseconds keep_alive_margin{700'000};
 
-/// Returns the time of `timeout=N` (seconds) in the Keep-Alive header; 0 if there is none.
+/// Returns for how long the channel may be idle: the time of `timeout=N` (seconds) in the
+/// Keep-Alive header, or the default if there is no valid one.
 microseconds parse_keep_alive(const message_head& head)
 {
     const std::string_view text = find_header(head.headers, "keep-alive");
     const auto timeout_pos = text.find("timeout=");
     if (timeout_pos == std::string_view::npos)
-        return microseconds{0};
+        return default_keep_alive;
     const std::string_view digits = text.substr(timeout_pos + 8);
     int n = 0;
-    std::from_chars(digits.data(), digits.data() + digits.size(), n);
-    return core::seconds(n);
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), n);
+    if (ec == std::errc::result_out_of_range)
+        return digits.starts_with('-') ? microseconds{0} : core::seconds(max_keep_alive_s);
+    if (ec != std::errc())
+        return default_keep_alive;
+    return core::seconds(std::clamp(n, 0, max_keep_alive_s));
 }
 
 bool needs_content_length(const core::pass_request& r)
@@ -121,15 +135,26 @@
     head_handled_ = false;
     is_other_answer_ = false;
     head_reported_ = false;
+    is_refusal_ = false;
+    interim_answers_ = 0;
+    unrelated_bytes_ = 0;
+    head_timer_.reset();
+    stream_->pause_reading(false);
     reader_.next(!head_only_);
     stream_->write(encode_head(e.request, fields));
     stream_->write(e.request.body.view());
 }
 
+void worker_channel::pause(bool paused)
+{
+    stream_->pause_reading(paused);
+}
+
 void worker_channel::close()
 {
     attempt_ = 0;
     connect_timer_.reset();
+    head_timer_.reset();
     stream_->close();
 }
 
@@ -157,6 +182,8 @@
         consumed += *n;
         if (reader_.head_done() && !head_handled_)
             handle_head();
+        if (attempt_ != 0 && (!head_reported_ || is_refusal_))
+            count_unrelated(*n);
         if (attempt_ == 0)
             return data.size();
         if (std::string body = reader_.take_body(); !body.empty() && head_reported_) {
@@ -180,9 +207,36 @@
         if (*n == 0)
             break;
     }
+    time_head(consumed < data.size());
     return consumed;
 }
 
+/// Counts bytes that nobody needs, because they aren't of the request's own answer or that is a
+/// refusal, and fails the attempt when they exceed their limit: a worker may send them without end.
+void worker_channel::count_unrelated(std::size_t bytes)
+{
+    unrelated_bytes_ += bytes;
+    if (unrelated_bytes_ > max_unrelated_bytes || interim_answers_ > max_interim_answers)
+        fail({error_code::corrupt, "read answer", address_, "too many bytes besides the answer"});
+}
+
+/// Starts the timeout of a head that has begun or of a refusal, and ends that of a complete one.
+void worker_channel::time_head(bool head_has_begun)
+{
+    const bool is_incomplete = reader_.head_done() ? is_refusal_ : head_has_begun;
+    if (!is_incomplete) {
+        head_timer_.reset();
+        return;
+    }
+    const auto client = client_.lock();
+    if (head_timer_ != nullptr || client == nullptr)
+        return;
+    head_timer_ = watcher::timer(*client->loop_, [this] {
+        fail({error_code::deadline_exceeded, "read answer", address_, "incomplete for too long"});
+    });
+    head_timer_->arm(head_timeout);
+}
+
 /// Reports the head of an answer, unless the answer is interim or belongs to another request.
 void worker_channel::handle_head()
 {
@@ -190,14 +244,24 @@
     head_handled_ = true;
     const message_head& head = reader_.head();
     constexpr int first_final_status = 200;
-    if (head.status < first_final_status || client == nullptr)
+    if (head.status < first_final_status) {
+        interim_answers_ += 1;
+        return;
+    }
+    if (client == nullptr)
         return;
     core::worker_answer answer = client->codec_.read_answer(head);
     is_other_answer_ = answer.id != request_;
+    if (is_other_answer_ && head.until_close) {
+        fail({error_code::corrupt, "read answer", address_,
+              "an answer to another request lasts until the end of the connection"});
+        return;
+    }
     if (is_other_answer_)
         return;
-    stated_keep_alive_ = parse_keep_alive(head);
+    keep_alive_ = parse_keep_alive(head);
     head_reported_ = true;
+    is_refusal_ = answer.not_run;
     client->report(core::attempt_head{attempt_, std::move(answer)});
 }
 
@@ -211,10 +275,9 @@
     client->busy_.erase(ended_attempt);
     // A worker may answer before it has read the whole request.
     if (reusable && stream_->unsent_bytes() == 0) {
-        const microseconds keep_alive =
-            stated_keep_alive_.count() > 0 ? stated_keep_alive_ : default_keep_alive;
+        stream_->pause_reading(false);
         usable_until_ =
-            client->loop_->now() + std::max(microseconds{0}, keep_alive - keep_alive_margin);
+            client->loop_->now() + std::max(microseconds{0}, keep_alive_ - keep_alive_margin);
         client->add_idle(self);
     } else {
         stream_->close();
@@ -243,6 +306,9 @@
     const auto client = client_.lock();
     const core::attempt_number ended_attempt = std::exchange(attempt_, 0);
     connect_timer_.reset();
+    // The timer may be the caller of this function.
+    if (client != nullptr)
+        client->loop_->defer([timer = std::shared_ptr<watcher>(std::move(head_timer_))] {});
     stream_->close();
     if (client == nullptr)
         return;
--- a/src/libruntime/worker_channel_pvt.h
+++ b/src/libruntime/worker_channel_pvt.h
@@ -18,6 +18,9 @@
     /// Sends the request. The channel must be idle.
     void run(const core::start_attempt& e, const std::vector<core::header_field>& fields);
 
+    /// Stops or resumes reading the answer in progress.
+    void pause(bool paused);
+
     /// Aborts the request in progress and closes the connection. No event follows.
     void close();
 
@@ -34,6 +37,8 @@
     std::size_t on_data(std::string_view data);
     void on_closed(const core::error* failure);
     void handle_head();
+    void count_unrelated(std::size_t bytes);
+    void time_head(bool head_has_begun);
     void finish_answer(bool reusable);
     void fail(core::error failure);
 
@@ -45,12 +50,16 @@
     core::attempt_number attempt_ = 0; ///< attempt in progress; 0: idle
     core::request_id request_;         ///< answers that name another request are dropped
     bool connected_ = false;
-    bool head_only_ = false;       ///< the request was HEAD
-    bool head_handled_ = false;    ///< the head of the current answer was handled
-    bool is_other_answer_ = false; ///< the current answer belongs to another request
-    bool head_reported_ = false;   ///< the head of the answer was reported
+    bool head_only_ = false;              ///< the request was HEAD
+    bool head_handled_ = false;           ///< the head of the current answer was handled
+    bool is_other_answer_ = false;        ///< the current answer belongs to another request
+    bool head_reported_ = false;          ///< the head of the answer was reported
+    bool is_refusal_ = false;             ///< the answer says that the request did not run
+    std::uint32_t interim_answers_ = 0;   ///< before the answer of the current request
+    std::size_t unrelated_bytes_ = 0;     ///< received since the request that nobody needs
+    std::unique_ptr<watcher> head_timer_; ///< set while a head or a refusal is incomplete
     core::instant usable_until_{};
-    core::microseconds stated_keep_alive_{}; ///< as stated by the worker; 0: not stated
+    core::microseconds keep_alive_{}; ///< how long the channel may be idle after the answer
 };
 
 } // namespace bluebell::runtime
--- a/src/libruntime/worker_client.cpp
+++ b/src/libruntime/worker_client.cpp
@@ -58,6 +58,13 @@
     busy_.erase(it);
 }
 
+void worker_client::run(const core::pause_attempt& e)
+{
+    const auto it = busy_.find(e.attempt);
+    if (it != busy_.end())
+        it->second->pause(e.paused);
+}
+
 std::shared_ptr<worker_channel> worker_client::take_idle(const std::string& address)
 {
     const auto it = idle_.find(address);
--- /dev/null
+++ b/src/libruntime/worker_client_test.cpp
@@ -0,0 +1,356 @@
+// Connections to a worker that misbehaves: late copies of answers, bytes that are no answer, bytes
+// without end, and answers that drip.
+
+#include <bluebell/runtime/worker_client.h>
+
+#include <boost/test/unit_test.hpp>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <deque>
+
+using namespace bluebell;
+using runtime::byte_stream;
+using runtime::find_header;
+using runtime::message_head;
+
+namespace {
+
+constexpr core::microseconds run_time{150'000};
+
+/// A codec whose answers state only the request's id and whether it was refused.
+runtime::pass_codec make_codec()
+{
+    runtime::pass_codec codec;
+    codec.attempt_headers = [](const core::start_attempt& a) {
+        return std::vector<core::header_field>{{"Id", a.request.id.str()}};
+    };
+    codec.read_answer = [](const message_head& head) {
+        core::worker_answer a;
+        a.status = head.status;
+        a.id = core::request_id::from_trusted(std::string(find_header(head.headers, "id")));
+        a.not_run = !find_header(head.headers, "not-run").empty();
+        return a;
+    };
+    return codec;
+}
+
+/// A worker that sends what the test tells it to, and the client under test.
+struct fixture {
+    std::shared_ptr<runtime::event_loop> loop = *runtime::event_loop::make();
+    runtime::pass_codec codec = make_codec();
+    evconnlistener* listener = nullptr;
+    std::uint16_t port = 0;
+    std::vector<std::shared_ptr<byte_stream>> accepted; ///< connections, in order
+    std::vector<std::string> requests;                  ///< bytes received on each of them
+    std::size_t closed = 0;                             ///< connections that the client closed
+    std::shared_ptr<runtime::worker_client> client;
+    std::vector<core::exchange_event> events;
+    core::attempt_number last_attempt = 0;
+
+    fixture()
+    {
+        sockaddr_in any{};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        listener =
+            evconnlistener_new_bind(loop->base(), &fixture::on_accept, this, LEV_OPT_CLOSE_ON_FREE,
+                                    16, reinterpret_cast<const sockaddr*>(&any), sizeof any);
+        BOOST_REQUIRE(listener != nullptr);
+        socklen_t size = sizeof any;
+        ::getsockname(evconnlistener_get_fd(listener), reinterpret_cast<sockaddr*>(&any), &size);
+        port = ntohs(any.sin_port);
+        client = runtime::worker_client::make(loop, codec, [this](core::event_body ev) {
+            events.push_back(std::get<core::exchange_event>(std::move(ev)));
+        });
+    }
+    ~fixture()
+    {
+        evconnlistener_free(listener);
+        accepted.clear();
+        client.reset();
+        loop->settle();
+    }
+    static void on_accept(evconnlistener*, int descriptor, sockaddr*, int, void* self)
+    {
+        auto* f = static_cast<fixture*>(self);
+        auto stream = byte_stream::adopt(f->loop, descriptor);
+        const std::size_t n = f->accepted.size();
+        f->accepted.push_back(stream);
+        f->requests.emplace_back();
+        byte_stream::callbacks handlers;
+        handlers.data = [f, n](std::string_view data) {
+            f->requests[n] += data;
+            return data.size();
+        };
+        handlers.closed = [f](const core::error*) { f->closed += 1; };
+        stream->start(std::move(handlers));
+    }
+    void run(core::microseconds duration = run_time)
+    {
+        const auto stop = runtime::watcher::timer(*loop, [&] { loop->stop(); });
+        stop->arm(duration);
+        loop->run();
+    }
+    /// Sends a request with this id and waits until the worker has it.
+    core::attempt_number ask(const std::string& id)
+    {
+        core::start_attempt a;
+        last_attempt += 1;
+        a.attempt = last_attempt;
+        a.address = "127.0.0.1:" + std::to_string(port);
+        a.request.method = "GET";
+        a.request.target = "/a";
+        a.request.id = core::request_id::from_trusted(id);
+        client->run(a);
+        run();
+        return a.attempt;
+    }
+    /// The worker sends these bytes on its newest connection.
+    void send(const std::string& text, core::microseconds duration = run_time)
+    {
+        accepted.back()->write(text);
+        run(duration);
+    }
+    /// The worker sends the text again and again, until the client closes or `max_bytes` are sent.
+    /// Returns how many bytes were sent.
+    std::size_t send_endlessly(const std::string& text, std::size_t max_bytes)
+    {
+        std::size_t sent = 0;
+        while (closed == 0 && sent < max_bytes) {
+            while (accepted.back()->unsent_bytes() < 64 * 1024 && sent < max_bytes) {
+                accepted.back()->write(text);
+                sent += text.size();
+            }
+            run(core::microseconds(2'000));
+        }
+        return sent;
+    }
+    template <class Event>
+    std::vector<Event> reported() const
+    {
+        std::vector<Event> found;
+        for (const auto& e : events) {
+            if (const auto* x = std::get_if<Event>(&e))
+                found.push_back(*x);
+        }
+        return found;
+    }
+    /// Returns the body that was reported for the attempt.
+    std::string body_of(core::attempt_number attempt) const
+    {
+        std::string body;
+        for (const auto& e : reported<core::attempt_data>())
+            body += e.attempt == attempt ? e.data : "";
+        return body;
+    }
+    bool is_completed(core::attempt_number attempt) const
+    {
+        const auto all = reported<core::attempt_completed>();
+        return std::any_of(all.begin(), all.end(),
+                           [&](const auto& e) { return e.attempt == attempt; });
+    }
+    bool is_broken(core::attempt_number attempt) const
+    {
+        const auto all = reported<core::attempt_broken>();
+        return std::any_of(all.begin(), all.end(), [&](const auto& e) {
+            return e.attempt == attempt && e.stage != core::attempt_stage::unsent;
+        });
+    }
+};
+
+std::string make_answer(const std::string& id, const std::string& body,
+                        const std::string& fields = "")
+{
+    return "HTTP/1.1 200 OK\r\n" + (id.empty() ? "" : "Id: " + id + "\r\n") + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+constexpr std::size_t endless = 64 * 1024 * 1024; ///< more than any limit
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(worker_clients)
+
+BOOST_FIXTURE_TEST_CASE(a_second_copy_on_an_idle_connection_closes_it, fixture)
+{
+    ask("q1");
+    send(make_answer("q1", "one"));
+    send(make_answer("q1", "one"));
+    BOOST_TEST(closed == 1U);
+    const auto second = ask("q2");
+    BOOST_TEST(accepted.size() == 2U);
+    send(make_answer("q2", "two"));
+    BOOST_TEST(body_of(second) == "two");
+}
+
+// The copy arrives when the connection is in use again; the next caller must not get it.
+BOOST_FIXTURE_TEST_CASE(a_late_copy_is_not_taken_for_the_next_answer, fixture)
+{
+    for (const std::string copy_id : {"q1", "q22", "q", ""}) {
+        events.clear();
+        const auto first = ask("q1");
+        send(make_answer("q1", "one"));
+        BOOST_TEST(is_completed(first));
+        const auto second = ask("q2");
+        send(make_answer(copy_id, "late copy") + make_answer("q2", "two"));
+        BOOST_TEST(body_of(second) == "two");
+        BOOST_TEST(is_completed(second));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_late_copy_that_is_cut_off_fails_the_next_attempt, fixture)
+{
+    ask("q1");
+    send(make_answer("q1", "one"));
+    const auto second = ask("q2");
+    accepted.back()->write("HTTP/1.1 200 OK\r\nId: q1\r\nContent-Length: 9\r\n\r\nlate");
+    run();
+    accepted.back()->close();
+    run();
+    BOOST_TEST(is_broken(second));
+    BOOST_TEST(body_of(second).empty());
+}
+
+// Such an answer lasts until the connection ends, so the request's own can't follow.
+BOOST_FIXTURE_TEST_CASE(a_late_copy_without_length_fails_the_attempt_at_once, fixture)
+{
+    ask("q1");
+    send(make_answer("q1", "one"));
+    const auto second = ask("q2");
+    send("HTTP/1.1 200 OK\r\nId: q1\r\n\r\nlate copy");
+    BOOST_TEST(is_broken(second));
+    BOOST_TEST(body_of(second).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(interim_answers_without_end_fail_the_attempt, fixture)
+{
+    const auto attempt = ask("q1");
+    send("HTTP/1.1 102 Processing\r\n\r\n");
+    BOOST_TEST(!is_broken(attempt)); // a few are allowed
+    BOOST_TEST(send_endlessly("HTTP/1.1 102 Processing\r\n\r\n", endless) < 1024U * 1024);
+    BOOST_TEST(is_broken(attempt));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_to_another_request_without_end_fails_the_attempt, fixture)
+{
+    const auto attempt = ask("q1");
+    send("HTTP/1.1 200 OK\r\nId: q0\r\nTransfer-Encoding: chunked\r\n\r\n");
+    BOOST_TEST(send_endlessly("4\r\nabcd\r\n", endless) < 16U * 1024 * 1024);
+    BOOST_TEST(is_broken(attempt));
+    BOOST_TEST(body_of(attempt).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_refusal_without_end_is_closed, fixture)
+{
+    ask("q1");
+    send("HTTP/1.1 503 Full\r\nId: q1\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    BOOST_TEST(reported<core::attempt_head>().size() == 1U);
+    BOOST_TEST(send_endlessly("4\r\nabcd\r\n", endless) < 16U * 1024 * 1024);
+    BOOST_TEST(closed == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_head_without_end_fails_the_attempt, fixture)
+{
+    const auto attempt = ask("q1");
+    send("HTTP/1.1 200 OK\r\nId: q1\r\n");
+    BOOST_TEST(send_endlessly("Some-Header: some value\r\n", endless) < 16U * 1024 * 1024);
+    BOOST_TEST(is_broken(attempt));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_chunk_header_without_end_fails_the_attempt, fixture)
+{
+    const auto attempt = ask("q1");
+    send("HTTP/1.1 200 OK\r\nId: q1\r\nTransfer-Encoding: chunked\r\n\r\n4;extension=");
+    BOOST_TEST(send_endlessly(std::string(1'000, 'x'), endless) < 16U * 1024 * 1024);
+    BOOST_TEST(is_broken(attempt));
+}
+
+BOOST_FIXTURE_TEST_CASE(trailers_without_end_fail_the_attempt, fixture)
+{
+    const auto attempt = ask("q1");
+    send("HTTP/1.1 200 OK\r\nId: q1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n");
+    BOOST_TEST(send_endlessly("Some-Trailer: some value\r\n", endless) < 16U * 1024 * 1024);
+    BOOST_TEST(is_broken(attempt));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_head_that_drips_fails_the_attempt_soon, fixture)
+{
+    const auto attempt = ask("q1");
+    const std::string head = "HTTP/1.1 200 OK\r\nId: q1\r\n";
+    const auto begun_at = loop->now();
+    for (const char c : head) {
+        send(std::string(1, c));
+        if (is_broken(attempt))
+            break;
+    }
+    BOOST_TEST(is_broken(attempt));
+    BOOST_TEST(((loop->now() - begun_at) < core::seconds(3)));
+}
+
+// A slow start is no dripping head: nothing of the answer has arrived yet.
+BOOST_FIXTURE_TEST_CASE(an_answer_that_begins_late_is_whole, fixture)
+{
+    const auto attempt = ask("q1");
+    run(core::microseconds(2'500'000));
+    send(make_answer("q1", "late but whole"));
+    BOOST_TEST(body_of(attempt) == "late but whole");
+    BOOST_TEST(is_completed(attempt));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_body_that_drips_is_whole, fixture)
+{
+    const auto attempt = ask("q1");
+    send("HTTP/1.1 200 OK\r\nId: q1\r\nContent-Length: 8\r\n\r\n");
+    for (const char c : std::string("abcdefgh"))
+        send(std::string(1, c), core::microseconds(320'000));
+    BOOST_TEST(body_of(attempt) == "abcdefgh");
+    BOOST_TEST(is_completed(attempt));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_paused_answer_is_not_read, fixture)
+{
+    const auto attempt = ask("q1");
+    send("HTTP/1.1 200 OK\r\nId: q1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    client->run(core::pause_attempt{attempt, true});
+    for (int n = 0; n < 1'000; ++n)
+        accepted.back()->write("2710\r\n" + std::string(10'000, 'x') + "\r\n");
+    accepted.back()->write("0\r\n\r\n");
+    run();
+    BOOST_TEST(body_of(attempt).empty());
+    client->run(core::pause_attempt{attempt, false});
+    run(core::microseconds(1'000'000));
+    BOOST_TEST(body_of(attempt).size() == 10'000'000U);
+    BOOST_TEST(is_completed(attempt));
+    ask("q2"); // the connection reads again
+    send(make_answer("q2", "two"));
+    BOOST_TEST(accepted.size() == 1U);
+    BOOST_TEST(body_of(2) == "two");
+}
+
+BOOST_FIXTURE_TEST_CASE(an_invalid_keep_alive_time_is_limited, fixture)
+{
+    struct sample {
+        const char* text;
+        bool reused;
+    };
+    // A time below the margin before the worker's close counts as none.
+    for (const sample& s :
+         {sample{"timeout=0", false}, sample{"timeout=-5", false},
+          sample{"timeout=-99999999999999999999", false}, sample{"timeout=5", true},
+          sample{"timeout=99999999999999999999", true}, sample{"timeout=x", true}}) {
+        const auto connections_before = accepted.size();
+        ask("q1");
+        const bool new_connection = accepted.size() > connections_before;
+        send(make_answer("q1", "one", "Keep-Alive: " + std::string(s.text) + "\r\n"));
+        const auto connections = accepted.size();
+        ask("q2");
+        BOOST_TEST((accepted.size() == connections) == s.reused, s.text);
+        send(make_answer("q2", "two", "Connection: close\r\n"));
+        BOOST_TEST(new_connection);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
