Send gateways what has changed, and loads by position

Cause: each gateway got the whole list of workers at each change, the control processes each 0.3 s and 13 bytes for each busy worker; at 300 machines that fills the leader's link, and lists arrive late. Sums of requests go by position in that list, one byte each; the leader keeps them instead of adding them up for each query. Control processes are sent when they change or each 3 s. Only prompt parts that sessions have in common are reported: a session's own part is found at its home.

--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -6,7 +6,9 @@
 #include <bluebell/core/context.h>
 #include <bluebell/core/dissemination.h>
 #include <bluebell/core/replication.h>
+#include <bluebell/core/request_sums.h>
 #include <bluebell/core/roster.h>
+#include <bluebell/core/worker_list.h>
 
 #include <deque>
 #include <map>
@@ -45,8 +47,12 @@
     std::uint64_t confirmed_version = 0; ///< table version in its last query
     std::uint64_t sent_version = 0;      ///< newest table version sent to it
     std::uint64_t next_prompt = 0; ///< position of the next cached prompt to send, see prompt_count
-    std::vector<worker_request_count> worker_request_counts; ///< from its last query
-    instant sent_at{};                                       ///< when sent_version was sent
+    /// From its last query; part of leadership::sums.
+    std::vector<worker_request_count> worker_request_counts;
+    std::uint64_t list_version = 0; ///< list of workers in its last query
+    hash64 sent_controls = 0;       ///< hash of the control processes that it was last sent
+    instant controls_sent_at{};
+    instant sent_at{}; ///< when sent_version was sent
 
     friend bool operator==(const table_subscriber&, const table_subscriber&) = default;
 };
@@ -72,9 +78,9 @@
     std::deque<reported_prompt> reported_prompts; ///< the newest ones, oldest first
     std::uint64_t prompt_count = 0; ///< all prompts reported so far, also those no longer stored
     instant next_voter_review_at{};
-    std::vector<worker_entry> workers;     ///< the platform's list of workers, as last read
-    std::uint64_t worker_list_version = 0; ///< rises with every change, also across leaders
-    instant list_read_at{};                ///< when the list was last read; 0: never
+    request_sums sums;      ///< over all subscribers
+    worker_list workers;    ///< the platform's list, as last read
+    instant list_read_at{}; ///< when the list was last read; 0: never
     instant next_list_read_at{};
     std::map<std::uint64_t, instant> orders_sent_at; ///< last sending of each open order, by fence
     std::map<std::string, instant> pool_changed_at;  ///< last placement order, by "REGION POOL"
--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -8,6 +8,7 @@
 #include <bluebell/core/routing_table.h>
 
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -55,36 +56,57 @@
     friend bool operator==(const worker_request_count&, const worker_request_count&) = default;
 };
 
+/// Requests in progress by position in the leader's list of workers, which is sorted by instance.
+struct listed_request_counts {
+    std::uint64_t list_version = 0;
+    std::vector<std::uint32_t> running;
+
+    friend bool operator==(const listed_request_counts&, const listed_request_counts&) = default;
+};
+
+/// Changes of the list of workers.
+struct worker_list_change {
+    /// Applies to this version and all later ones; 0: `workers` is the complete list.
+    std::uint64_t base_version = 0;
+    std::vector<worker_entry> workers; ///< new or changed ones
+    std::vector<std::string> removed;  ///< instances
+
+    friend bool operator==(const worker_list_change&, const worker_list_change&) = default;
+};
+
 /// Sent by a gateway to control: requests the routing table if it is newer than the sender's.
 struct table_query {
     node_info sender;
     std::uint64_t table_version = 0;
     std::vector<cached_prompt> cached_prompts; ///< caused by the sender since its last query
     std::vector<worker_request_count>
-        worker_request_counts;             ///< the sender's own requests; idle workers are omitted
-    std::uint64_t worker_list_version = 0; ///< newest list of workers received from a leader
-    bool version_only = false;             ///< the answer must omit the table's document
+        worker_request_counts; ///< the sender's own requests; idle workers are omitted
+    /// Newest list of workers received from a leader; 0: the complete list is needed.
+    std::uint64_t worker_list_version = 0;
+    bool version_only = false; ///< the answer must omit the table's document
 
     friend bool operator==(const table_query&, const table_query&) = default;
 };
 
 /// Answers a table_query. Also sent without a query when the table or the list of workers changes.
 struct table_update {
-    bool from_leader = false;             ///< the sender leads: no newer table is in force
-    node_id leader;                       ///< empty: not known; may be out of date
-    std::vector<node_info> control_nodes; ///< control processes with recent contact
-    std::uint64_t table_version = 0;      ///< newest version that the sender has
+    bool from_leader = false; ///< the sender leads: no newer table is in force
+    node_id leader;           ///< empty: not known; may be out of date
+    /// Control processes with recent contact. Empty: as in an earlier update to the receiver.
+    std::vector<node_info> control_nodes;
+    std::uint64_t table_version = 0; ///< newest version that the sender has
     /// Absent if the receiver has this version or asked for version_only. A sender that isn't the
     /// leader includes it only for a receiver without any table.
     std::optional<routing_document> document;
     /// Reported by other gateways since the receiver's last query.
     std::vector<cached_prompt> cached_prompts;
     /// Sums over all other gateways. Absent while a new leader may not have contact with all of
-    /// them.
-    std::optional<std::vector<worker_request_count>> worker_request_counts;
+    /// them. By position if the receiver has the leader's list.
+    std::optional<std::variant<std::vector<worker_request_count>, listed_request_counts>>
+        worker_request_counts;
     /// Version of the leader's list of workers; 0: it has no recent list.
     std::uint64_t worker_list_version = 0;
-    std::optional<std::vector<worker_entry>> workers; ///< absent: the receiver has this list
+    std::optional<worker_list_change> workers; ///< absent: the receiver has this list
 
     friend bool operator==(const table_update&, const table_update&) = default;
 };
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -70,7 +70,11 @@
     bool awaits_reply = false;                     ///< the last query is not answered yet
     instant fetch_deadline{};                      ///< for `contact` to send the first table
     std::vector<cached_prompt> new_cached_prompts; ///< to report with the next query
-    std::uint64_t worker_list_version = 0; ///< newest list of workers received from a leader
+    std::uint64_t worker_list_version = 0;        ///< newest list of workers received from a leader
+    std::map<std::string, hash64> listed_workers; ///< hashes of the instances in that list
+    /// The list of workers in use is that one. False after this process has read the platform's
+    /// list itself; then only a complete list from a leader applies.
+    bool uses_leader_list = false;
 
     friend bool operator==(const table_sync_state&, const table_sync_state&) = default;
 };
--- a/src/include/bluebell/core/worker_table.h
+++ b/src/include/bluebell/core/worker_table.h
@@ -74,8 +74,14 @@
 [[nodiscard]] worker_table with_list(worker_table current, instant now,
                                      const std::vector<worker_entry>& list);
 
-/// Returns the prompt's shared parts that aren't yet in the estimate of the worker's cache, to
-/// report them to the other gateways.
+/// Applies changes of the list: new or changed workers, and instances that are gone.
+[[nodiscard]] worker_table with_list_change(worker_table current, instant now,
+                                            const std::vector<worker_entry>& changed,
+                                            const std::vector<std::string>& removed);
+
+/// Returns the prompt's parts before its last shared one that aren't yet in the estimate of the
+/// worker's cache, to report them to the other gateways. Many sessions have these in common. The
+/// last shared part isn't reported: it is found at the prompt's homes.
 [[nodiscard]] std::vector<cached_prompt> find_new_cached_prompts(const worker_table& table,
                                                                  const std::string& instance,
                                                                  const engine_demand& demand);
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -27,6 +27,8 @@
 /// Time after its election at which a leader has had contact with all gateways: they send a query
 /// each 0.3 s, and turn to another control process when one is silent for 0.6 s.
 constexpr microseconds request_count_warmup{1'200'000};
+/// Time after which a gateway is sent the control processes again, though they are the same.
+constexpr microseconds controls_interval{3'000'000};
 /// Time between two readings of the platform's list of workers.
 constexpr microseconds list_interval{700'000};
 /// Updates to gateways contain the platform's list of workers only while the leader's last reading
@@ -134,23 +136,11 @@
            t.ctx.now - t.st.lead.list_read_at < list_lifetime;
 }
 
-/// True if both lists have the same workers in the same states. Ignores warmup_remaining, which
-/// changes with time alone.
-bool same_workers(const std::vector<worker_entry>& a, const std::vector<worker_entry>& b)
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](worker_entry x, worker_entry y) {
-        x.warmup_remaining = microseconds{0};
-        y.warmup_remaining = microseconds{0};
-        return x == y;
-    });
-}
-
 table_update make_table_update(const control_turn& t, std::uint64_t version)
 {
     table_update update;
     update.from_leader = t.is_leading();
     update.leader = known_leader(t.st.replication, t.ctx.self.id);
-    update.control_nodes = present_controls(t.st.peers, t.ctx.now, t.ctx.self);
     if (!update.from_leader) {
         const routing_document& table = newest_table(t);
         update.table_version = table.version;
@@ -194,49 +184,93 @@
     return prompts;
 }
 
-/// Returns the requests in progress by worker, summed over all gateways except `to`. Returns
+/// Drops the counts of gateways that have been silent for too long.
+void expire_request_counts(leadership& lead, instant now)
+{
+    for (auto& [id, s] : lead.subscribers) {
+        if (s.worker_request_counts.empty() || now - s.last_contact_at < request_count_timeout)
+            continue;
+        lead.sums = with_counts_replaced(std::move(lead.sums), s.worker_request_counts, {});
+        s.worker_request_counts.clear();
+    }
+}
+
+/// Sets the requests in progress by worker, summed over all gateways except the subscriber. Sends
 /// nothing while a new leader may lack some gateways' counts: such a sum would make busy workers
 /// look idle to all gateways at the same time.
-std::optional<std::vector<worker_request_count>> count_requests_elsewhere(const control_turn& t,
-                                                                          const node_id& to)
+void add_request_counts(control_turn& t, const table_subscriber& s, table_update& update)
 {
     const auto* leader = std::get_if<leader_role>(&t.st.replication.role);
     if (leader == nullptr || t.ctx.now - leader->elected_at < request_count_warmup)
-        return std::nullopt;
-    std::map<hash64, std::uint32_t> sums;
-    for (const auto& [id, s] : t.st.lead.subscribers) {
-        if (id == to || t.ctx.now - s.last_contact_at >= request_count_timeout)
-            continue;
-        for (const auto& count : s.worker_request_counts)
-            sums[count.worker_hash] += count.running;
-    }
-    std::vector<worker_request_count> counts;
-    counts.reserve(sums.size());
-    for (const auto& [worker, running] : sums)
-        counts.push_back({worker, running});
-    return counts;
+        return;
+    auto& lead = t.st.lead;
+    expire_request_counts(lead, t.ctx.now);
+    const bool has_list =
+        lead.workers.version != 0 && (update.workers || s.list_version == lead.workers.version);
+    if (has_list)
+        update.worker_request_counts = listed_request_counts{
+            lead.workers.version,
+            listed_counts_without(lead.sums, s.worker_request_counts, lead.workers.hashes)};
+    else
+        update.worker_request_counts = counts_without(lead.sums, s.worker_request_counts);
+}
+
+/// Adds the present control processes, unless the subscriber was sent the same ones lately.
+void add_control_nodes(control_turn& t, table_subscriber& s, table_update& update)
+{
+    auto nodes = present_controls(t.st.peers, t.ctx.now, t.ctx.self);
+    hash64 hash = 0;
+    for (const auto& n : nodes)
+        hash = hash_of(n.address, hash_of(n.id.str(), hash));
+    if (hash == s.sent_controls && t.ctx.now - s.controls_sent_at < controls_interval)
+        return;
+    s.sent_controls = hash;
+    s.controls_sent_at = t.ctx.now;
+    update.control_nodes = std::move(nodes);
+}
+
+/// Adds the list of workers if it is fresh: what has changed since the subscriber's.
+void add_worker_list(const control_turn& t, const table_subscriber& s, table_update& update)
+{
+    if (!list_is_fresh(t))
+        return;
+    const worker_list& list = t.st.lead.workers;
+    update.worker_list_version = list.version;
+    if (s.list_version != list.version)
+        update.workers = changes_since(list, s.list_version);
+}
+
+/// Returns the subscriber that sent the query. One that has restarted starts anew.
+table_subscriber& find_subscriber(leadership& lead, const node_id& from, const table_query& msg)
+{
+    auto& s = lead.subscribers[from];
+    if (s.incarnation == msg.sender.incarnation)
+        return s;
+    lead.sums = with_counts_replaced(std::move(lead.sums), s.worker_request_counts, {});
+    s = table_subscriber{};
+    s.incarnation = msg.sender.incarnation;
+    return s;
 }
 
 void on(control_turn& t, const node_id& from, const table_query& msg)
 {
     table_update update = make_table_update(t, msg.table_version);
+    if (!t.is_leading())
+        update.control_nodes = present_controls(t.st.peers, t.ctx.now, t.ctx.self);
     if (t.is_leading()) {
-        record_prompts(t.st.lead, from, msg.cached_prompts);
-        auto& s = t.st.lead.subscribers[from];
-        if (s.incarnation != msg.sender.incarnation) {
-            s = table_subscriber{};
-            s.incarnation = msg.sender.incarnation;
-        }
+        auto& lead = t.st.lead;
+        record_prompts(lead, from, msg.cached_prompts);
+        auto& s = find_subscriber(lead, from, msg);
+        s.list_version = msg.worker_list_version;
+        lead.sums = with_counts_replaced(std::move(lead.sums), s.worker_request_counts,
+                                         msg.worker_request_counts);
+        s.worker_request_counts = msg.worker_request_counts;
         if (msg.table_version != 0)
             update.cached_prompts =
-                next_prompts_for(t.st.lead, from, s); // a gateway without a table would drop them
-        update.worker_request_counts = count_requests_elsewhere(t, from);
-        if (list_is_fresh(t)) {
-            update.worker_list_version = t.st.lead.worker_list_version;
-            if (msg.worker_list_version != update.worker_list_version)
-                update.workers = t.st.lead.workers;
-        }
-        s.worker_request_counts = msg.worker_request_counts;
+                next_prompts_for(lead, from, s); // a gateway without a table would drop them
+        add_control_nodes(t, s, update);
+        add_worker_list(t, s, update);
+        add_request_counts(t, s, update);
         s.last_contact_at = t.ctx.now;
         s.confirmed_version = msg.table_version;
         const bool recently_sent =
@@ -313,23 +347,17 @@
         lead.next_list_read_at = t.ctx.now + list_interval;
         return;
     }
-    const bool is_first = lead.list_read_at == instant{};
     lead.list_read_at = t.ctx.now;
     lead.next_list_read_at = t.ctx.now + list_interval;
-    if (!is_first && same_workers(lead.workers, listed->workers))
+    const std::uint64_t previous_version = lead.workers.version;
+    lead.workers = with_read_list(std::move(lead.workers), listed->workers, lead.at_term);
+    if (lead.workers.version == previous_version)
         return;
-    lead.workers = listed->workers;
-    // Higher than every earlier leader's version: terms rise, and the list changes less often than
-    // this within one term.
-    constexpr std::uint64_t max_list_versions_per_term = 1U << 24U;
-    lead.worker_list_version =
-        std::max(lead.worker_list_version + 1, lead.at_term * max_list_versions_per_term);
     for (const auto& [id, s] : lead.subscribers) {
         if (t.ctx.now - s.last_contact_at >= subscriber_timeout)
             continue;
         table_update update = make_table_update(t, t.st.machine.table.version);
-        update.worker_list_version = lead.worker_list_version;
-        update.workers = lead.workers;
+        add_worker_list(t, s, update);
         t.out.emplace_back(send_message{id, fleet_message(std::move(update))});
     }
 }
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -183,6 +183,48 @@
     BOOST_TEST(last_update().worker_request_counts.has_value());
 }
 
+// What a gateway is sent regularly must not grow with what hasn't changed.
+BOOST_FIXTURE_TEST_CASE(a_gateway_is_sent_only_what_has_changed, leading_replica)
+{
+    const auto read_list = [&](bool first_is_draining) {
+        std::vector<worker_entry> workers(2);
+        workers[0].instance = "w1";
+        workers[0].draining = first_is_draining;
+        workers[1].instance = "w2";
+        const context here{now, 5, self, fleet};
+        st = reduce(std::move(st), here, exchange_event(worker_list_received{workers})).next;
+    };
+    table_query query;
+    query.sender.id = node_id::from_trusted("router-1");
+    query.worker_request_counts = {{hash_of("w2"), 3}};
+    read_list(false);
+    receive(fleet_message(query), "router-1");
+    BOOST_REQUIRE(last_update().workers.has_value());
+    BOOST_TEST(last_update().workers->workers.size() == 2U);
+    query.worker_list_version = last_update().worker_list_version;
+    receive(fleet_message(query), "router-1");
+    BOOST_TEST(!last_update().workers.has_value());
+    BOOST_TEST(last_update().control_nodes.empty());
+    read_list(true);
+    receive(fleet_message(query), "router-1");
+    BOOST_REQUIRE(last_update().workers.has_value());
+    BOOST_TEST(last_update().workers->workers.size() == 1U);
+    BOOST_TEST(last_update().workers->base_version == query.worker_list_version);
+    // Another gateway without the list gets it whole, and the first one's requests.
+    table_query other;
+    other.sender.id = node_id::from_trusted("router-2");
+    receive(fleet_message(other), "router-2");
+    BOOST_TEST(last_update().workers->workers.size() == 2U);
+    const auto* counts = std::get_if<listed_request_counts>(&*last_update().worker_request_counts);
+    BOOST_REQUIRE(counts != nullptr);
+    BOOST_TEST((counts->running == std::vector<std::uint32_t>{0, 3}));
+    // Counts of a gateway that has been silent for too long are dropped.
+    for (int n = 0; n < 16; ++n)
+        advance(milliseconds(100));
+    receive(fleet_message(other), "router-2");
+    BOOST_TEST(st.lead.sums.by_worker.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_restarted_gateway_gets_all_cached_prompts_again, leading_replica)
 {
     const auto query_prompts = [&](const char* sender, incarnation_number incarnation,
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -220,6 +220,7 @@
     }
     const std::size_t previous_count = t.st.workers.workers.size();
     t.st.workers = with_list(std::move(t.st.workers), t.ctx.now, ev.workers);
+    t.st.table_sync.uses_leader_list = false;
     if (added != 0 || newly_draining != 0 || previous_count + added != t.st.workers.workers.size())
         t.out.emplace_back(make_log_line(log_level::info, component, "List of workers has changed.",
                                          request_id(),
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -45,6 +45,12 @@
     sync.contact = contact.id;
 }
 
+/// Returns the version of the leader's list that is in use, or 0 to ask for a complete list.
+std::uint64_t known_list_version(const table_sync_state& sync)
+{
+    return sync.uses_leader_list ? sync.worker_list_version : 0;
+}
+
 void send_query(gateway_state& st, const context& ctx, effects& out)
 {
     st.table_sync.query_sent_at = ctx.now;
@@ -55,7 +61,7 @@
                       st.table.version,
                       std::exchange(st.table_sync.new_cached_prompts, {}),
                       own_request_counts(st.workers),
-                      st.table_sync.worker_list_version,
+                      known_list_version(st.table_sync),
                       st.table.version == 0};
     if (st.table.version != 0) {
         out.emplace_back(send_message{st.table_sync.contact, fleet_message(query)});
@@ -118,26 +124,67 @@
     st.table_sync.contact = from;
     st.table_sync.fetch_deadline = ctx.now + first_table_timeout;
     const table_query query{
-        ctx.self, 0, {}, own_request_counts(st.workers), st.table_sync.worker_list_version, false};
+        ctx.self, 0, {}, own_request_counts(st.workers), known_list_version(st.table_sync), false};
     out.emplace_back(send_message{from, fleet_message(query)});
 }
 
+/// Applies a complete list of workers or its changes.
+void apply_list_change(gateway_state& st, instant now, const worker_list_change& change)
+{
+    auto& listed = st.table_sync.listed_workers;
+    if (change.base_version == 0) {
+        st.workers = with_list(std::move(st.workers), now, change.workers);
+        listed.clear();
+    } else {
+        st.workers = with_list_change(std::move(st.workers), now, change.workers, change.removed);
+        for (const auto& instance : change.removed)
+            listed.erase(instance);
+    }
+    for (const auto& w : change.workers)
+        listed.insert_or_assign(w.instance, hash_of(w.instance));
+    st.table_sync.uses_leader_list = true;
+}
+
 /// Applies a list of workers that a leader sent, or its confirmation that the present list is still
 /// the newest. Postpones this process's own read of the platform's list.
 void apply_leader_list(gateway_state& st, const context& ctx, const table_update& update)
 {
-    if (update.worker_list_version == 0 ||
-        update.worker_list_version < st.table_sync.worker_list_version)
+    table_sync_state& sync = st.table_sync;
+    if (update.worker_list_version == 0 || update.worker_list_version < sync.worker_list_version)
         return;
-    if (update.workers)
-        st.workers = with_list(std::move(st.workers), ctx.now, *update.workers);
-    else if (update.worker_list_version != st.table_sync.worker_list_version)
+    const std::uint64_t known_version = known_list_version(sync);
+    if (update.workers && update.workers->base_version <= known_version)
+        apply_list_change(st, ctx.now, *update.workers);
+    else if (update.worker_list_version != known_version)
         return;
     st.workers.list_received_at = ctx.now;
-    st.table_sync.worker_list_version = update.worker_list_version;
+    sync.worker_list_version = update.worker_list_version;
     st.next_list_read_at = std::max(st.next_list_read_at, ctx.now + leader_list_lifetime);
 }
 
+/// Returns the counts by worker. Counts by position are of no use without the list that they refer
+/// to.
+std::optional<std::vector<worker_request_count>> counts_by_worker(const table_sync_state& sync,
+                                                                  const table_update& update)
+{
+    if (!update.worker_request_counts)
+        return std::nullopt;
+    const auto* listed = std::get_if<listed_request_counts>(&*update.worker_request_counts);
+    if (listed == nullptr)
+        return std::get<std::vector<worker_request_count>>(*update.worker_request_counts);
+    if (listed->list_version != sync.worker_list_version ||
+        listed->running.size() != sync.listed_workers.size())
+        return std::nullopt;
+    std::vector<worker_request_count> counts;
+    auto running = listed->running.begin();
+    for (const auto& [instance, hash] : sync.listed_workers) {
+        if (*running != 0)
+            counts.push_back({hash, *running});
+        ++running;
+    }
+    return counts;
+}
+
 } // namespace
 
 gateway_step handle_table_update(gateway_state current, const context& ctx, const node_id& from,
@@ -150,9 +197,10 @@
     update_controls(st.table_sync, update.control_nodes);
     st.workers = with_cached_prompts(std::move(st.workers), update.cached_prompts,
                                      max_cache_capacity(st.table));
-    if (update.from_leader && update.worker_request_counts && from == st.table_sync.contact)
-        st.workers =
-            with_request_counts(std::move(st.workers), ctx.now, *update.worker_request_counts);
+    if (update.from_leader && from == st.table_sync.contact) {
+        if (const auto counts = counts_by_worker(st.table_sync, update))
+            st.workers = with_request_counts(std::move(st.workers), ctx.now, *counts);
+    }
     if (update.document && update.document->version > st.table.version)
         out.emplace_back(decode_table{*update.document});
     const bool needs_first_table = st.table.version == 0 && !update.document;
--- a/src/libcore/worker_table.cpp
+++ b/src/libcore/worker_table.cpp
@@ -101,6 +101,22 @@
     return next;
 }
 
+worker_table with_list_change(worker_table current, instant now,
+                              const std::vector<worker_entry>& changed,
+                              const std::vector<std::string>& removed)
+{
+    current.list_received = true;
+    current.list_received_at = now;
+    for (const auto& instance : removed)
+        current.workers.erase(instance);
+    for (const auto& entry : changed) {
+        worker_record& w = current.workers[entry.instance];
+        w.entry = entry;
+        w.warmup_until = now + entry.warmup_remaining;
+    }
+    return current;
+}
+
 std::vector<cached_prompt> find_new_cached_prompts(const worker_table& table,
                                                    const std::string& instance,
                                                    const engine_demand& demand)
@@ -110,7 +126,7 @@
     if (it == table.workers.end())
         return prompts;
     const hash64 worker = hash_of(instance);
-    for (std::size_t i = 0; i + 1 < demand.prompt.size(); ++i) {
+    for (std::size_t i = 0; i + 2 < demand.prompt.size(); ++i) {
         const prompt_part& part = demand.prompt[i];
         if (!it->second.prompt_cache.parts.contains(part.id))
             prompts.push_back({part.id, worker, part.tokens});
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -111,6 +111,40 @@
     });
 }
 
+/// A complete list and changes are different messages, so that nobody takes one for the other.
+void put(const worker_list_change& from, pb::TableNews& to)
+{
+    if (from.base_version == 0) {
+        to.mutable_workers();
+        for (const auto& w : from.workers)
+            put(w, *to.mutable_workers()->add_workers());
+        return;
+    }
+    auto& changes = *to.mutable_changes();
+    changes.set_base(from.base_version);
+    for (const auto& w : from.workers)
+        put(w, *changes.add_workers());
+    for (const auto& instance : from.removed)
+        changes.add_removed(instance);
+}
+
+std::optional<worker_list_change> get_list_change(const pb::TableNews& from)
+{
+    worker_list_change change;
+    if (from.has_workers()) {
+        for (const auto& w : from.workers().workers())
+            change.workers.push_back(get(w));
+        return change;
+    }
+    if (!from.has_changes() || from.changes().base() == 0)
+        return std::nullopt;
+    change.base_version = from.changes().base();
+    for (const auto& w : from.changes().workers())
+        change.workers.push_back(get(w));
+    change.removed.assign(from.changes().removed().begin(), from.changes().removed().end());
+    return change;
+}
+
 void put(const table_update& from, pb::TableNews& to)
 {
     to.set_certain(from.from_leader);
@@ -122,13 +156,19 @@
         wire::put(*from.document, *to.mutable_document());
     put_cached_prompts(from.cached_prompts, to);
     if (from.worker_request_counts)
-        put_request_counts(*from.worker_request_counts, *to.mutable_running());
+        match(
+            *from.worker_request_counts,
+            [&](const std::vector<worker_request_count>& counts) {
+                put_request_counts(counts, *to.mutable_running());
+            },
+            [&](const listed_request_counts& counts) {
+                to.mutable_listed()->set_list(counts.list_version);
+                for (const auto n : counts.running)
+                    to.mutable_listed()->add_running(n);
+            });
     to.set_list(from.worker_list_version);
-    if (!from.workers)
-        return;
-    to.mutable_workers();
-    for (const auto& w : *from.workers)
-        put(w, *to.mutable_workers()->add_workers());
+    if (from.workers)
+        put(*from.workers, to);
 }
 
 result<fleet_message> get(const pb::TableNews& from)
@@ -144,16 +184,14 @@
                         get_cached_prompts(from),
                         std::nullopt,
                         from.list(),
-                        std::nullopt};
+                        get_list_change(from)};
     if (from.has_running())
         update.worker_request_counts = get_request_counts(from.running());
+    if (from.has_listed())
+        update.worker_request_counts = listed_request_counts{
+            from.listed().list(), {from.listed().running().begin(), from.listed().running().end()}};
     if (from.has_document())
         update.document = wire::get(from.document());
-    if (from.has_workers()) {
-        update.workers.emplace();
-        for (const auto& w : from.workers().workers())
-            update.workers->push_back(get(w));
-    }
     return update;
 }
 
