Test bytes without end from a worker against a running router

A stand-in worker sends, to 50 callers at once that read 20 KB/s, bodies, chunk extensions, events, interim heads, another request's answer and heads without end, and streams that drip a byte each 0.5 s.

--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -139,6 +139,7 @@
     void start_pass_through()
     {
         std::vector<node_id> gateways;
+        gateways.reserve(static_cast<std::size_t>(scenario_.routers));
         for (int i = 0; i < scenario_.routers; ++i)
             gateways.push_back(router_id(i));
         workers_.emplace(
--- /dev/null
+++ b/testsuite/endless/run.sh
@@ -0,0 +1,95 @@
+#!/usr/bin/env bash
+# A worker sends bytes without end to 50 slow callers at once, in each of the ways that it knows. The
+# router's memory stays under its bound, every request ends by its deadline, and other callers get
+# their answers on time meanwhile.
+. "$(dirname "$0")/../lib.sh"
+reserve_ports
+list=$((port + 20))
+front=$((port + 30))
+tables=$((port + 32))
+callers=50
+max_resident_kb=65536  # 64 MB
+deadline_ms=3000
+max_end_s=4.5 # deadline, grace of 100 ms and the start of all callers
+max_other_ms=500
+
+platform_settings() { # ROLE EXTRA...
+    printf 'role=%s\nip=127.0.0.1\nzone=a\nregion=r\ninternal-port-range=%s,%s\n' "$1" "$port" $((port + 15))
+    printf 'seeds=127.0.0.1:%s\nbootstrap=true\nbounds.retry-budget-ratio=0.2\n' "$tables"
+    shift
+    printf '%s\n' "$@"
+}
+platform_settings control "listen.control=127.0.0.1:$tables" "data-dir=$work/data" \
+    "cloud.address=127.0.0.1:$list" >"$work/control.conf"
+platform_settings router "listen.front=127.0.0.1:$front" "listen.ready=127.0.0.1:$((port + 31))" \
+    "cloud.address=127.0.0.1:$list" >"$work/router.conf"
+mkdir "$work/data"
+table='{"version":1,"routes":[
+ {"name":"plain","host":"h","path-prefix":"/plain/","kind":"unsafe","timeout-ms":9000,"service":"plain","attempts":1},
+ {"name":"stream","host":"h","path-prefix":"/stream/","kind":"streaming","timeout-ms":9000,"service":"engine","attempts":2}],
+ "services":[{"name":"plain"},{"name":"engine","engine":{"slots":64,"kv-capacity-tokens":1000}}],
+ "limits":{"max-header-bytes":8192,"max-body-bytes":100000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
+ "tenants":[{"name":"lenas","api-keys":["key1"]}]}'
+put_table() { curl -sSf -m 5 -o /dev/null -H 'Content-Type: application/json' -d "$table" "http://127.0.0.1:$tables/Config.Put"; }
+ready() { curl -sSf -m 2 "http://127.0.0.1:$((port + 31))/readiness"; }
+ask() { # PATH ID CURL_OPTIONS...
+    local path=$1 id=$2
+    shift 2
+    curl -sS -N -m 6 -o /dev/null -H 'Host: h' -H "Bluebellproxy-Request-Id: $id" -H 'Bluebellproxy-Credential: key1' \
+        -H "Bluebellproxy-Request-Timeout-Ms: $deadline_ms" "$@" "http://127.0.0.1:$front$path" 2>/dev/null
+}
+peak_kb() { sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$pid_router/status"; }
+# ended NAME: how many requests of this kind have ended, by the router's log. A caller that has a large
+# segment size and reads slowly may be cut off by the system before the deadline.
+ended() { grep -cE "(Answer is aborted|Request is refused|Caller disconnected)\..*request=\"?$1-" "$work/router.log" || true; }
+milliseconds() { awk '{printf "%d", $1 * 1000}'; }
+
+start endless "$STANDINS_BIN/standin_endless" --port "$list" --seconds 110
+start router "$BLUEBELL_BIN/bluebell" --platform --settings "$work/router.conf"
+start control "$BLUEBELL_BIN/bluebell" --platform --settings "$work/control.conf"
+
+wait_for put_table
+wait_for ready
+
+slowest_other=0
+for path in /plain/body /plain/extension /stream/event /stream/events /plain/interim /plain/other \
+    /plain/head /stream/drip; do
+    name=${path##*/}
+    begun=$(date +%s.%N)
+    waits=()
+    for n in $(seq 1 $callers); do
+        ask "$path" "$name-$n" --limit-rate 20k &
+        waits+=($!)
+    done
+    for n in 1 2 3 4; do
+        sleep 0.3
+        taken=$(ask /plain/ok "other-$name-$n" -w '%{time_total} %{http_code}')
+        if [ "${taken#* }" != 200 ]; then
+            echo "FAILED: another caller got ${taken#* } during $name"
+            exit 1
+        fi
+        taken=$(echo "${taken% *}" | milliseconds)
+        [ "$taken" -le "$slowest_other" ] || slowest_other=$taken
+    done
+    until [ "$(ended "$name")" -ge $callers ] ||
+        awk "BEGIN { exit !($(date +%s.%N) - $begun > $max_end_s) }"; do
+        sleep 0.1
+    done
+    echo "endless: $name: router's peak $(peak_kb) KB, $(ended "$name") of $callers ended"
+    if ! kill -0 "$pid_router" 2>/dev/null || [ "$(peak_kb)" -gt "$max_resident_kb" ]; then
+        echo "FAILED: the router holds over $max_resident_kb KB during $name, or has ended"
+        exit 1
+    fi
+    if [ "$(ended "$name")" -lt $callers ]; then
+        echo "FAILED: not all requests of $name have ended after $max_end_s s"
+        tail -n 30 "$work/router.log"
+        exit 1
+    fi
+    wait "${waits[@]}" || true
+done
+echo "endless: other callers after $slowest_other ms at most"
+if [ "$slowest_other" -gt "$max_other_ms" ]; then
+    echo "FAILED: other callers waited for over $max_other_ms ms"
+    exit 1
+fi
+echo "endless: ok"
