--- a/src/libcore/worker_list_test.cpp
+++ b/src/libcore/worker_list_test.cpp
@@ -94,6 +94,7 @@
 BOOST_AUTO_TEST_CASE(a_change_costs_as_much_as_it_changes)
 {
     std::vector<worker_entry> read;
+    read.reserve(600);
     for (int n = 0; n < 600; ++n)
         read.push_back(worker(n, "engine"));
     worker_list list = with_read_list({}, read, 1);
--- a/src/libcore/worker_table_test.cpp
+++ b/src/libcore/worker_table_test.cpp
@@ -97,6 +97,7 @@
     std::vector<int> accepted;
     for (const std::uint32_t load : {4, 8, 9, 14}) {
         std::vector<worker_request_count> counts;
+        counts.reserve(10);
         for (int n = 0; n < 10; ++n)
             counts.push_back({hash_of(worker_name(n) + "engine"), 4});
         for (auto& c : counts)
