Keep a long list of workers fresh while it is read again

Cause: at 3,003 workers a reading takes 61 calls, longer than the list counted as fresh; all gateways then read the platform's list themselves, for which it has 45 calls a second. Change: freshness allows for the time that a reading takes; a reading fails by a page that doesn't arrive in 1.2 s, not as a whole after 1.5 s; a gateway whose reading failed waits up to 2 s.

--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -31,6 +31,8 @@
     std::uint32_t common_tokens = 0;
     std::uint32_t session_tokens = 0;
     std::uint32_t question_tokens = 0; ///< of the last part, which no other request has
+
+    friend bool operator==(const request_kind&, const request_kind&) = default;
 };
 
 /// Equal workers of one service.
@@ -40,6 +42,8 @@
     std::uint32_t slots = 1; ///< requests that one worker runs at once
     std::uint32_t queue = 0; ///< requests that wait at one worker; further ones are refused
     bool runs_models = false;
+
+    friend bool operator==(const worker_group&, const worker_group&) = default;
 };
 
 /// Multiplies the rate of one kind, or of all, during a window.
@@ -48,6 +52,8 @@
     double factor = 1;
     double from_s = 0;
     double until_s = 0;
+
+    friend bool operator==(const surge&, const surge&) = default;
 };
 
 /// During a window, a share of one kind's requests comes from a single session.
@@ -56,6 +62,8 @@
     double share = 0;
     double from_s = 0;
     double until_s = 0;
+
+    friend bool operator==(const hot_session&, const hot_session&) = default;
 };
 
 /// The callers and workers of pass-through requests.
@@ -69,6 +77,8 @@
     int resends = 1;
     bool impatient = false;
     double leaving_share = 0; ///< share of the callers that leave after a third of their timeout
+
+    friend bool operator==(const pass_scenario&, const pass_scenario&) = default;
 };
 
 enum class pass_outcome : std::uint8_t {
@@ -121,6 +131,8 @@
     std::size_t kind = 0;
     double from_s = 0;
     double until_s = 1e9;
+
+    friend bool operator==(const pass_selection&, const pass_selection&) = default;
 };
 /// Share of the selected requests that were served with their first event within the target.
 [[nodiscard]] double share_in_target(const pass_result& r, const pass_selection& s,
--- a/bench/worker_pool.cpp
+++ b/bench/worker_pool.cpp
@@ -27,7 +27,8 @@
 
 /// One way between a gateway and a worker.
 constexpr microseconds link_delay{500};
-/// Time of a restarted worker until it answers; a dead one resets connections at once.
+/// The platform's limit on a worker's requests: the mean of its service times limit_factor, plus
+/// limit_slack.
 constexpr double limit_factor = 2;
 constexpr double limit_slack = 3;
 
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -82,6 +82,8 @@
     worker_list workers;    ///< the platform's list, as last read
     instant list_read_at{}; ///< when the list was last read; 0: never
     instant next_list_read_at{};
+    instant list_read_started_at{};
+    microseconds list_read_time{0};                  ///< how long the last reading took
     std::map<std::uint64_t, instant> orders_sent_at; ///< last sending of each open order, by fence
     std::map<std::string, instant> pool_changed_at;  ///< last placement order, by "REGION POOL"
     instant log_time_marked_at{}; ///< the leader's time when it last advanced the log's clock
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -107,6 +107,7 @@
     instant drain_started_at{};
     instant next_list_read_at{};        ///< when to read the platform's list of workers again
     bool list_read_in_progress = false; ///< the platform's list is being read
+    std::uint32_t list_failures = 0;    ///< readings of the platform's list that failed in a row
     bool ready = false;                 ///< readiness as last reported by set_ready
 
     friend bool operator==(const gateway_state&, const gateway_state&) = default;
--- a/src/include/bluebell/runtime/list_reader.h
+++ b/src/include/bluebell/runtime/list_reader.h
@@ -23,7 +23,8 @@
     make(std::shared_ptr<event_loop> loop, const pass_codec& codec, std::string host,
          std::uint16_t port, sink on_event);
 
-    /// Starts a read. A read that is still in progress is aborted.
+    /// Starts a read, which fails if a page doesn't arrive in time. A read that is still in
+    /// progress is aborted.
     void run(const core::read_worker_list& e);
 
 private:
@@ -33,6 +34,7 @@
     void connect();
     std::size_t on_data(std::string_view data);
     void handle_page(const std::string& body);
+    void on_page_timeout();
     void fail(core::error failure);
 
     std::shared_ptr<event_loop> loop_;
@@ -44,6 +46,7 @@
     message_reader reader_;
     std::string body_;
     std::vector<core::worker_entry> workers_; ///< entries of the pages read so far
+    std::unique_ptr<watcher> page_timer_;     ///< armed for each page
     bool is_reading_ = false;
 };
 
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -32,10 +32,11 @@
 /// Time between two readings of the platform's list of workers.
 constexpr microseconds list_interval{700'000};
 /// Updates to gateways contain the platform's list of workers only while the leader's last reading
-/// of it is younger than this.
+/// of it is younger than this, plus twice the time that it took: a long list is read in many pages.
 constexpr microseconds list_lifetime{1'600'000};
-/// Time without an answer after which the list is requested again.
-constexpr microseconds list_timeout{1'500'000};
+/// Time without a result after which the list is requested again. A reading whose pages don't
+/// arrive fails earlier by itself.
+constexpr microseconds list_timeout{8'000'000};
 /// Cached prompts that a leader stores for gateways that query late. A gateway that has just
 /// started gets all of them in one update of about 200 KB.
 constexpr std::size_t max_reported_prompts = 8'192;
@@ -133,7 +134,7 @@
 bool list_is_fresh(const control_turn& t)
 {
     return t.st.lead.list_read_at != instant{} &&
-           t.ctx.now - t.st.lead.list_read_at < list_lifetime;
+           t.ctx.now - t.st.lead.list_read_at < list_lifetime + 2 * t.st.lead.list_read_time;
 }
 
 table_update make_table_update(const control_turn& t, std::uint64_t version)
@@ -348,6 +349,7 @@
         return;
     }
     lead.list_read_at = t.ctx.now;
+    lead.list_read_time = t.ctx.now - std::max(lead.list_read_started_at, t.ctx.now - list_timeout);
     lead.next_list_read_at = t.ctx.now + list_interval;
     const std::uint64_t previous_version = lead.workers.version;
     lead.workers = with_read_list(std::move(lead.workers), listed->workers, lead.at_term);
@@ -367,6 +369,7 @@
     if (!t.st.reads_worker_list || t.ctx.now < t.st.lead.next_list_read_at)
         return;
     t.st.lead.next_list_read_at = t.ctx.now + list_timeout;
+    t.st.lead.list_read_started_at = t.ctx.now;
     t.out.emplace_back(read_worker_list{});
 }
 
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -225,6 +225,37 @@
     BOOST_TEST(st.lead.sums.by_worker.empty());
 }
 
+// A list of thousands of workers is read in many pages. If the leader's list looked old meanwhile,
+// all gateways would read the platform's list themselves, for which the platform has no calls.
+BOOST_FIXTURE_TEST_CASE(a_list_that_takes_long_to_read_stays_fresh_during_the_next_reading,
+                        leading_replica)
+{
+    st.reads_worker_list = true;
+    table_query query;
+    query.sender.id = node_id::from_trusted("router-1");
+    const auto read_list = [&] {
+        const context here{now, 5, self, fleet};
+        st = reduce(std::move(st), here, exchange_event(worker_list_received{{worker_entry{}}}))
+                 .next;
+    };
+    const auto confirms_list = [&] {
+        receive(fleet_message(query), "router-1");
+        return last_update().worker_list_version != 0;
+    };
+    st.lead.next_list_read_at = now;
+    advance(milliseconds(10)); // the reading begins, and takes 1.5 s
+    for (int n = 0; n < 15; ++n)
+        advance(milliseconds(100));
+    read_list();
+    for (int n = 0; n < 24; ++n) { // 0.7 s, and the next reading
+        advance(milliseconds(100));
+        BOOST_TEST(confirms_list());
+    }
+    for (int n = 0; n < 30; ++n)
+        advance(milliseconds(100));
+    BOOST_TEST(!confirms_list()); // that reading has failed
+}
+
 BOOST_FIXTURE_TEST_CASE(a_restarted_gateway_gets_all_cached_prompts_again, leading_replica)
 {
     const auto query_prompts = [&](const char* sender, incarnation_number incarnation,
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -13,8 +13,13 @@
 
 namespace {
 
-/// A read of the list of workers without a result is repeated after this time.
-constexpr microseconds list_timeout{2'000'000};
+/// A read of the list of workers without a result is repeated after this time. A reading whose
+/// pages don't arrive fails earlier by itself.
+constexpr microseconds list_timeout{8'000'000};
+/// After a read that failed, the next one is put off by list_interval, twice as long after each
+/// further failure in a row, up to this time: the platform limits the calls of all processes
+/// together.
+constexpr microseconds max_list_backoff{2'000'000};
 /// Minimum time from the start of a drain to the exit of the process. The load balancer needs it to
 /// notice that the process isn't ready and to stop sending requests.
 constexpr microseconds min_drain_time{3'200'000};
@@ -208,6 +213,7 @@
 void on(turn& t, const worker_list_received& ev)
 {
     t.st.list_read_in_progress = false;
+    t.st.list_failures = 0;
     t.st.next_list_read_at = t.ctx.now + list_interval;
     std::size_t newly_draining = 0;
     std::size_t added = 0;
@@ -233,7 +239,10 @@
 void on(turn& t, const worker_list_failed& ev)
 {
     t.st.list_read_in_progress = false;
-    t.st.next_list_read_at = t.ctx.now + list_interval;
+    const auto doublings = std::min<std::uint32_t>(t.st.list_failures, 4);
+    t.st.list_failures += 1;
+    t.st.next_list_read_at =
+        t.ctx.now + std::min(max_list_backoff, list_interval * (1U << doublings));
     t.out.emplace_back(make_log_line(log_level::warning, component,
                                      "List of workers could not be read.", request_id(),
                                      {{"why", to_string(ev.failure)}}));
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -159,6 +159,7 @@
         return;
     st.workers.list_received_at = ctx.now;
     sync.worker_list_version = update.worker_list_version;
+    st.list_failures = 0;
     st.next_list_read_at = std::max(st.next_list_read_at, ctx.now + leader_list_lifetime);
 }
 
--- a/src/libruntime/list_reader.cpp
+++ b/src/libruntime/list_reader.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::uint32_t max_head_bytes = 16 * 1024;
+/// A page that isn't complete after this time fails the read.
+constexpr core::microseconds page_timeout{1'200'000};
 /// Maximum size of one page of the list, in bytes.
 constexpr std::size_t max_page_bytes = std::size_t{4} * 1024 * 1024;
 /// Maximum number of workers in a list.
@@ -34,6 +36,13 @@
     : loop_(std::move(loop)), codec_(codec), host_(std::move(host)), port_(port),
       on_event_(std::move(on_event)), reader_(message_reader::answers(max_head_bytes))
 {
+    page_timer_ = watcher::timer(*loop_, [this] { on_page_timeout(); });
+}
+
+void worker_list_reader::on_page_timeout()
+{
+    if (is_reading_)
+        fail({error_code::deadline_exceeded, "read list", host_, "no complete page in time"});
 }
 
 void worker_list_reader::run(const core::read_worker_list&)
@@ -82,6 +91,7 @@
         return;
     reader_.next();
     body_.clear();
+    page_timer_->arm(page_timeout);
     stream_->write("GET " + codec_.worker_list_target(page) + " HTTP/1.1\r\nHost: " + host_ + ":" +
                    std::to_string(port_) + "\r\n\r\n");
 }
