--- a/src/include/bluebell/core/machine.h
+++ b/src/include/bluebell/core/machine.h
@@ -79,7 +79,7 @@
 
     friend bool operator==(const table_applied&, const table_applied&) = default;
 };
-/// Result of one item of a command. The leader uses it to answer the requester.
+/// Result of one item of a command. The leader uses it to answer the sender of the command.
 using applied =
     std::variant<operation_applied, grant_applied, result_applied, node_applied, table_applied>;
 
--- a/src/include/bluebell/runtime/list_reader.h
+++ b/src/include/bluebell/runtime/list_reader.h
@@ -45,7 +45,7 @@
     std::shared_ptr<byte_stream> stream_; ///< null: not connected
     message_reader reader_;
     std::string body_;
-    std::vector<core::worker_entry> workers_; ///< entries of the pages read so far
+    std::vector<core::worker_entry> workers_; ///< entries of the list that are read so far
     std::unique_ptr<watcher> page_timer_;     ///< armed for each page
     bool is_reading_ = false;
 };
