Log which routing table a process takes, from whom, and which one was committed

Cause: lines named versions only. Change: a router logs each table that it receives with the hash of its text, its sender and whether that one leads; a replica logs each table that is committed with its index and term, and each that it sends without leading with its commit index and the end of its log.

--- a/src/include/bluebell/core/routing_table.h
+++ b/src/include/bluebell/core/routing_table.h
@@ -107,6 +107,10 @@
     friend bool operator==(const routing_document&, const routing_document&) = default;
 };
 
+/// Returns a hash of the document's text as 16 hexadecimal digits. Log lines name it, so that two
+/// documents with the same version can be told apart.
+[[nodiscard]] std::string text_hash(const routing_document& document);
+
 /// Returns the route with the longest path prefix that matches the target's path, or null if no
 /// route matches. The query of the target is ignored.
 [[nodiscard]] const route* find_route(const routing_table& table, std::string_view host,
--- a/src/libcore/control_lead.cpp
+++ b/src/libcore/control_lead.cpp
@@ -86,6 +86,17 @@
         lead.dissemination_state.next_digest_at = t.ctx.now;
 }
 
+void log_committed_table(control_turn& t, const log_entry& entry)
+{
+    const routing_document& table = t.st.machine.table;
+    t.out.emplace_back(make_log_line(log_level::info, "tables", "Routing table is committed.",
+                                     request_id(),
+                                     {{"version", std::to_string(table.version)},
+                                      {"hash", text_hash(table)},
+                                      {"index", std::to_string(entry.index)},
+                                      {"term", std::to_string(entry.at_term)}}));
+}
+
 void apply_entry(control_turn& t, const log_entry& entry)
 {
     if (entry.index <= t.st.machine.applied)
@@ -99,12 +110,15 @@
     auto& in_flight = t.st.lead.queue.in_flight;
     if (in_flight && entry.index >= in_flight->last_index)
         in_flight.reset();
+    const bool table_changed = t.st.machine.table.version != previous_table;
+    if (table_changed)
+        log_committed_table(t, entry);
     if (!t.is_leading())
         return;
     for (const auto& a : done.results)
         std::visit([&](const auto& x) { on_applied(t, x); }, a);
     distribute_changes(t, previous_revision, entry.payload);
-    if (t.st.machine.table.version != previous_table)
+    if (table_changed)
         push_table(t);
 }
 
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -285,6 +285,14 @@
     }
     if (msg.version_only)
         update.document.reset();
+    if (update.document && !t.is_leading())
+        t.out.emplace_back(make_log_line(log_level::info, component,
+                                         "Routing table is sent by a follower.", request_id(),
+                                         {{"to", from.str()},
+                                          {"version", std::to_string(update.document->version)},
+                                          {"hash", text_hash(*update.document)},
+                                          {"commit", std::to_string(t.st.replication.commit_index)},
+                                          {"last", std::to_string(t.st.replication.log.last())}}));
     t.out.emplace_back(send_message{from, fleet_message(std::move(update))});
 }
 
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -202,8 +202,16 @@
         if (const auto counts = counts_by_worker(st.table_sync, update))
             st.workers = with_request_counts(std::move(st.workers), ctx.now, *counts);
     }
-    if (update.document && update.document->version > st.table.version)
+    if (update.document && update.document->version > st.table.version) {
+        out.emplace_back(make_log_line(log_level::info, gateway::component,
+                                       "Routing table is received.", request_id(),
+                                       {{"version", std::to_string(update.document->version)},
+                                        {"hash", text_hash(*update.document)},
+                                        {"from", from.str()},
+                                        {"leads", update.from_leader ? "yes" : "no"},
+                                        {"previous", std::to_string(st.table.version)}}));
         out.emplace_back(decode_table{*update.document});
+    }
     const bool needs_first_table = st.table.version == 0 && !update.document;
     if (needs_first_table && update.table_version != 0 && ctx.now >= st.table_sync.fetch_deadline) {
         fetch_first_table(st, ctx, from, out);
--- a/src/libcore/routing_table.cpp
+++ b/src/libcore/routing_table.cpp
@@ -2,10 +2,19 @@
 
 #include <bluebell/core/routing_table.h>
 
+#include <cstdio>
 #include <numeric>
 
 namespace bluebell::core {
 
+std::string text_hash(const routing_document& document)
+{
+    char buf[17];
+    std::snprintf(buf, sizeof buf, "%016llx",
+                  static_cast<unsigned long long>(hash_of(document.text.view())));
+    return buf;
+}
+
 const route* find_route(const routing_table& table, std::string_view host, std::string_view target)
 {
     std::string path(target.substr(0, target.find('?')));
