Send only committed routing tables; restore the commit index after a restart

Cause: a replica that doesn't lead gave a router without a table the newest table in its log, committed or not. If the next leader commits another text under that version, the router keeps the lost one for good: it compares versions, and the leader believes that it has this version. Ruled out: the leader's own answers (they come from the state machine), the product's configuration and fences (their numbers come from the log). Change: only the state machine's table leaves a replica. So that a restart of all processes still needs no election before service, a replica records its commit index in the file "commit", unsynced and behind the entries, whenever a table is committed, and reads it at the start; a damaged one is ignored. The test before_a_leader_is_known_only_a_gateway_without_a_table_gets_one gave its replica an entry of which nobody knew whether it was committed, and so asserted the fault; it now loads the entry with its commit index.

--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -382,6 +382,7 @@
     {
         schedule_sync(from, e);
     }
+    void apply_effect(const node_id&, simulated_node&, const disk_commit&) {}
     void apply_effect(const node_id& from, simulated_node&, const disk_snapshot& e)
     {
         schedule_sync(from, e);
--- a/src/include/bluebell/core/effect.h
+++ b/src/include/bluebell/core/effect.h
@@ -96,6 +96,12 @@
     std::vector<log_entry> entries;
     friend bool operator==(const disk_append&, const disk_append&) = default;
 };
+/// Records that the entries up to `index` are committed. Follows the writes of these entries; never
+/// answered, and may be lost with a power failure.
+struct disk_commit {
+    log_index index = 0;
+    friend bool operator==(const disk_commit&, const disk_commit&) = default;
+};
 /// Saves a snapshot of the state machine and drops the log up to `index`. The state machine has
 /// applied exactly this index after the step that returned this effect.
 struct disk_snapshot {
@@ -224,11 +230,11 @@
 using effect =
     std::variant<send_message, connect_peer, disconnect_peer, reply_head, reply_chunk, reply_end,
                  reply_error, engine_run, engine_cancel, engine_pause, engine_order_run, disk_vote,
-                 disk_append, disk_snapshot, disk_reopen, read_snapshot_part, store_snapshot_part,
-                 operator_reply, schedule_tick, log_line, record_metric, set_ready, drain_complete,
-                 start_attempt, cancel_attempt, pause_attempt, pass_head, pass_data, pass_end,
-                 pass_abort, pass_error_reply, disable_keep_alive, read_worker_list,
-                 set_caller_limits, decode_table, table_reply>;
+                 disk_append, disk_commit, disk_snapshot, disk_reopen, read_snapshot_part,
+                 store_snapshot_part, operator_reply, schedule_tick, log_line, record_metric,
+                 set_ready, drain_complete, start_attempt, cancel_attempt, pause_attempt, pass_head,
+                 pass_data, pass_end, pass_abort, pass_error_reply, disable_keep_alive,
+                 read_worker_list, set_caller_limits, decode_table, table_reply>;
 using effects = std::vector<effect>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/event.h
+++ b/src/include/bluebell/core/event.h
@@ -133,6 +133,7 @@
     term snapshot_term = 0;
     machine_state snapshot;
     std::vector<log_entry> entries;
+    log_index commit_index = 0; ///< from the last disk_commit that was kept; 0: none
     friend bool operator==(const disk_loaded&, const disk_loaded&) = default;
 };
 /// A part of the saved snapshot, to be sent to the replica `to`.
--- a/src/include/bluebell/core/replication.h
+++ b/src/include/bluebell/core/replication.h
@@ -217,7 +217,8 @@
     term current_term = 0;
     node_id voted_for; ///< vote in current_term; empty: none
     in_memory_log log;
-    log_index commit_index = 0;  ///< entries up to this index are committed; never decreases
+    log_index commit_index = 0; ///< entries up to this index are committed; never decreases
+    log_index recorded_commit_index = 0; ///< newest commit index written to this replica's disk
     log_index durable_index = 0; ///< entries up to this index are synced to this replica's disk
     snapshot_mark snapshot;
     std::size_t unsaved_bytes = 0; ///< size of entries committed since the last snapshot started
--- a/src/include/bluebell/runtime/disk.h
+++ b/src/include/bluebell/runtime/disk.h
@@ -34,6 +34,7 @@
 
     void run(const core::disk_vote& e);
     void run(const core::disk_append& e);
+    void run(const core::disk_commit& e);
     /// Writes a snapshot of the machine state, which must be the state at the step that returned
     /// the effect. It is encoded on the calling thread.
     void run(const core::disk_snapshot& e, const core::machine_state& machine);
--- a/src/include/bluebell/store/log_store.h
+++ b/src/include/bluebell/store/log_store.h
@@ -44,6 +44,7 @@
     vote_record vote;
     std::optional<snapshot_record> snapshot;
     std::vector<log_record> records; ///< contiguous, starting after the snapshot
+    std::uint64_t commit_index = 0;  ///< as last recorded; 0: none, or its file is damaged
     std::uint64_t dropped_bytes = 0; ///< size of an incomplete write that was removed
 
     friend bool operator==(const folder_contents&, const folder_contents&) = default;
@@ -68,6 +69,9 @@
     [[nodiscard]] core::result<void> write_vote(const vote_record& vote);
     /// Appends records to the log.
     [[nodiscard]] core::result<void> append(const std::vector<log_record>& records);
+    /// Records that the records up to this index are committed. They must have been appended. Not
+    /// synced: after a power failure an older index may be read, or none.
+    [[nodiscard]] core::result<void> write_commit(std::uint64_t index);
     /// Saves a snapshot and removes the log files that it covers.
     [[nodiscard]] core::result<void> save_snapshot(const snapshot_record& snapshot);
     /// Saves a snapshot that replaces the whole log.
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -117,40 +117,22 @@
 
 void on(control_turn&, const table_decoded&) {}
 
-/// Returns the newest table in this replica's log, committed or not. After a restart of all
-/// replicas none knows yet which entries are committed. A gateway without a table uses this one
-/// until a leader sends a committed table.
-const routing_document& newest_table(const control_turn& t)
-{
-    const routing_document* newest = &t.st.machine.table;
-    for (const auto& entry : t.st.replication.log.entries) {
-        const auto* change = std::get_if<set_table>(&entry.payload);
-        if (change != nullptr && change->document.version > newest->version)
-            newest = &change->document;
-    }
-    return *newest;
-}
-
 bool list_is_fresh(const control_turn& t)
 {
     return t.st.lead.list_read_at != instant{} &&
            t.ctx.now - t.st.lead.list_read_at < list_lifetime + 2 * t.st.lead.list_read_time;
 }
 
+/// Includes only a committed table: an entry that is not committed may be replaced by another text
+/// under the same version, and a gateway tells tables apart by their version.
 table_update make_table_update(const control_turn& t, std::uint64_t version)
 {
     table_update update;
     update.from_leader = t.is_leading();
     update.leader = known_leader(t.st.replication, t.ctx.self.id);
-    if (!update.from_leader) {
-        const routing_document& table = newest_table(t);
-        update.table_version = table.version;
-        if (version == 0 && table.version != 0)
-            update.document = table;
-        return update;
-    }
     update.table_version = t.st.machine.table.version;
-    if (update.table_version > version)
+    const bool is_newer = update.table_version > version;
+    if (is_newer && (update.from_leader || version == 0))
         update.document = t.st.machine.table;
     return update;
 }
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -1,5 +1,7 @@
 // Routing tables at control, on a replica that leads and on one that doesn't.
 
+#include "gateway_test.h"
+
 #include <bluebell/core/control.h>
 
 #include <boost/test/unit_test.hpp>
@@ -59,8 +61,9 @@
     instant now{seconds(100)};
     std::map<std::string, table_outcome> replies;
     std::vector<table_update> updates;
+    std::vector<log_index> recorded_commits;
 
-private:
+protected:
     [[nodiscard]] context make_context() const { return {now, 5, self, fleet}; }
     void apply_step(control_step done)
     {
@@ -73,6 +76,8 @@
                 ticket = std::max(ticket, vote->ticket);
             if (const auto* append = std::get_if<disk_append>(&e))
                 ticket = std::max(ticket, append->ticket);
+            if (const auto* commit = std::get_if<disk_commit>(&e))
+                recorded_commits.push_back(commit->index);
             const auto* sent = std::get_if<send_message>(&e);
             const auto* msg = sent ? std::get_if<fleet_message>(&sent->payload) : nullptr;
             if (const auto* n = msg ? std::get_if<table_update>(msg) : nullptr)
@@ -87,6 +92,87 @@
     leading_replica() { load(); }
 };
 
+/// A replica of three voters that has just read its disk and knows no leader. The log sets the
+/// voters at index 1.
+struct following_replica : sole_replica {
+    following_replica()
+    {
+        for (const char* id : {"control-2", "control-3"}) {
+            node_info other = self;
+            other.id = node_id::from_trusted(id);
+            others.push_back(other);
+        }
+    }
+    void load(std::vector<log_entry> tables = {}, log_index commit_index = 0)
+    {
+        const std::vector<node_info> voters{self, others[0], others[1]};
+        disk_loaded loaded;
+        loaded.incarnation = 1;
+        loaded.current_term = 1;
+        loaded.entries = {{1, 1, set_replicas{voters, voters}}};
+        loaded.entries.insert(loaded.entries.end(), tables.begin(), tables.end());
+        loaded.commit_index = commit_index;
+        apply_step(reduce(std::move(st), make_context(), disk_event(loaded)));
+    }
+    /// Receives the entries from the leader of a term, which follow entry 1.
+    void append(const node_info& leader, term at_term, log_index commit_index,
+                std::vector<log_entry> entries)
+    {
+        const append_request msg{at_term, 1, 1, commit_index, 1, std::move(entries)};
+        apply_step(reduce(std::move(st), make_context(),
+                          peer_event(message_received{leader.id, replication_message(msg)})));
+    }
+    std::vector<node_info> others;
+};
+
+/// A gateway whose messages to control and tables to decode are passed on by the test.
+struct starting_gateway : test::gateway_fixture {
+    starting_gateway()
+    {
+        node_info control;
+        control.id = node_id::from_trusted("control-1");
+        st.table_sync.seeds = {control};
+        st.table_sync.next_query_at = now;
+    }
+    /// Sends the gateway's queries to the replica and the answers back, until neither sends more.
+    void exchange_messages(sole_replica& replica)
+    {
+        replica.updates.clear();
+        for (std::size_t n = 0; n < 4 && !out.empty(); ++n) {
+            for (const auto& e : std::exchange(out, {})) {
+                const auto* sent = std::get_if<send_message>(&e);
+                if (sent != nullptr)
+                    replica.receive(std::get<fleet_message>(sent->payload));
+            }
+            for (const auto& update : std::exchange(replica.updates, {}))
+                receive(replica.self.id, update);
+        }
+    }
+    void query(sole_replica& replica)
+    {
+        advance_time(milliseconds(700));
+        exchange_messages(replica);
+    }
+    std::string text_in_force;
+
+private:
+    void receive(const node_id& from, const table_update& update)
+    {
+        gateway_step done =
+            handle_table_update(std::move(st), context{now, 1, self, fleet}, from, update);
+        st = std::move(done.next);
+        for (const auto& e : done.out) {
+            if (const auto* decode = std::get_if<decode_table>(&e)) {
+                text_in_force = decode->document.text.view();
+                auto applied = apply_table(std::move(st), context{now, 1, self, fleet},
+                                           test::table(decode->document.version));
+                st = std::move(applied.next);
+            }
+            out.push_back(e);
+        }
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(control_tables)
@@ -148,17 +234,9 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(before_a_leader_is_known_only_a_gateway_without_a_table_gets_one,
-                        sole_replica)
+                        following_replica)
 {
-    disk_loaded loaded;
-    loaded.incarnation = 1;
-    loaded.current_term = 1;
-    node_info other = self;
-    other.id = node_id::from_trusted("control-2");
-    const set_replicas replicas{{self, other}, {self, other}};
-    loaded.entries = {{1, 1, replicas}, {2, 1, set_table{"x", document(4, "four")}}};
-    const context here{now, 5, self, fleet};
-    st = reduce(std::move(st), here, disk_event(loaded)).next;
+    load({{2, 1, set_table{"x", document(4, "four")}}}, 2);
     receive(table_query{{}, 0, {}, {}, 0});
     BOOST_TEST(!last_update().from_leader);
     BOOST_TEST((last_update().document == std::optional(document(4, "four"))));
@@ -166,6 +244,60 @@
     BOOST_TEST(!last_update().document.has_value());
 }
 
+// A restarted replica must not guess: an entry behind the recorded commit index may be replaced.
+BOOST_FIXTURE_TEST_CASE(after_a_restart_only_tables_up_to_the_recorded_commit_index_are_sent,
+                        following_replica)
+{
+    load({{2, 1, set_table{"x", document(4, "four")}}, {3, 1, set_table{"y", document(5, "lost")}}},
+         2);
+    receive(table_query{{}, 0, {}, {}, 0});
+    BOOST_TEST((last_update().document == std::optional(document(4, "four"))));
+}
+
+BOOST_FIXTURE_TEST_CASE(the_commit_index_of_a_table_is_recorded_once, following_replica)
+{
+    load();
+    const log_entry entry{2, 2, set_table{"x", document(5, "five")}};
+    append(others[0], 2, 1, {entry});
+    BOOST_TEST(recorded_commits.empty());
+    append(others[0], 2, 2, {entry});
+    append(others[0], 2, 2, {});
+    BOOST_TEST(recorded_commits == std::vector<log_index>{2}, boost::test_tools::per_element());
+}
+
+// Guards against a gateway that starts beside a cut-off leader's follower and keeps a table that
+// was never accepted: the next leader commits another text under the same version, and a gateway
+// compares versions only.
+BOOST_FIXTURE_TEST_CASE(a_gateway_never_keeps_a_table_that_was_replaced_before_it_was_committed,
+                        following_replica)
+{
+    load();
+    append(others[0], 2, 1, {{2, 2, set_table{"x", document(5, "lost")}}});
+    starting_gateway gateway;
+    gateway.advance_time(milliseconds(0));
+    gateway.exchange_messages(*this);
+    leading_replica leader;
+    leader.submit(table_submitted{"y", document(5, "kept")});
+    gateway.query(leader);
+    gateway.query(leader);
+    BOOST_TEST(gateway.st.table.version == 5U);
+    BOOST_TEST(gateway.text_in_force == "kept");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_follower_sends_a_table_once_it_is_committed, following_replica)
+{
+    load();
+    const log_entry entry{2, 2, set_table{"x", document(5, "five")}};
+    append(others[0], 2, 1, {entry});
+    receive(table_query{{}, 0, {}, {}, 0});
+    BOOST_TEST(last_update().table_version == 0U);
+    BOOST_TEST(!last_update().document.has_value());
+    append(others[0], 2, 2, {entry});
+    receive(table_query{{}, 0, {}, {}, 0});
+    BOOST_TEST(!last_update().from_leader);
+    BOOST_TEST((last_update().document == std::optional(document(5, "five"))));
+}
+
 // Guards against request counts that cover only some gateways. A new leader gets the gateways'
 // queries one after another, and a sum over the first of them would make busy workers look idle.
 BOOST_FIXTURE_TEST_CASE(a_new_leader_sends_no_request_counts_before_all_gateways_had_time_to_query,
--- a/src/libcore/replication.cpp
+++ b/src/libcore/replication.cpp
@@ -53,9 +53,24 @@
     t.out.emplace_back(schedule_tick{due});
 }
 
+/// Records the commit index when a routing table was committed: after a restart, this replica can
+/// then send the table to gateways before there is a leader.
+void record_commit_if_due(turn& t)
+{
+    const bool has_table =
+        std::any_of(t.committed.begin(), t.committed.end(), [](const log_entry& e) {
+            return std::holds_alternative<set_table>(e.payload);
+        });
+    if (!has_table || t.st.commit_index <= t.st.recorded_commit_index)
+        return;
+    t.st.recorded_commit_index = t.st.commit_index;
+    t.out.emplace_back(disk_commit{t.st.commit_index});
+}
+
 replication_step finish_turn(turn&& t)
 {
     if (t.st.health == replica_health::healthy) {
+        record_commit_if_due(t);
         save_snapshot_if_due(t);
         schedule_next_tick(t);
     }
@@ -150,10 +165,13 @@
     load_replicas(t, ev);
     if (ev.snapshot_index > 0 || reopened)
         t.state_to_install = ev.snapshot; // without a saved snapshot: the initial state machine
+    t.st.recorded_commit_index = ev.commit_index;
     become_follower(t, t.st.current_term, node_id());
+    commit_to(t, std::min(ev.commit_index, t.st.log.last()));
     add_log_line(t, log_level::info, "Loaded the log from disk.",
                  {{"fresh", ev.was_empty ? "yes" : "no"},
                   {"snapshot", std::to_string(ev.snapshot_index)},
+                  {"commit", std::to_string(t.st.commit_index)},
                   {"last", std::to_string(t.st.log.last())}});
     const bool is_only_voter = can_campaign(t) && peers(t).empty();
     if (!is_only_voter)
--- a/src/libcore/replication_disks_test.cpp
+++ b/src/libcore/replication_disks_test.cpp
@@ -41,6 +41,7 @@
                 disk.entries.emplace(entry.index, entry);
             synced(w.ticket);
         },
+        [&](const disk_commit& w) { disk.commit_index = w.index; },
         [&](const disk_snapshot& w) {
             disk.snapshot_index = w.index;
             disk.snapshot_term = w.at_term;
@@ -101,6 +102,7 @@
         loaded.snapshot = snapshots_.at(disk.snapshot_name);
     for (const auto& [index, entry] : disk.entries)
         loaded.entries.push_back(entry);
+    loaded.commit_index = disk.commit_index;
     return loaded;
 }
 
--- a/src/libcore/replication_faults_test.cpp
+++ b/src/libcore/replication_faults_test.cpp
@@ -149,8 +149,13 @@
             !std::holds_alternative<leader_role>(replica.state.role))
             continue;
         std::vector<command> commands;
-        for (std::size_t k = 0; k < count; ++k)
-            commands.emplace_back(advance_time{microseconds(random_below(1'000'000))});
+        for (std::size_t k = 0; k < count; ++k) {
+            last_table_version_ += 1;
+            if (chance(250)) // its commit index is recorded on the disks
+                commands.emplace_back(set_table{"", {last_table_version_, bytes::from("table")}});
+            else
+                commands.emplace_back(advance_time{microseconds(random_below(1'000'000))});
+        }
         auto done = propose(std::move(replica.state), make_context(n), std::move(commands));
         apply_step(n, {std::move(done.next), std::move(done.out), {}, std::nullopt});
     }
--- a/src/libcore/replication_fleet_test.cpp
+++ b/src/libcore/replication_fleet_test.cpp
@@ -170,6 +170,7 @@
             check_matching(n, w);
             write_it(w);
         },
+        [&](const disk_commit& w) { write_it(w); },
         [&](const disk_snapshot& w) {
             const auto name = "s" + std::to_string(w.index) + "." + std::to_string(w.at_term);
             snapshots_[name] = nodes_[n].machine;
--- a/src/libcore/replication_fleet_test.h
+++ b/src/libcore/replication_fleet_test.h
@@ -72,6 +72,7 @@
     term snapshot_term = 0;
     std::string snapshot_name; ///< stands for the encoded state machine
     std::map<log_index, log_entry> entries;
+    log_index commit_index = 0;
     std::deque<effect> writes; ///< not durable, in order
     std::string received;      ///< the parts received so far of a snapshot
     log_index received_index = 0;
@@ -194,6 +195,7 @@
     std::int64_t next_proposal_at_ = 0;
     bool faults_ended_ = false; ///< no further faults are injected
     incarnation_number last_incarnation_ = 1;
+    std::uint64_t last_table_version_ = 0;
     std::map<std::string, machine_state> snapshots_; ///< state machines by snapshot_name
 
     // The history of the run that the invariants are checked against.
--- a/src/libruntime/disk.cpp
+++ b/src/libruntime/disk.cpp
@@ -35,12 +35,15 @@
     std::uint64_t ticket = 0;
     std::vector<store::log_record> records;
 };
+struct commit_job {
+    std::uint64_t index = 0;
+};
 struct snapshot_job {
     std::uint64_t ticket = 0;
     store::snapshot_record snapshot;
 };
-using job = std::variant<vote_job, append_job, snapshot_job, disk_reopen, read_snapshot_part,
-                         store_snapshot_part>;
+using job = std::variant<vote_job, append_job, commit_job, snapshot_job, disk_reopen,
+                         read_snapshot_part, store_snapshot_part>;
 
 store::log_record to_record(const log_entry& e)
 {
@@ -62,6 +65,7 @@
         loaded.snapshot_term = contents.snapshot->term;
         loaded.snapshot = std::move(*machine);
     }
+    loaded.commit_index = contents.commit_index;
     for (const auto& r : contents.records) {
         auto payload = wire::decode_command(r.payload);
         if (!payload)
@@ -180,6 +184,9 @@
 
     void run_job(const vote_job& j) { report(j.ticket, files.write_vote(j.vote)); }
     void run_job(const append_job& j) { report(j.ticket, files.append(j.records)); }
+    /// Without a recorded commit index a restarted replica waits for a leader's, so a failure needs
+    /// no answer; the next append fails, too.
+    void run_job(const commit_job& j) { (void)files.write_commit(j.index); }
     void run_job(const snapshot_job& j) { report(j.ticket, files.save_snapshot(j.snapshot)); }
 
     void run_job(const disk_reopen&)
@@ -288,6 +295,11 @@
     impl_->enqueue(std::move(j));
 }
 
+void disk::run(const disk_commit& e)
+{
+    impl_->enqueue(commit_job{e.index});
+}
+
 void disk::run(const disk_snapshot& e, const machine_state& machine)
 {
     impl_->enqueue(snapshot_job{e.ticket, {e.index, e.at_term, wire::encode(machine)}});
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -42,6 +42,7 @@
     void operator()(const engine_order_run& e) const { node.adapters_.engine->run(e); }
     void operator()(const disk_vote& e) const { node.adapters_.disk->run(e); }
     void operator()(const disk_append& e) const { node.adapters_.disk->run(e); }
+    void operator()(const disk_commit& e) const { node.adapters_.disk->run(e); }
     void operator()(const disk_snapshot& e) const
     {
         node.adapters_.disk->run(e, std::get<control_state>(node.state_.role).machine);
--- a/src/libstore/log_store.cpp
+++ b/src/libstore/log_store.cpp
@@ -1,5 +1,5 @@
-// The data folder has log files named log.NUMBER with any number of records, and the files `vote`
-// and `snapshot` with one record each.
+// The data folder has log files named log.NUMBER with any number of records, and the files `vote`,
+// `snapshot` and `commit` with one record each.
 
 #include "record_pvt.h"
 
@@ -19,6 +19,7 @@
 
 constexpr const char* vote_file = "vote";
 constexpr const char* snapshot_file = "snapshot";
+constexpr const char* commit_file = "commit";
 constexpr std::string_view log_prefix = "log.";
 constexpr std::string_view new_suffix = ".new";
 
@@ -92,6 +93,11 @@
             return tl::unexpected(saved.error());
         loaded_.snapshot = snapshot_record{saved->index, saved->term, std::move(saved->payload)};
     }
+    // The commit index is not synced, so a damaged file is no error: the leader sends it again.
+    if (contains_name(*names, commit_file)) {
+        const auto commit = read_single_record(files_, commit_file, "read commit index");
+        loaded_.commit_index = commit ? commit->index : 0;
+    }
     for (const auto& name : logs) {
         if (auto done = load_segment(name, name == logs.back()); !done)
             return done;
@@ -241,6 +247,20 @@
     return record_failure(std::move(done));
 }
 
+result<void> log_store::write_commit(std::uint64_t index)
+{
+    if (write_error_)
+        return tl::unexpected(*write_error_);
+    const std::string temporary = commit_file + std::string(new_suffix);
+    return with_folder(files_, [&](auto& f) -> result<void> {
+        return f.remove(temporary)
+            .and_then([&] {
+                return f.append_unsynced(temporary, encode({index, 0, {}}));
+            })
+            .and_then([&] { return f.rename(temporary, commit_file); });
+    });
+}
+
 result<void> log_store::write_snapshot(const snapshot_record& snapshot)
 {
     return replace_file(snapshot_file, encode({snapshot.index, snapshot.term, snapshot.payload}));
--- a/src/libstore/log_store_test.cpp
+++ b/src/libstore/log_store_test.cpp
@@ -211,4 +211,24 @@
     }
 }
 
+// A commit index is written without a sync: it outlives the process, and whatever a power failure
+// leaves of it is either that index or none.
+BOOST_AUTO_TEST_CASE(a_recorded_commit_index_outlives_the_process_and_is_never_wrong)
+{
+    auto store = make_filled_store();
+    BOOST_REQUIRE(store.write_commit(9).has_value());
+    BOOST_REQUIRE(store.write_commit(11).has_value());
+    const auto commit_index_of = [](memory_folder files) {
+        const auto reopened = log_store::make(std::move(files));
+        BOOST_REQUIRE(reopened.has_value());
+        return reopened->loaded_contents().commit_index;
+    };
+    const auto killed = memory_of(store).after_kill();
+    BOOST_TEST(commit_index_of(killed) == 11U);
+    BOOST_TEST(commit_index_of(memory_of(store).after_crash()) == 0U);
+    const std::size_t bits = killed.read("commit")->size() * 8;
+    for (std::size_t bit = 0; bit < bits; ++bit)
+        BOOST_TEST(commit_index_of(killed.with_flipped_bit("commit", bit)) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
