Keep a failed peer connection from ending the process

Cause: the library stops reading a connection when its routing id was handed over to a newer one, or when 1,000 of its messages are unread; if the socket then fails, its heartbeat timer still writes to it. Ruled out: writes that fail while the input runs. Change: outgoing connections have no routing id, so nothing is handed over; the receive queue can't stop the input, and an inbox limits its bytes by connection; probes of our own (core/connection_probe) replace heartbeats of the library. Calls of the library are repeated after EINTR; an address that can't be read is rejected in place of thrown.

--- a/src/include/bluebell/runtime/peer_bus.h
+++ b/src/include/bluebell/runtime/peer_bus.h
@@ -15,6 +15,9 @@
 
 namespace bluebell::runtime {
 
+/// What a received message counts for besides its own bytes while it waits to be handled.
+inline constexpr std::size_t message_overhead = 64;
+
 /// Configuration of the bus.
 struct peer_bus_options {
     core::node_id self;
@@ -29,6 +32,9 @@
     /// Timeout of one connection attempt; 0: the system's own.
     core::milliseconds connect_timeout{0};
     int max_queued_messages = 10'000; ///< per peer; beyond this, sends fail
+    /// Bytes received over one connection that have not been handled yet, message_overhead for each
+    /// message included; beyond this, further messages are dropped and reported as rejected.
+    std::size_t max_unread_bytes = std::size_t{16} * 1024 * 1024;
 
     friend bool operator==(const peer_bus_options&, const peer_bus_options&) = default;
 };
--- a/src/libruntime/zap_handler.cpp
+++ b/src/libruntime/zap_handler.cpp
@@ -1,6 +1,7 @@
 // The ZAP handler: it sends one reply per connection handshake.
 
 #include "zap_handler_pvt.h"
+#include "zmq_frames_pvt.h"
 
 #include <array>
 #include <vector>
@@ -28,7 +29,7 @@
 
 void zap_handler::read()
 {
-    while ((socket_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
+    while (has_input(socket_)) {
         if (!answer_one())
             return;
     }
@@ -39,7 +40,7 @@
     std::vector<std::string> frames;
     for (bool more = true; more;) {
         zmq::message_t frame;
-        if (!socket_.recv(frame, zmq::recv_flags::dontwait))
+        if (!receive_frame(socket_, frame))
             return false;
         frames.push_back(frame.to_string());
         more = frame.more();
@@ -57,8 +58,8 @@
                                            "",
                                            ""};
     for (std::size_t n = 0; n < reply.size(); ++n) {
-        const auto flags = n + 1 < reply.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
-        socket_.send(zmq::buffer(reply[n]), flags | zmq::send_flags::dontwait);
+        if (!send_frame(socket_, reply[n], n + 1 < reply.size()))
+            return false;
     }
     return true;
 }
