--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -41,13 +41,20 @@
             head -c 9 "$data/$newest" >"$work/$name.part"
             cat "$work/$name.part" >>"$data/$newest"
         fi
-        rm -f "$work/$name.tear"
+        rm -f "$work/$name.tear" "$work/$name.term"
         "$BLUEBELL_BIN/bluebell" --platform --settings "$work/$name.conf" >>"$work/$name.log" 2>&1 &
         echo $! >"$work/$name.pid"
-        wait $! || true
+        record_end "$name" $!
         sleep 0.3
     done
 }
+# Waits for the process and notes an end that this script didn't cause: 137 is its kill -9, and 0 the
+# end of a drain after its SIGTERM.
+record_end() { # NAME PID
+    local code=0
+    { wait "$2" || code=$?; } 2>/dev/null # without the message on a killed process
+    [ "$code" = 137 ] || { [ "$code" = 0 ] && [ -e "$work/$1.term" ]; } || echo "$1 with code $code" >>"$work/ended"
+}
 pid_of() { cat "$work/$1.pid" 2>/dev/null; }
 end_all() {
     touch "$work/stop"
@@ -110,7 +117,7 @@
         sleep "$time"
         kill -CONT "$pid"
         ;;
-    3) kill -TERM "$pid" ;;
+    3) touch "$work/$name.term" && kill -TERM "$pid" ;;
     4) for _ in 1 2 3; do kill -HUP "$pid" && sleep 0.1; done ;;
     5) proxy_command "$link reset" ;;
     6)
@@ -166,6 +173,10 @@
 touch "$work/healed"
 code=0
 wait "$client" || code=$?
+if [ -e "$work/ended" ]; then
+    sed 's/^/soak: a process ended by itself: /' "$work/ended"
+    code=1
+fi
 if [ "$code" != 0 ]; then
     cat "$work/verdict"
     if [ -n "${BLUEBELL_SOAKS:-}" ]; then
