Tell a control process how the one before it ended

Measured: run_markers (3 cases) and testsuite/platform, which kills, drains and restarts its control process, pass; the restarted one also knows its committed entries before it leads.

--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -219,9 +219,31 @@
     if (!disk)
         return tl::unexpected(disk.error());
     adapters_.disk = std::move(*disk);
+    open_run_marker();
     return {};
 }
 
+void process::open_run_marker()
+{
+    auto marker = runtime::run_marker::make(settings_.data_folder);
+    if (!marker) {
+        LOG(WARNING) << "process: The end of this process will not be told to the next one. "
+                     << to_string(marker.error());
+        return;
+    }
+    const runtime::run_record& run = marker->record();
+    if (marker->previous_ended_without_drain())
+        LOG(WARNING) << "process: The previous process ended without a drain. starts=" << run.starts
+                     << " ends_without_drain=" << run.ends_without_drain;
+    node_->telemetry().record(
+        loop_->now(), record_metric{"process_starts", static_cast<double>(run.starts), {}, {}});
+    node_->telemetry().record(
+        loop_->now(),
+        record_metric{
+            "process_ends_without_drain", static_cast<double>(run.ends_without_drain), {}, {}});
+    run_marker_ = std::move(*marker);
+}
+
 result<void> process::open_platform()
 {
     if (!settings_.from_platform)
@@ -320,6 +342,8 @@
     if (adapters_.engine)
         adapters_.engine->start();
     loop_->run();
+    if (run_marker_)
+        (void)run_marker_->mark_drained(); // the next process reports an end without a drain
     LOG(INFO) << "process: Stopped. node=" << settings_.self.id.str();
 }
 
--- a/src/bluebell/process.h
+++ b/src/bluebell/process.h
@@ -4,9 +4,11 @@
 
 #include <bluebell/runtime/log_output.h>
 #include <bluebell/runtime/node_runner.h>
+#include <bluebell/runtime/run_marker.h>
 #include <bluebell/settings/settings.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace bluebell {
@@ -33,6 +35,8 @@
     [[nodiscard]] core::result<void> open_callers();
     [[nodiscard]] core::result<void> open_engine();
     [[nodiscard]] core::result<void> open_disk();
+    /// Tells how the previous process on this data folder ended.
+    void open_run_marker();
     /// Opens what only the platform's settings ask for: the endpoint of routing tables, the reader
     /// of the worker list, and pass-through. Does nothing without those settings.
     [[nodiscard]] core::result<void> open_platform();
@@ -48,6 +52,7 @@
     std::shared_ptr<runtime::node_runner> node_;
     runtime::pass_codec pass_codec_; ///< outlives the adapters that refer to it
     runtime::node_adapters adapters_;
+    std::optional<runtime::run_marker> run_marker_; ///< none without a data folder
 };
 
 } // namespace bluebell
--- a/testsuite/platform/run.sh
+++ b/testsuite/platform/run.sh
@@ -102,4 +102,16 @@
 expect "the caller of the last stream succeeds" 0 "$code"
 expect "a stream is complete when its router ends gracefully" "$(events 1 190)" "$(cat "$work/last")"
 wait "$pid_router"
+
+reads_back() { [ "$(curl -sS -m 2 "http://127.0.0.1:$tables/Config.Get")" = "$(table 9 "$new")" ]; }
+{ kill -9 "$pid_control" && wait "$pid_control"; } 2>/dev/null || true
+start restarted "$BLUEBELL_BIN/bluebell" --platform --settings "$work/control.conf"
+wait_for reads_back
+expect "a restarted control process is told that the last one was killed" 1 "$(grep -c 'process ended without a drain. starts=2 ends_without_drain=1' "$work/restarted.log")"
+expect "it knows its committed entries before it leads" 1 "$(grep -c 'Loaded the log from disk.* commit=[1-9]' "$work/restarted.log")"
+kill -TERM "$pid_restarted"
+wait "$pid_restarted"
+start drained "$BLUEBELL_BIN/bluebell" --platform --settings "$work/control.conf"
+wait_for reads_back
+expect "a drain is no end without one" 0 "$(grep -c 'ended without a drain' "$work/drained.log" || true)"
 echo "platform: ok"
