Heed what workers say of themselves: leaving, and how long they want no requests

Cause: neither Server-Leaving nor a worker's Retry-After was read anywhere, so a worker that leaves was chosen until the list showed it, and one that refused with a time was asked again at once. Change: both are fields of a decoded answer's head, kept by instance in core/worker_notice; the choice passes such workers over, and requests that have not left are recalled. With all workers of a service paused, requests are refused at once with the shortest time, spread. The gateway makes no health checks, so there is none to hold back. The soak's workers leave, restart and pause, and its client checks both rules from what workers and callers saw.

--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -406,6 +406,7 @@
     {
         workers_->start(from, e);
     }
+    void apply_effect(const node_id&, simulated_node&, const recall_attempt&) {}
     void apply_effect(const node_id& from, simulated_node&, const cancel_attempt& e)
     {
         workers_->cancel(from, e.attempt);
--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -9,6 +9,7 @@
 #include <bluebell/core/ids.h>
 #include <bluebell/core/routing_table.h>
 #include <bluebell/core/time.h>
+#include <bluebell/core/worker_notice.h>
 
 #include <cstdint>
 #include <optional>
@@ -88,6 +89,7 @@
     /// Length of the body in bytes. Absent: chunked, or delimited by the end of the connection.
     std::optional<std::uint64_t> length;
     std::optional<worker_load> load;
+    worker_notice notice;
     std::vector<header_field> fields; ///< headers to forward, in order
 
     friend bool operator==(const worker_answer&, const worker_answer&) = default;
@@ -158,6 +160,11 @@
     error failure;
     friend bool operator==(const attempt_broken&, const attempt_broken&) = default;
 };
+/// Answers recall_attempt: no byte of the request has left, and none will.
+struct attempt_recalled {
+    attempt_number attempt = 0;
+    friend bool operator==(const attempt_recalled&, const attempt_recalled&) = default;
+};
 /// The platform's complete list of workers was read.
 struct worker_list_received {
     std::vector<worker_entry> workers;
@@ -170,8 +177,8 @@
 };
 using exchange_event =
     std::variant<pass_request_received, pass_caller_disconnected, pass_caller_lagging, attempt_head,
-                 attempt_data, attempt_completed, attempt_broken, worker_list_received,
-                 worker_list_failed>;
+                 attempt_data, attempt_completed, attempt_broken, attempt_recalled,
+                 worker_list_received, worker_list_failed>;
 
 // Effects.
 
@@ -194,6 +201,12 @@
     attempt_number attempt = 0;
     friend bool operator==(const cancel_attempt&, const cancel_attempt&) = default;
 };
+/// Ends the attempt if no byte of its request has left yet, which attempt_recalled then reports.
+/// Otherwise it goes on.
+struct recall_attempt {
+    attempt_number attempt = 0;
+    friend bool operator==(const recall_attempt&, const recall_attempt&) = default;
+};
 /// Stops or resumes reading the answer of an attempt.
 struct pause_attempt {
     attempt_number attempt = 0;
--- a/src/include/bluebell/core/worker_choice.h
+++ b/src/include/bluebell/core/worker_choice.h
@@ -28,6 +28,23 @@
     friend bool operator==(const worker_choice&, const worker_choice&) = default;
 };
 
+/// A worker that was passed over because of its own notice.
+struct passed_over_worker {
+    std::string instance;
+    worker_availability reason;
+
+    friend bool operator==(const passed_over_worker&, const passed_over_worker&) = default;
+};
+
+/// Returns the workers of the service that have said that they want no requests, by instance.
+[[nodiscard]] std::vector<passed_over_worker>
+find_passed_over(const worker_table& table, const service_id& service, instant now);
+
+/// Returns when the first paused worker of the service may get requests again, if no worker of the
+/// service may get one now and some are only paused.
+[[nodiscard]] std::optional<instant> next_available_at(const worker_table& table,
+                                                       const service_id& service, instant now);
+
 /// Chooses a worker. An engine is chosen by the prompt: the first of the prompt's homes that isn't
 /// too loaded. A plain service's worker is the less loaded of two that are drawn at random.
 /// `random` must be uniformly distributed.
--- a/src/include/bluebell/core/worker_table.h
+++ b/src/include/bluebell/core/worker_table.h
@@ -6,6 +6,7 @@
 #include <bluebell/core/exchange.h>
 #include <bluebell/core/fleet_message.h>
 #include <bluebell/core/prompt_share.h>
+#include <bluebell/core/worker_notice.h>
 
 #include <map>
 #include <string>
@@ -59,6 +60,7 @@
 /// All known workers.
 struct worker_table {
     std::map<std::string, worker_record> workers; ///< by instance
+    worker_standings standings;                   ///< by the workers' own notices
     prompt_shares recent_prompts;                 ///< of this process's requests, by home_hash
     bool list_received = false;                   ///< a list was received since the start
     instant list_received_at{}; ///< when the newest list was received or confirmed
--- a/src/include/bluebell/runtime/worker_client.h
+++ b/src/include/bluebell/runtime/worker_client.h
@@ -32,6 +32,7 @@
 
     void run(const core::start_attempt& e);
     void run(const core::cancel_attempt& e);
+    void run(const core::recall_attempt& e);
     void run(const core::pause_attempt& e);
 
 private:
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -47,6 +47,8 @@
 constexpr std::size_t max_held_bytes = std::size_t{256} * 1024;
 /// Maximum size of one event of a stream, in bytes.
 constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+/// Another instance than the expected one runs at the worker's address.
+constexpr std::uint16_t misdirected_request = 421;
 
 /// Returns the exchange of the attempt and sets `id`, or returns null if the attempt has ended.
 exchange* find_exchange(turn& t, attempt_number attempt, exchange_id& id)
@@ -79,11 +81,9 @@
         record_metric{"first_answer_seconds", passed_seconds, request_rank, ex.workspace});
 }
 
-/// Handles a worker's statement that it has not run the request. Status 421 means that another
-/// instance runs at the worker's address.
+/// Handles a worker's statement that it has not run the request.
 void handle_rejection(turn& t, exchange_id id, exchange& ex, std::uint16_t status)
 {
-    constexpr std::uint16_t misdirected_request = 421;
     const std::string worker = ex.tried_instances.back();
     end_attempt(t, ex, false);
     if (status == misdirected_request)
@@ -195,7 +195,10 @@
     const std::string& worker = ex->tried_instances.back();
     if (ev.head.load)
         t.st.workers = with_load(std::move(t.st.workers), worker, t.ctx.now, *ev.head.load);
-    if (ev.head.not_run || ev.head.status == 421) {
+    const bool is_other_instance = ev.head.status == misdirected_request;
+    if (!is_other_instance)
+        apply_notice(t, worker, ev);
+    if (ev.head.not_run || is_other_instance) {
         handle_rejection(t, id, *ex, ev.head.status);
         return;
     }
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway_pvt.h"
 
+#include <bluebell/core/visit.h>
 #include <bluebell/core/worker_choice.h>
 
 #include <algorithm>
@@ -32,6 +33,9 @@
 /// Bounds of the retry-after time in a 503.
 constexpr microseconds min_retry_after{50'000};
 constexpr microseconds max_retry_after{400'000};
+/// The retry-after time while all workers are paused is spread over the rest of the shortest pause
+/// divided by this, but over min_retry_after at least.
+constexpr int retry_spread_divisor = 4;
 /// Maximum number of cached prompts that wait to be reported to control; further ones are dropped.
 constexpr std::size_t max_new_cached_prompts = 512;
 /// Engines accept priorities 0 (first) to 9 and default to 5. Ranks are spread around the
@@ -104,6 +108,31 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
 }
 
+/// Workers that one log line names as passed over.
+constexpr std::size_t max_passed_over_logged = 4;
+
+/// Returns the workers that want no requests, each with the age of its notice or the rest of its
+/// pause, for one log field.
+std::string format_passed_over(const std::vector<passed_over_worker>& workers, instant now)
+{
+    std::string text;
+    for (std::size_t n = 0; n < std::min(workers.size(), max_passed_over_logged); ++n) {
+        const auto& w = workers[n];
+        text += (text.empty() ? "" : ", ") + w.instance;
+        match(
+            w.reason, [](const worker_available&) {},
+            [&](const worker_leaving& r) {
+                text += " leaving_since_ms=" + format_milliseconds(now - r.since);
+            },
+            [&](const worker_paused& r) {
+                text += " paused_until_ms=" + format_milliseconds(r.until - now);
+            });
+    }
+    if (workers.size() > max_passed_over_logged)
+        text += ", " + std::to_string(workers.size() - max_passed_over_logged) + " more";
+    return text;
+}
+
 /// Logs the choice of the worker with the estimates behind it and their ages.
 void log_attempt(turn& t, const exchange& ex, const worker_choice& choice)
 {
@@ -121,6 +150,9 @@
     }
     if (!choice.fetch_from.empty())
         fields.push_back({"fetches_from", choice.fetch_from});
+    const auto passed_over = find_passed_over(t.st.workers, ex.policy.service, t.ctx.now);
+    if (!passed_over.empty())
+        fields.push_back({"passed_over", format_passed_over(passed_over, t.ctx.now)});
     t.out.emplace_back(make_log_line(log_level::info, component, "Request is sent to a worker.",
                                      ex.request.id, std::move(fields)));
 }
@@ -183,6 +215,16 @@
     refuse(t, id, ex.may_have_run ? 502 : 503, to_string(failure));
 }
 
+/// Recalls the requests to the worker of which no byte has left yet, for instance because their
+/// connections are still being established. `answered` is the one that it has just answered.
+void recall_attempts(turn& t, const std::string& worker, attempt_number answered)
+{
+    for (const auto& [attempt, id] : t.st.attempts) {
+        if (attempt != answered && t.st.exchanges.at(id).tried_instances.back() == worker)
+            t.out.emplace_back(recall_attempt{attempt});
+    }
+}
+
 /// Resumes a stalled stream at another worker. Without a retry to spend, it goes on as it is.
 void handle_stall(turn& t, exchange_id id, exchange& ex)
 {
@@ -234,13 +276,31 @@
     t.st.workers = with_attempt_ended(std::move(t.st.workers), ex.tried_instances.back());
 }
 
+namespace {
+
+/// Returns when the caller of a refused request should come back. While all workers of the service
+/// are paused, that is when the first of them wants requests again, spread over a part of that time
+/// so that not all callers come at once.
+microseconds choose_retry_after(const turn& t, exchange_id id, const exchange& ex)
+{
+    const auto next = next_available_at(t.st.workers, ex.policy.service, t.ctx.now);
+    if (next) {
+        const microseconds pause = *next - t.ctx.now;
+        const auto spread = std::max<microseconds>(pause / retry_spread_divisor, min_retry_after);
+        const auto random = hash_of(ex.request.id.str(), t.ctx.random ^ id);
+        return pause + microseconds(static_cast<std::int64_t>(
+                           random % static_cast<std::uint64_t>(spread.count() + 1)));
+    }
+    const microseconds time_left = ex.deadline - t.ctx.now;
+    return std::clamp<microseconds>(time_left / 8, min_retry_after, max_retry_after);
+}
+
+} // namespace
+
 void refuse(turn& t, exchange_id id, std::uint16_t status, std::string_view text)
 {
     const exchange& ex = t.st.exchanges.at(id);
-    const microseconds time_left = ex.deadline - t.ctx.now;
-    const auto retry_after =
-        status == 503 ? std::clamp<microseconds>(time_left / 8, min_retry_after, max_retry_after)
-                      : microseconds{0};
+    const auto retry_after = status == 503 ? choose_retry_after(t, id, ex) : microseconds{0};
     t.out.emplace_back(pass_error_reply{id, status, retry_after, std::string(text)});
     t.out.emplace_back(make_log_line(
         log_level::warning, component, "Request is refused.", ex.request.id,
@@ -262,14 +322,58 @@
     const worker_choice choice =
         choose_worker(t.st.workers, criteria, t.ctx.now, t.ctx.random ^ id);
     if (choice.instance.empty()) {
+        std::string reason = ex.tried_instances.empty() ? "no worker" : "no other worker";
+        const auto passed_over = find_passed_over(t.st.workers, ex.policy.service, t.ctx.now);
+        if (!passed_over.empty())
+            reason += ": " + format_passed_over(passed_over, t.ctx.now);
         fail_exchange(t, id, ex,
                       error{error_code::unavailable, "choose worker", ex.policy.service.str(),
-                            ex.tried_instances.empty() ? "no worker" : "no other worker"});
+                            std::move(reason)});
         return;
     }
     start_on_worker(t, id, ex, choice);
 }
 
+void apply_notice(turn& t, const std::string& worker, const attempt_head& ev)
+{
+    const worker_answer& head = ev.head;
+    if (head.notice == worker_notice{})
+        return;
+    notice_step done =
+        with_notice(std::move(t.st.workers.standings), worker, t.ctx.now, head.status, head.notice);
+    t.st.workers.standings = std::move(done.next);
+    if (done.reports_malformed)
+        t.out.emplace_back(make_log_line(log_level::warning, component,
+                                         "Notice of a worker is ignored.", head.id,
+                                         {{"worker", worker}, {"header", head.notice.malformed}}));
+    if (done.began_leaving) {
+        t.out.emplace_back(make_log_line(log_level::info, component, "Worker says that it leaves.",
+                                         head.id, {{"worker", worker}}));
+        t.out.emplace_back(record_metric{"worker_leaving_notices", 1, rank::normal, {}});
+    }
+    if (done.began_pause) {
+        t.out.emplace_back(make_log_line(
+            log_level::info, component, "Worker wants a pause.", head.id,
+            {{"worker", worker}, {"for_ms", format_milliseconds(*head.notice.retry_after)}}));
+        t.out.emplace_back(record_metric{"worker_pauses", 1, rank::normal, {}});
+    }
+    if (done.began_leaving || done.began_pause)
+        recall_attempts(t, worker, ev.attempt);
+}
+
+void on(turn& t, const attempt_recalled& ev)
+{
+    const auto it = t.st.attempts.find(ev.attempt);
+    if (it == t.st.attempts.end())
+        return;
+    const exchange_id id = it->second;
+    exchange& ex = t.st.exchanges.at(id);
+    end_attempt(t, ex, false);
+    ex.sent_attempts -= 1;
+    ex.tried_instances.pop_back(); // the request never reached it
+    assign_worker(t, id);
+}
+
 void retry_or_fail(turn& t, exchange_id id, const error& failure)
 {
     exchange& ex = t.st.exchanges.at(id);
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -32,6 +32,11 @@
 
 /// Chooses a worker and starts an attempt there. Fails the exchange if no worker is eligible.
 void assign_worker(turn& t, exchange_id id);
+/// Applies what a worker says of itself in the head of an answer, and recalls the other requests to
+/// it.
+void apply_notice(turn& t, const std::string& worker, const attempt_head& ev);
+/// Chooses another worker for a request that was recalled in time.
+void on(turn& t, const attempt_recalled& ev);
 /// Handles an attempt that ended without an answer to send to the caller: starts another attempt if
 /// the policy, the remaining time and the retry budget allow it, else fails the exchange.
 void retry_or_fail(turn& t, exchange_id id, const error& failure);
--- a/src/libcore/worker_choice.cpp
+++ b/src/libcore/worker_choice.cpp
@@ -46,9 +46,16 @@
     double penalty = 0;      ///< in requests, for errors and warm-up
 };
 
-bool is_eligible(const worker_record& w, const worker_criteria& criteria)
+bool is_available(const worker_table& table, const worker_record& w, instant now)
 {
-    return w.entry.service == criteria.service && !w.entry.draining &&
+    return !w.entry.draining && std::holds_alternative<worker_available>(
+                                    availability(table.standings, w.entry.instance, now));
+}
+
+bool is_eligible(const worker_table& table, const worker_record& w, const worker_criteria& criteria,
+                 instant now)
+{
+    return w.entry.service == criteria.service && is_available(table, w, now) &&
            std::find(criteria.tried_instances.begin(), criteria.tried_instances.end(),
                      w.entry.instance) == criteria.tried_instances.end();
 }
@@ -96,7 +103,7 @@
         const double load = estimate_load(w, now, mean_other);
         sum += load;
         count += 1;
-        if (!is_eligible(w, criteria))
+        if (!is_eligible(table, w, criteria, now))
             continue;
         const double reported_load = w.own_requests + static_cast<double>(w.other_requests);
         const double penalty =
@@ -202,12 +209,14 @@
     std::uint32_t cached_tokens = 0;
 };
 
-/// Draining workers count, because other workers can still fetch from them.
+/// Workers that drain or leave count, because others can still fetch what they hold. Those that
+/// want a pause don't.
 prompt_holder find_holder(const worker_table& table, const worker_criteria& criteria, instant now)
 {
     prompt_holder best;
     for (const auto& [id, w] : table.workers) {
-        if (w.entry.service != criteria.service || w.backoff_until > now)
+        if (w.entry.service != criteria.service || w.backoff_until > now ||
+            std::holds_alternative<worker_paused>(availability(table.standings, id, now)))
             continue;
         const std::uint32_t cached_tokens =
             estimate_cached_tokens(w.prompt_cache, criteria.demand->prompt);
@@ -281,6 +290,37 @@
 
 } // namespace
 
+std::vector<passed_over_worker> find_passed_over(const worker_table& table,
+                                                 const service_id& service, instant now)
+{
+    std::vector<passed_over_worker> found;
+    for (const auto& [instance, standing] : table.standings) {
+        const auto it = table.workers.find(instance);
+        if (it == table.workers.end() || it->second.entry.service != service)
+            continue;
+        const worker_availability reason = availability(table.standings, instance, now);
+        if (!std::holds_alternative<worker_available>(reason))
+            found.push_back({instance, reason});
+    }
+    return found;
+}
+
+std::optional<instant> next_available_at(const worker_table& table, const service_id& service,
+                                         instant now)
+{
+    std::optional<instant> next;
+    for (const auto& [instance, w] : table.workers) {
+        if (w.entry.service != service || w.entry.draining)
+            continue;
+        const worker_availability reason = availability(table.standings, instance, now);
+        if (std::holds_alternative<worker_available>(reason))
+            return std::nullopt;
+        if (const auto* paused = std::get_if<worker_paused>(&reason))
+            next = std::min(next.value_or(paused->until), paused->until);
+    }
+    return next;
+}
+
 worker_choice choose_worker(const worker_table& table, const worker_criteria& criteria, instant now,
                             std::uint64_t random)
 {
--- a/src/libcore/worker_table.cpp
+++ b/src/libcore/worker_table.cpp
@@ -88,6 +88,7 @@
 worker_table with_list(worker_table current, instant now, const std::vector<worker_entry>& list)
 {
     worker_table next;
+    next.standings = without_old(std::move(current.standings), now);
     next.recent_prompts = std::move(current.recent_prompts);
     next.list_received = true;
     next.list_received_at = now;
@@ -107,6 +108,7 @@
 {
     current.list_received = true;
     current.list_received_at = now;
+    current.standings = without_old(std::move(current.standings), now);
     for (const auto& instance : removed)
         current.workers.erase(instance);
     for (const auto& entry : changed) {
--- a/src/libruntime/worker_channel_pvt.h
+++ b/src/libruntime/worker_channel_pvt.h
@@ -26,6 +26,8 @@
 
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] core::attempt_number attempt() const { return attempt_; }
+    /// While this is false, no byte of the request has left.
+    [[nodiscard]] bool is_connected() const { return connected_; }
     /// Returns until when an idle channel may be used; the worker closes it soon after.
     [[nodiscard]] core::instant usable_until() const { return usable_until_; }
 
--- a/src/libruntime/worker_client.cpp
+++ b/src/libruntime/worker_client.cpp
@@ -58,6 +58,17 @@
     busy_.erase(it);
 }
 
+void worker_client::run(const core::recall_attempt& e)
+{
+    const auto it = busy_.find(e.attempt);
+    if (it == busy_.end() || it->second->is_connected())
+        return;
+    it->second->close();
+    loop_->defer([channel = std::move(it->second)] {});
+    busy_.erase(it);
+    report(core::attempt_recalled{e.attempt});
+}
+
 void worker_client::run(const core::pause_attempt& e)
 {
     const auto it = busy_.find(e.attempt);
--- a/src/libruntime/worker_client_test.cpp
+++ b/src/libruntime/worker_client_test.cpp
@@ -353,4 +353,31 @@
     }
 }
 
+// A request to a worker that wants none must not arrive there seconds later, when a slow connection
+// is established at last.
+BOOST_FIXTURE_TEST_CASE(a_request_that_has_not_left_is_recalled_and_one_that_has_goes_on, fixture)
+{
+    const auto sent = ask("r1");
+    client->run(core::recall_attempt{sent});
+    run();
+    BOOST_TEST(events.empty());
+    BOOST_TEST(accepted.size() == 1U);
+    core::start_attempt a;
+    a.attempt = 77;
+    a.address = "127.0.0.1:" + std::to_string(port);
+    a.request.method = "GET";
+    a.request.target = "/a";
+    a.request.id = core::request_id::from_trusted("r2");
+    client->run(a);
+    client->run(core::recall_attempt{77}); // before the loop has established the connection
+    run();
+    BOOST_REQUIRE(events.size() == 1U);
+    BOOST_TEST((std::get<core::attempt_recalled>(events[0]).attempt == 77U));
+    for (const auto& request : requests)
+        BOOST_TEST(request.find("r2") == std::string::npos);
+    accepted[0]->write("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 0\r\n\r\n");
+    run();
+    BOOST_TEST(events.size() == 3U); // the head and the end of the first answer
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -3,7 +3,8 @@
 # It runs three control processes with disks, three routers and stand-in workers. Connections to the
 # workers, the routers and the control processes' operator port go through a proxy that delays, holds
 # and resets them. Processes are killed, frozen, terminated and reloaded, and disks are emptied or get
-# a torn write. The faults overlap and are drawn from the seed. soak_client checks the answers
+# a torn write. Workers leave and refuse requests, and say so. The faults overlap and are drawn from
+# the seed. soak_client checks the answers
 # meanwhile; after the faults everything must work again. If a check fails, the working folder is
 # copied to $BLUEBELL_SOAKS, if set.
 . "$(dirname "$0")/../lib.sh"
@@ -44,10 +45,14 @@
         rm -f "$work/$name.tear" "$work/$name.term"
         "$BLUEBELL_BIN/bluebell" --platform --settings "$work/$name.conf" >>"$work/$name.log" 2>&1 &
         echo $! >"$work/$name.pid"
+        record_outage "$name" "$(now_ms)"
         record_end "$name" $!
         sleep 0.3
     done
 }
+now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
+# Notes that a process was restarted or stood still, or that a worker's link was disturbed, until now.
+record_outage() { echo "$1 $2 $(now_ms)" >>"$work/outages"; } # NAME START_MS
 # Waits for the process and notes an end that this script didn't cause: 137 is its kill -9, and 0 the
 # end of a drain after its SIGTERM.
 record_end() { # NAME PID
@@ -100,15 +105,18 @@
 "$SOAK_BIN/soak_client" --seed "$seed" --seconds "$seconds" --begun "$work/begun" --healed "$work/healed" \
     --fronts "127.0.0.1:$((port + 45)) 127.0.0.1:$((port + 46)) 127.0.0.1:$((port + 47))" \
     --controls "127.0.0.1:$((port + 31)) 127.0.0.1:$((port + 32)) 127.0.0.1:$((port + 33))" \
-    --workers "127.0.0.1:$workers" >"$work/verdict" &
+    --workers "127.0.0.1:$workers" --outages "$work/outages" >"$work/verdict" &
 client=$!
 pids+=("$client")
 wait_for test -e "$work/begun"
+notices() { curl -sS -f -m 2 -d '' "http://127.0.0.1:$workers/notices/$1"; }
+notices "$seed"
 
 # Injects one fault and ends it after TENTHS tenths of a second; several run at the same time.
 fault() { # KIND NAME LINK TENTHS
-    local name=$2 link=$3 time=$(($4 / 10)).$(($4 % 10)) pid
+    local name=$2 link=$3 time=$(($4 / 10)).$(($4 % 10)) pid start_ms
     pid=$(pid_of "$name")
+    start_ms=$(now_ms)
     echo "$SECONDS $*" >>"$work/faults"
     case $1 in
     0 | 1) kill -9 "$pid" ;;
@@ -116,6 +124,7 @@
         kill -STOP "$pid"
         sleep "$time"
         kill -CONT "$pid"
+        record_outage "$name" "$start_ms"
         ;;
     3) touch "$work/$name.term" && kill -TERM "$pid" ;;
     4) for _ in 1 2 3; do kill -HUP "$pid" && sleep 0.1; done ;;
@@ -143,6 +152,7 @@
         ;;
     10) touch "$work/$name.tear" && kill -9 "$pid" ;;
     esac 2>/dev/null || true
+    case $1-$link in [5-9]-[1-4] | 1[12]-[1-4]) record_outage "worker-$((link - 1))" "$start_ms" ;; esac
 }
 # At most one disk is lost in a run: this script can't tell whether the fleet has recovered from one
 # loss before it injects a second.
@@ -168,6 +178,7 @@
 done
 wait "${faults[@]}" 2>/dev/null || true
 for n in $(seq 0 10); do proxy_command "$n pass"; done
+notices 0
 commands_carried_out() { [ "$(sort "$work/ordered")" = "$(sort "$work/proxy.log")" ]; }
 wait_for commands_carried_out
 touch "$work/healed"
--- a/testsuite/soak/soak_caller.cpp
+++ b/testsuite/soak/soak_caller.cpp
@@ -43,6 +43,13 @@
 
 } // namespace
 
+std::int64_t wall_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 void soak_results::violate(const std::string& description)
 {
     const std::lock_guard guard(lock_);
@@ -82,7 +89,7 @@
     if (!reuses_connection)
         connection_ = connection::open(front);
     connection_address_ = front;
-    sent_request sent{kind, 0};
+    sent_request sent{kind, 0, front.port, wall_ms(), 0};
     results_.record_request(id, sent);
     if (!connection_.is_open() || !connection_.send(request_text(kind, id, length))) {
         connection_ = {};
@@ -91,6 +98,7 @@
     const answer a = read_answer(connection_, steady_clock::now() + caller_timeout);
     check_answer(kind, id, length, a);
     sent.status = a.status;
+    sent.answered_at_ms = wall_ms();
     results_.record_request(id, sent);
     const auto connection_header = a.headers.find("connection");
     if (!a.complete || connection_header != a.headers.end())
--- a/testsuite/soak/soak_caller.h
+++ b/testsuite/soak/soak_caller.h
@@ -19,9 +19,15 @@
 
 struct sent_request {
     request_kind kind = request_kind::safe;
-    int status = 0; ///< HTTP status; 0 if no answer was received
+    int status = 0;                  ///< HTTP status; 0 if no answer was received
+    std::uint16_t front = 0;         ///< port of the router that it was sent to
+    std::int64_t sent_at_ms = 0;     ///< in ms since the epoch
+    std::int64_t answered_at_ms = 0; ///< when the answer had ended; 0 if there was none
 };
 
+/// Milliseconds since the epoch, as the stand-in workers record them.
+[[nodiscard]] std::int64_t wall_ms();
+
 /// Requests and violations recorded by all threads.
 class soak_results {
 public:
--- a/testsuite/soak/soak_client.cpp
+++ b/testsuite/soak/soak_client.cpp
@@ -2,6 +2,7 @@
 // the answers that they received with the workers' own count of runs. Each violation is printed as
 // one line that starts with VIOLATION.
 
+#include "soak_notices.h"
 #include "soak_operator.h"
 
 #include <cxxopts.hpp>
@@ -30,16 +31,23 @@
 /// How many workers may run one request: the `attempts` of every route.
 constexpr int max_runs = 3;
 
-/// Compares the runs that the workers counted with the answers that the callers received.
-void check_runs(soak_results& results, const address& workers)
+/// Reads one of the lists that the stand-in workers keep.
+std::string read_workers_list(soak_results& results, const address& workers,
+                              const std::string& name)
 {
     const connection c = connection::open(workers);
-    if (!c.is_open() || !c.send("GET /runs HTTP/1.1\r\nHost: w\r\n\r\n")) {
-        results.violate("the workers' list of runs could not be read");
-        return;
-    }
-    const answer a = read_answer(c, steady_clock::now() + check_timeout);
-    std::istringstream in(a.body);
+    answer a;
+    if (c.is_open() && c.send("GET /" + name + " HTTP/1.1\r\nHost: w\r\n\r\n"))
+        a = read_answer(c, steady_clock::now() + check_timeout);
+    if (a.status != 200 || !a.complete)
+        results.violate("the workers' list of " + name + " could not be read");
+    return a.body;
+}
+
+/// Compares the runs that the workers counted with the answers that the callers received.
+void check_runs(soak_results& results, const std::string& list)
+{
+    std::istringstream in(list);
     std::string id;
     int runs = 0;
     while (in >> id >> runs) {
@@ -51,7 +59,8 @@
             report("ran, but no caller sent it");
             continue;
         }
-        const auto& [kind, status] = it->second;
+        const request_kind kind = it->second.kind;
+        const int status = it->second.status;
         const bool may_rerun = kind == request_kind::safe || kind == request_kind::resumable;
         const bool was_refused = status == 429 || status == 503 || status == 408 || status == 421;
         if (!may_rerun && runs > 1)
@@ -85,7 +94,7 @@
         for (int n = 0; status != 200 && steady_clock::now() < end; ++n) {
             const connection c = connection::open(front);
             const std::string id = "last-" + std::to_string(front.port) + "-" + std::to_string(n);
-            results.record_request(id, {request_kind::safe, 0});
+            results.record_request(id, {request_kind::safe, 0, front.port, wall_ms(), 0});
             if (c.is_open() && c.send("GET " + path + " HTTP/1.1\r\nHost: h\r\n" +
                                       "Bluebellproxy-Request-Id: " + id +
                                       "\r\nBluebellproxy-Credential: key1\r\n\r\n"))
@@ -110,7 +119,9 @@
         "workers", "IP:PORT of the stand-in platform", cxxopts::value<std::string>())(
         "seed", "seed of all random choices", cxxopts::value<std::uint64_t>())(
         "seconds", "how long callers and operator run, in seconds", cxxopts::value<int>())(
-        "begun", "file to create when the faults may begin", cxxopts::value<std::string>())(
+        "outages", "file with the restarts of routers and the faults of links",
+        cxxopts::value<std::string>())("begun", "file to create when the faults may begin",
+                                       cxxopts::value<std::string>())(
         "healed", "file that is created when the faults are over", cxxopts::value<std::string>());
     const auto args = options.parse(argc, argv);
     const auto fronts = parse_addresses(args["fronts"].as<std::string>());
@@ -136,7 +147,11 @@
     while (::access(args["healed"].as<std::string>().c_str(), F_OK) != 0)
         std::this_thread::sleep_for(milliseconds(50));
     check_recovery(results, op, fronts);
-    check_runs(results, parse_addresses(args["workers"].as<std::string>()).at(0));
+    const address workers = parse_addresses(args["workers"].as<std::string>()).at(0);
+    check_runs(results, read_workers_list(results, workers, "runs"));
+    std::ostringstream outages;
+    outages << std::ifstream(args["outages"].as<std::string>()).rdbuf();
+    check_notices(results, fronts, read_workers_list(results, workers, "arrivals"), outages.str());
     std::cout << "tables=" << op.acknowledged() << " requests=" << results.sent().size();
     for (const auto& [status, n] : results.by_status())
         std::cout << " " << status << ":" << n;
--- a/testsuite/standins/platform.cpp
+++ b/testsuite/standins/platform.cpp
@@ -1,13 +1,17 @@
 // Stand-in for the platform: serves its list of workers and runs four workers. Two are engines,
-// which answer with event streams, and two are plain services, which answer with a short text.
+// which answer with event streams, and two are plain services, which answer with a short text. On
+// demand, workers leave and restart under a new id, or refuse requests for some time, and say so in
+// their answers.
 
 #include <bluebell/runtime/http_server.h>
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <iostream>
 #include <map>
+#include <random>
 
 using namespace bluebell;
 using runtime::find_header;
@@ -17,6 +21,20 @@
 namespace {
 
 constexpr core::microseconds event_interval{20'000};
+/// Time between two decisions of workers to leave or to pause.
+constexpr core::microseconds notice_interval{1'500'000};
+/// A worker that leaves is listed as draining after this time, and restarts after restart_delay.
+constexpr core::microseconds listing_delay{4'000'000};
+constexpr core::microseconds restart_delay{6'000'000};
+constexpr int max_pause_s = 3;
+
+/// Milliseconds since the epoch, which the other programs of a test read, too.
+std::int64_t wall_ms()
+{
+    return std::chrono::duration_cast<core::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
 
 /// One worker and its HTTP server.
 struct worker {
@@ -25,6 +43,9 @@
     std::uint16_t port = 0;
     bool draining = false;
     std::shared_ptr<runtime::http_server> server;
+    int restarts = 0;
+    core::instant leaving_since = core::instant::max();
+    core::instant paused_until{};
 };
 
 /// A stream in progress.
@@ -81,22 +102,33 @@
         return made ? *made : nullptr;
     }
 
-    /// Serves GET /instances, POST /drain/INSTANCE and GET /runs (each request id that ran and how
-    /// often). Any other target gets the list of workers, too.
+    /// Serves GET /instances, POST /drain/INSTANCE, GET /runs (each request id that ran and how
+    /// often), GET /arrivals (see record_arrival) and POST /notices/SEED, after which workers leave
+    /// and pause until /notices/0. Any other target gets the list of workers, too.
     void handle_list_request(const std::shared_ptr<http_session>& s, const message_head& head)
     {
         const std::string drain = "/drain/";
+        const std::string notices = "/notices/";
         if (head.target.starts_with(drain)) {
             for (auto& w : workers_)
                 w.draining = w.draining || w.instance == head.target.substr(drain.size());
             s->reply(200, {}, "");
             return;
         }
+        if (head.target.starts_with(notices)) {
+            start_notices(head.target.substr(notices.size()));
+            s->reply(200, {}, "");
+            return;
+        }
         std::string text;
         if (head.target == "/runs") {
             for (const auto& [id, n] : runs_)
                 text += id + " " + std::to_string(n) + "\n";
+        } else if (head.target == "/arrivals") {
+            text = arrivals_;
         } else {
+            for (auto& w : workers_)
+                update_leaving(w);
             for (const auto& w : workers_)
                 text += (text.empty() ? "" : ",") + ("{\"id\":\"" + w.instance) +
                         "\",\"service\":\"" + w.service + "\",\"address\":\"127.0.0.1:" +
@@ -108,24 +140,95 @@
         s->reply(200, {}, text);
     }
 
+    void start_notices(const std::string& seed_text)
+    {
+        std::uint64_t seed = 0;
+        std::from_chars(seed_text.data(), seed_text.data() + seed_text.size(), seed);
+        notice_timer_.reset();
+        if (seed == 0)
+            return;
+        random_.seed(seed);
+        notice_timer_ = runtime::watcher::timer(*loop_, [this] { change_worker(); });
+        notice_timer_->arm(notice_interval);
+    }
+
+    /// Lets a worker leave, or refuse all requests for some seconds. At most one worker of each
+    /// service leaves at a time, but all may refuse requests.
+    void change_worker()
+    {
+        notice_timer_->arm(notice_interval);
+        worker& w = workers_[random_() % workers_.size()];
+        const bool pauses = random_() % 3 != 0;
+        const int pause_s = 1 + static_cast<int>(random_() % max_pause_s);
+        const bool service_has_leaving =
+            std::any_of(workers_.begin(), workers_.end(), [&](const worker& other) {
+                return other.service == w.service && other.leaving_since != core::instant::max();
+            });
+        if (pauses)
+            w.paused_until = loop_->now() + core::seconds(pause_s);
+        else if (!service_has_leaving)
+            w.leaving_since = loop_->now();
+    }
+
+    /// Lists a leaving worker as draining, and restarts it at last. Called for each request.
+    void update_leaving(worker& w)
+    {
+        if (w.leaving_since == core::instant::max())
+            return;
+        const auto time = loop_->now() - w.leaving_since;
+        w.draining = time >= listing_delay && time < restart_delay;
+        if (time < restart_delay)
+            return;
+        w.leaving_since = core::instant::max();
+        w.restarts += 1;
+        w.instance =
+            w.service + "-" + std::to_string(w.port - port_ - 1) + "." + std::to_string(w.restarts);
+    }
+
+    /// Adds a line to the list of arrivals: the time in ms since the epoch, the request's id, the
+    /// instance, whether its answer says that it leaves (0 or 1), and the pause that it asks for in
+    /// seconds (0: none).
+    void record_arrival(const worker& w, const message_head& head, bool leaves,
+                        std::int64_t pause_s)
+    {
+        arrivals_ += std::to_string(wall_ms()) + " " +
+                     std::string(find_header(head.headers, "Bluebellproxy-Request-Id")) + " " +
+                     w.instance + (leaves ? " 1 " : " 0 ") + std::to_string(pause_s) + "\n";
+    }
+
     std::vector<core::header_field> answer_headers(const worker& w, const message_head& head)
     {
-        return {{"Bluebellproxy-Request-Id",
-                 std::string(find_header(head.headers, "Bluebellproxy-Request-Id"))},
-                {"Bluebellproxy-Server-Stamp", "stamp-" + w.instance},
-                {"Bluebellproxy-Server-Load", "1,0,4"}};
+        std::vector<core::header_field> fields{
+            {"Bluebellproxy-Request-Id",
+             std::string(find_header(head.headers, "Bluebellproxy-Request-Id"))},
+            {"Bluebellproxy-Server-Stamp", "stamp-" + w.instance},
+            {"Bluebellproxy-Server-Load", "1,0,4"}};
+        if (w.leaving_since != core::instant::max())
+            fields.push_back({"Server-Leaving", "1"});
+        return fields;
     }
 
-    /// Runs a request, unless it was meant for another worker: that is answered with 421.
-    void handle_request(const worker& w, const std::shared_ptr<http_session>& s,
-                        const message_head& head)
+    /// Runs a request, unless it was meant for another worker, which is answered with 421, or the
+    /// worker refuses all requests for some time.
+    void handle_request(worker& w, const std::shared_ptr<http_session>& s, const message_head& head)
     {
+        update_leaving(w);
         auto answer = answer_headers(w, head);
         if (find_header(head.headers, "Bluebellproxy-Expect-Instance") != w.instance) {
             answer.push_back({"Bluebellproxy-Not-Executed", "1"});
             s->reply(421, answer, "");
             return;
         }
+        const auto paused = w.paused_until - loop_->now();
+        const std::int64_t pause_s =
+            paused.count() > 0 ? std::chrono::ceil<core::seconds>(paused).count() : 0;
+        record_arrival(w, head, w.leaving_since != core::instant::max(), pause_s);
+        if (pause_s > 0) {
+            answer.push_back({"Bluebellproxy-Not-Executed", "1"});
+            answer.push_back({"Retry-After", std::to_string(pause_s)});
+            s->reply(503, answer, "");
+            return;
+        }
         runs_[std::string(find_header(head.headers, "Bluebellproxy-Request-Id"))] += 1;
         if (w.service == "plain") {
             const std::string tenant(find_header(head.headers, "Bluebellproxy-Tenant-Id"));
@@ -188,6 +291,9 @@
     std::vector<worker> workers_;
     std::vector<std::unique_ptr<stream>> streams_;
     std::map<std::string, int> runs_; ///< by request id
+    std::string arrivals_;            ///< one line for each request to a worker
+    std::mt19937_64 random_;
+    std::unique_ptr<runtime::watcher> notice_timer_;
 };
 
 } // namespace
