Refuse drains whose `draining` is no boolean

Operators would have seen: one malformed POST /v1/drains ends a control process. Cause: nlohmann's value() throws for a member of another type, and nothing above catches it. Noted when the code was reworded, never tried on a process. The same class elsewhere: the remaining calls of value() in the library take what they get as JSON; `exceptions` of another type than an array was taken, and is refused now. Error texts of the tables' server are written with replacement of invalid UTF-8, as all others (no way to it is known). Measured: members_of_an_unexpected_type_are_refused failed before with type_error.302, passes now.

--- a/src/libadmin/operator_api.cpp
+++ b/src/libadmin/operator_api.cpp
@@ -84,7 +84,10 @@
             return invalid_request("defaults." + key + ": a string is required");
         c.document.defaults[key] = value.get<std::string>();
     }
-    for (const auto& item : doc.value("exceptions", json::array())) {
+    const json exceptions = doc.value("exceptions", json::array());
+    if (!exceptions.is_array())
+        return invalid_request("exceptions: an array is required");
+    for (const auto& item : exceptions) {
         auto e = parse_exception(item);
         if (!e)
             return tl::unexpected(e.error());
@@ -150,9 +153,13 @@
     const auto node = node_id::make(string_member(doc, "node"));
     if (!node)
         return invalid_request("node: 1 to 128 visible characters are required");
-    return submit_change{header.operation,
-                         operator_event(node_drain{header.operation, header.issuer, *node,
-                                                   doc.value("draining", true), header.reason})};
+    const auto draining = doc.find("draining");
+    if (draining != doc.end() && !draining->is_boolean())
+        return invalid_request("draining: true or false");
+    const bool drains = draining == doc.end() || draining->get<bool>();
+    return submit_change{
+        header.operation,
+        operator_event(node_drain{header.operation, header.issuer, *node, drains, header.reason})};
 }
 
 result<operator_request> parse_change(const wire::http_request& request, const operator_id& issuer,
--- a/src/libadmin/operator_api_test.cpp
+++ b/src/libadmin/operator_api_test.cpp
@@ -77,6 +77,20 @@
     }
 }
 
+// Guards against an exception that ends the control process: members of an unexpected JSON type.
+BOOST_AUTO_TEST_CASE(members_of_an_unexpected_type_are_refused)
+{
+    for (const char* value : {"1", "\"yes\"", "null", "[]", "{}"}) {
+        const std::string drain =
+            R"({"operation":"o","node":"agent-1","why":"x","draining":)" + std::string(value) + "}";
+        BOOST_TEST(!admin::parse(post("/v1/drains", drain), tokens(), wall_time{0}).has_value());
+        const std::string config = R"({"operation":"o","made_from":1,"defaults":{},"exceptions":)" +
+                                   std::string(value) + "}";
+        BOOST_CHECK_NO_THROW(
+            (void)admin::parse(post("/v1/config", config), tokens(), wall_time{0}));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(short_tokens_are_refused)
 {
     BOOST_TEST(!admin::operator_tokens::make("ana short\n").has_value());
--- a/src/libruntime/table_server.cpp
+++ b/src/libruntime/table_server.cpp
@@ -19,7 +19,8 @@
 
 std::string make_error_body(std::string_view text)
 {
-    return nlohmann::json{{"error", text}}.dump();
+    return nlohmann::json{{"error", text}}.dump(-1, ' ', false,
+                                                nlohmann::json::error_handler_t::replace);
 }
 
 /// Returns HOST of an address tcp://HOST:PORT.
