--- a/src/libcore/replication_snapshot.cpp
+++ b/src/libcore/replication_snapshot.cpp
@@ -157,7 +157,7 @@
 void on(turn& t, const snapshot_rejected& ev)
 {
     t.st.installing = false;
-    add_log_line(t, log_level::warning, "Rejected a received snapshot because it is damaged.",
+    add_log_line(t, log_level::warning, "Rejected a received snapshot.",
                  {{"why", to_string(ev.failure)}});
     send_snapshot_reply(t, ev.index, 0, false);
 }
--- a/src/libruntime/disk.cpp
+++ b/src/libruntime/disk.cpp
@@ -82,7 +82,9 @@
     sink on_event;
     store::log_store files;
     disk_loaded loaded;
-    std::string received_snapshot; ///< parts of a snapshot so far; only the disk thread uses it
+    /// Parts of a snapshot so far, and its index; only the disk thread uses them.
+    std::string received_snapshot;
+    log_index received_index = 0;
     int wake_fd = -1;
     std::unique_ptr<watcher> wake_watcher;
 
@@ -213,11 +215,19 @@
 
     void run_job(const store_snapshot_part& j)
     {
-        if (j.offset == 0)
+        if (j.offset == 0) {
             received_snapshot.clear();
-        if (j.offset != received_snapshot.size() ||
+            received_index = j.index;
+        }
+        const bool is_same = j.index == received_index;
+        if (!is_same || j.offset != received_snapshot.size() ||
             received_snapshot.size() + j.part.size() > max_snapshot_bytes) {
-            report(snapshot_part_stored{j.index, received_snapshot.size()});
+            if (j.last)
+                report(snapshot_rejected{j.index,
+                                         {error_code::corrupt, "store snapshot", "",
+                                          "parts before the last one are missing"}});
+            else
+                report(snapshot_part_stored{j.index, is_same ? received_snapshot.size() : 0});
             return;
         }
         received_snapshot += j.part.view();
