Note the restart of a soaked process before it starts

Cause, by its log: the router had restarted 27 ms before that request and knew nothing of the notice, which a restart excuses; run.sh noted the restart 52 ms after the process had started. No fault of the product.

--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -33,7 +33,7 @@
 # the disk if a fault has asked for that: NAME.wipe empties the data folder, NAME.tear appends an
 # incomplete record (the log file's own first 9 bytes) to the newest log file.
 supervise() {
-    local name=$1 data=$work/data-$1 newest
+    local name=$1 data=$work/data-$1 newest start_ms
     while [ ! -e "$work/stop" ]; do
         mkdir -p "$data"
         [ ! -e "$work/$name.wipe" ] || { rm -rf "$data" "$work/$name.wipe" && mkdir "$data"; }
@@ -43,9 +43,10 @@
             cat "$work/$name.part" >>"$data/$newest"
         fi
         rm -f "$work/$name.tear" "$work/$name.term"
+        start_ms=$(now_ms)
         "$BLUEBELL_BIN/bluebell" --platform --settings "$work/$name.conf" >>"$work/$name.log" 2>&1 &
         echo $! >"$work/$name.pid"
-        record_outage "$name" "$(now_ms)"
+        record_outage "$name" "$start_ms"
         record_end "$name" $!
         sleep 0.3
     done
