Log when a router searches for the leader and when it finds one

Change: one line when the known leader is lost, with the reason, and one when a leader is found, with the router's table and the newest. Measured: gateways_are_told_only_of_control_processes_with_a_disk is new.

--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -25,7 +25,7 @@
 /// Time for which the request counts of a gateway's last query remain valid.
 constexpr microseconds request_count_timeout{1'500'000};
 /// Time after its election at which a leader has had contact with all gateways: they send a query
-/// each 0.3 s, and turn to another control process when one is silent for 0.6 s.
+/// each 0.3 s, and search for the leader when it is silent for 0.6 s.
 constexpr microseconds request_count_warmup{1'200'000};
 /// Time after which a gateway is sent the control processes again, though they are the same.
 constexpr microseconds controls_interval{3'000'000};
@@ -198,10 +198,24 @@
         update.worker_request_counts = counts_without(lead.sums, s.worker_request_counts);
 }
 
+/// Returns the present control processes that gateways should query: only a process with a disk can
+/// lead or have a table.
+std::vector<node_info> queryable_controls(const control_turn& t)
+{
+    std::vector<node_info> nodes = present_controls(t.st.peers, t.ctx.now, t.ctx.self);
+    std::erase_if(nodes, [&](const node_info& n) {
+        if (n.id == t.ctx.self.id)
+            return !t.st.peers.has_disk;
+        const auto it = t.st.peers.members.find(n.id);
+        return it == t.st.peers.members.end() || !it->second.presence.has_disk;
+    });
+    return nodes;
+}
+
 /// Adds the present control processes, unless the subscriber was sent the same ones lately.
 void add_control_nodes(control_turn& t, table_subscriber& s, table_update& update)
 {
-    auto nodes = present_controls(t.st.peers, t.ctx.now, t.ctx.self);
+    auto nodes = queryable_controls(t);
     hash64 hash = 0;
     for (const auto& n : nodes)
         hash = hash_of(n.address, hash_of(n.id.str(), hash));
@@ -239,7 +253,7 @@
 {
     table_update update = make_table_update(t, msg.table_version);
     if (!t.is_leading())
-        update.control_nodes = present_controls(t.st.peers, t.ctx.now, t.ctx.self);
+        update.control_nodes = queryable_controls(t);
     if (t.is_leading()) {
         auto& lead = t.st.lead;
         record_prompts(lead, from, msg.cached_prompts);
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -357,6 +357,25 @@
     BOOST_TEST(st.lead.sums.by_worker.empty());
 }
 
+// A gateway that searches for the leader asks all control processes that it knows.
+BOOST_FIXTURE_TEST_CASE(gateways_are_told_only_of_control_processes_with_a_disk, leading_replica)
+{
+    st.peers.has_disk = true;
+    presence_report report;
+    for (const char* id : {"control-2", "control-3"}) {
+        control_presence presence;
+        presence.node.id = node_id::from_trusted(id);
+        presence.has_disk = presence.node.id.str() == "control-3";
+        report.processes.push_back(presence);
+    }
+    receive(fleet_message(report), "control-2");
+    receive(table_query{{}, 0, {}, {}, 0});
+    std::string names;
+    for (const auto& n : last_update().control_nodes)
+        names += n.id.str() + " ";
+    BOOST_TEST(names == "control-1 control-3 ");
+}
+
 // A list of thousands of workers is read in many pages. If the leader's list looked old meanwhile,
 // all gateways would read the platform's list themselves, for which the platform has no calls.
 BOOST_FIXTURE_TEST_CASE(a_list_that_takes_long_to_read_stays_fresh_during_the_next_reading,
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -64,6 +64,20 @@
     }
 }
 
+/// From now on all control processes are queried, until one answers that it leads.
+void start_search(table_sync_state& sync, std::string_view reason, effects& out)
+{
+    if (sync.contact.empty())
+        return;
+    out.emplace_back(make_log_line(log_level::info, gateway::component,
+                                   "No leader is known; all control processes are queried.",
+                                   request_id(),
+                                   {{"previous", sync.contact.str()},
+                                    {"why", std::string(reason)},
+                                    {"processes", std::to_string(sync.control_nodes.size())}}));
+    sync.contact = node_id();
+}
+
 /// Returns the largest cache capacity among the engines in the table, in tokens.
 std::uint64_t max_cache_capacity(const routing_table& table)
 {
@@ -101,7 +115,7 @@
     if (sync.control_nodes.empty())
         update_controls(sync, sync.seeds);
     if (sync.awaits_reply)
-        sync.contact = node_id();
+        start_search(sync, "no answer", t.out);
     send_query(t.st, t.ctx, t.out);
 }
 
@@ -183,8 +197,14 @@
     gateway_state st = std::move(current);
     effects out;
     if (update.from_leader) {
-        if (st.table_sync.contact.empty())
+        if (st.table_sync.contact.empty()) {
             st.table_sync.contact = from;
+            out.emplace_back(make_log_line(log_level::info, gateway::component, "Leader is found.",
+                                           request_id(),
+                                           {{"leader", from.str()},
+                                            {"table", std::to_string(st.table.version)},
+                                            {"newest", std::to_string(update.table_version)}}));
+        }
         apply_leader_list(st, ctx, update);
     }
     update_controls(st.table_sync, update.control_nodes);
@@ -212,7 +232,7 @@
         st.table_sync.next_query_at =
             ctx.now + (needs_first_table ? first_query_interval : query_interval);
         if (!update.from_leader) {
-            st.table_sync.contact = node_id();
+            start_search(st.table_sync, "it does not lead", out);
             st.table_sync.next_query_at = ctx.now; // after the received table is decoded
         }
     }
