Read only log files as such

Cause: every name that begins with "log." was taken for a log file, and its number read by std::stoull. Measured: files_that_are_no_log_files_are_left_alone failed before, passes now; store_test passes.

--- a/src/libstore/log_store.cpp
+++ b/src/libstore/log_store.cpp
@@ -36,6 +36,19 @@
     return buf;
 }
 
+/// Returns true for the name of a log file. Other files, such as an operator's copies, are left
+/// alone.
+bool is_segment_name(std::string_view name)
+{
+    constexpr std::size_t min_digits = 12;
+    constexpr std::size_t max_digits = 19; // always fits into 64 bits
+    if (!name.starts_with(log_prefix))
+        return false;
+    const std::string_view digits = name.substr(log_prefix.size());
+    return digits.size() >= min_digits && digits.size() <= max_digits &&
+           digits.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
 bool contains_name(const std::vector<std::string>& names, std::string_view name)
 {
     return std::find(names.begin(), names.end(), name) != names.end();
@@ -73,8 +86,7 @@
     std::sort(names->begin(), names->end());
     std::vector<std::string> logs;
     for (const auto& name : *names) {
-        const bool temporary = name.ends_with(new_suffix);
-        if (!temporary && name.starts_with(log_prefix))
+        if (is_segment_name(name))
             logs.push_back(name);
     }
     if (!contains_name(*names, vote_file)) {
--- a/src/libstore/log_store_test.cpp
+++ b/src/libstore/log_store_test.cpp
@@ -231,4 +231,16 @@
         BOOST_TEST(commit_index_of(killed.with_flipped_bit("commit", bit)) == 0U);
 }
 
+// Guards against a process that ends at each start because of a copy that an operator has made.
+BOOST_AUTO_TEST_CASE(files_that_are_no_log_files_are_left_alone)
+{
+    memory_folder files = memory_of(make_filled_store()).after_crash();
+    for (const char* name : {"log.old", "log.", "log.000000000001.bak", "log.99999999999999999999"})
+        BOOST_REQUIRE(files.append(name, "copy").has_value());
+    const auto reopened = log_store::make(std::move(files));
+    BOOST_REQUIRE(reopened.has_value());
+    BOOST_TEST(last_index(reopened->loaded_contents()) == 15U);
+    BOOST_TEST(*memory_of(*reopened).read("log.old") == "copy");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
