Rest while no connection can be accepted; keep descriptors free of callers

Would have been seen: callers that open many connections take all file descriptors of a router, as the pass-through server allowed 3,000 whatever the process may open; then no worker or peer can be reached, and the event loop wakes up without end, because its listening socket stays readable. Cause: only the chat API's server limited its connections by the descriptors, and an accept that fails was not handled. Change: every HTTP server keeps a quarter of the descriptors free (256 at least, half of few), and pauses accepting for 0.1 s after a failure, with one log line.

--- a/src/include/bluebell/runtime/http_server.h
+++ b/src/include/bluebell/runtime/http_server.h
@@ -83,6 +83,7 @@
     std::string host;
     std::uint16_t port = 0;
     core::caller_limits limits;
+    /// Fewer if the process has too few file descriptors for them and for its other connections.
     std::size_t max_connections = 3'000;
     /// Maximum time from a request's first byte to its last. While a body is being read, the idle
     /// timeout of the limits applies as well.
@@ -131,6 +132,8 @@
     http_server(std::shared_ptr<event_loop> loop, http_server_options options, callbacks handlers);
     static void on_accept(evconnlistener* listener, int descriptor, sockaddr* from, int size,
                           void* self);
+    /// Pauses accepting, for example when no file descriptor is free.
+    static void on_accept_error(evconnlistener* listener, void* self);
     void remove_session(const std::shared_ptr<http_session>& session);
     void close_overdue();
 
@@ -140,6 +143,8 @@
     evconnlistener* listener_ = nullptr;
     std::unordered_set<std::shared_ptr<http_session>> sessions_;
     std::unique_ptr<watcher> overdue_timer_;
+    std::unique_ptr<watcher> accept_timer_; ///< ends the pause after a connection wasn't accepted
+    bool accepting_fails_ = false;          ///< since the last accepted connection
     bool keep_alive_disabled_ = false;
 };
 
--- a/src/libruntime/caller_server.cpp
+++ b/src/libruntime/caller_server.cpp
@@ -5,8 +5,6 @@
 #include <bluebell/core/visit.h>
 #include <bluebell/runtime/caller_server.h>
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <cctype>
 #include <random>
@@ -18,10 +16,6 @@
 
 namespace {
 
-/// File descriptors reserved for everything but callers' connections. Without free descriptors,
-/// accepting a connection would fail repeatedly and wake the event loop each time.
-constexpr std::size_t reserved_descriptors = 256;
-
 /// Returns the random part of the request ids that this process generates.
 std::uint64_t process_nonce()
 {
@@ -32,18 +26,6 @@
     return n;
 }
 
-/// Returns the number of connections to allow: the desired number, limited by the process's file
-/// descriptors.
-std::size_t limit_connections(std::size_t desired)
-{
-    rlimit limit{};
-    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
-        return desired;
-    const std::size_t available = limit.rlim_cur;
-    return std::min(desired, available > 2 * reserved_descriptors ? available - reserved_descriptors
-                                                                  : available / 2);
-}
-
 wire::http_request to_request(const message_head& head, std::string body)
 {
     wire::http_request r{head.method, head.target, {}, std::move(body)};
@@ -65,7 +47,7 @@
     http.limits.max_body_bytes = static_cast<std::uint32_t>(options.max_body_bytes);
     http.limits.header_timeout = options.request_timeout;
     http.limits.idle_timeout = options.idle_timeout;
-    http.max_connections = limit_connections(options.max_connections);
+    http.max_connections = options.max_connections;
     http.request_timeout = options.request_timeout;
     http.stall_timeout = options.stall_timeout;
     return http;
--- a/src/libruntime/http_server.cpp
+++ b/src/libruntime/http_server.cpp
@@ -6,12 +6,14 @@
 #include <event2/listener.h>
 #include <glog/logging.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstring>
+#include <utility>
 
 namespace bluebell::runtime {
 
@@ -23,6 +25,27 @@
 constexpr int listen_backlog = 512;
 /// Time between two checks for connections that exceeded a timeout.
 constexpr core::microseconds overdue_check_interval{500'000};
+/// Time for which no connection is accepted after one could not be. The listening socket stays
+/// readable meanwhile, so the loop would wake up without end.
+constexpr core::microseconds accept_pause{100'000};
+/// File descriptors that are kept free of accepted connections, at least. Requests in progress need
+/// them for connections to workers, and the process for its peers and files.
+constexpr std::size_t min_reserved_descriptors = 256;
+/// One in this many descriptors is kept free of accepted connections.
+constexpr std::size_t reserved_fraction = 4;
+
+/// Returns the number of connections to allow: the desired number, limited by the process's file
+/// descriptors.
+std::size_t limit_connections(std::size_t desired)
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return desired;
+    const std::size_t available = limit.rlim_cur;
+    const std::size_t reserved =
+        std::min(std::max(min_reserved_descriptors, available / reserved_fraction), available / 2);
+    return std::min(desired, available - reserved);
+}
 
 std::string hex(std::size_t number)
 {
@@ -300,6 +323,7 @@
 http_server::make(std::shared_ptr<event_loop> loop, http_server_options options, callbacks handlers)
 {
     const std::string peer = options.host + ":" + std::to_string(options.port);
+    options.max_connections = limit_connections(options.max_connections);
     std::shared_ptr<http_server> s(
         new http_server(std::move(loop), std::move(options), std::move(handlers)));
     sockaddr_in listen_address{};
@@ -313,6 +337,9 @@
         reinterpret_cast<const sockaddr*>(&listen_address), sizeof listen_address);
     if (s->listener_ == nullptr)
         return core::fail(error_code::unavailable, "listen", peer, std::strerror(errno));
+    evconnlistener_set_error_cb(s->listener_, &http_server::on_accept_error);
+    s->accept_timer_ =
+        watcher::timer(*s->loop_, [server = s.get()] { evconnlistener_enable(server->listener_); });
     s->overdue_timer_ = watcher::timer(*s->loop_, [server = s.get()] { server->close_overdue(); });
     s->overdue_timer_->arm(overdue_check_interval);
     return s;
@@ -327,6 +354,7 @@
 void http_server::on_accept(evconnlistener*, int descriptor, sockaddr*, int, void* self)
 {
     auto* server = static_cast<http_server*>(self);
+    server->accepting_fails_ = false;
     auto stream = byte_stream::adopt(server->loop_, descriptor, server->options_.stall_timeout);
     if (server->sessions_.size() >= server->options_.max_connections) {
         LOG(WARNING) << "http: Connection refused: too many connections. limit="
@@ -342,6 +370,17 @@
     session->start();
 }
 
+void http_server::on_accept_error(evconnlistener* listener, void* self)
+{
+    const int ec = errno;
+    auto* server = static_cast<http_server*>(self);
+    if (!std::exchange(server->accepting_fails_, true))
+        LOG(ERROR) << "http: Connections can't be accepted. why=\"" << std::strerror(ec)
+                   << "\" connections=" << server->sessions_.size();
+    evconnlistener_disable(listener);
+    server->accept_timer_->arm(accept_pause);
+}
+
 void http_server::remove_session(const std::shared_ptr<http_session>& session)
 {
     sessions_.erase(session);
--- a/src/libruntime/http_server_test.cpp
+++ b/src/libruntime/http_server_test.cpp
@@ -1,11 +1,19 @@
 // The HTTP server on real sockets: it handles one request at a time per connection, bounds the
 // memory per connection, and closes connections only after the response has been sent.
 
+#include "used_descriptors_test.h"
+
 #include <bluebell/runtime/http_server.h>
 
+#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <ctime>
+
 using namespace bluebell;
 using runtime::byte_stream;
 using runtime::http_session;
@@ -23,10 +31,10 @@
     std::string received;
     bool closed = false;
     int disconnects = 0;
+    std::uint16_t port = static_cast<std::uint16_t>(20'000 + ::getpid() % 10'000);
 
     fixture()
     {
-        const auto port = static_cast<std::uint16_t>(20'000 + ::getpid() % 10'000);
         runtime::http_server_options options{"127.0.0.1", port, {}};
         options.limits.max_header_bytes = 1'000;
         options.limits.max_body_bytes = 1'000;
@@ -57,6 +65,14 @@
     }
 };
 
+/// Processor time of this thread.
+double thread_seconds()
+{
+    timespec t{};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) / 1e9;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(http_servers)
@@ -108,4 +124,51 @@
     BOOST_TEST(closed);
 }
 
+// Guards against a loop that wakes up without end: the listening socket stays readable while a
+// connection waits that can't be accepted.
+BOOST_FIXTURE_TEST_CASE(without_free_descriptors_the_loop_rests_and_accepts_again_later, fixture)
+{
+    run();
+    const int late = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    ::inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    test::used_descriptors used;
+    BOOST_REQUIRE(::connect(late, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    const double before = thread_seconds();
+    run();
+    BOOST_TEST(thread_seconds() - before < 0.2 * static_cast<double>(run_time.count()) / 1e6);
+    used.release();
+    const std::string request = "GET /late HTTP/1.1\r\nHost: h\r\n\r\n";
+    BOOST_TEST(::write(late, request.data(), request.size()) ==
+               static_cast<ssize_t>(request.size()));
+    run();
+    BOOST_TEST(requests.size() == 1U);
+    ::close(late);
+}
+
+// Guards against callers' connections that leave no descriptors for workers and peers.
+BOOST_AUTO_TEST_CASE(descriptors_are_kept_free_of_accepted_connections)
+{
+    rlimit limit{};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    rlimit low = limit;
+    low.rlim_cur = 60; // of so few, half are kept free
+    ::setrlimit(RLIMIT_NOFILE, &low);
+    fixture f;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    std::vector<std::shared_ptr<byte_stream>> clients;
+    for (int n = 0; n < 31; ++n) {
+        clients.push_back(*byte_stream::connect(f.loop, "127.0.0.1", f.port));
+        byte_stream::callbacks handlers;
+        handlers.data = [](std::string_view data) { return data.size(); };
+        handlers.closed = [](const core::error*) {};
+        clients.back()->start(std::move(handlers));
+        clients.back()->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    f.run();
+    BOOST_TEST(f.requests.size() == 29U); // the fixture's own client has one
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libruntime/peer_connection_test.cpp
+++ b/src/libruntime/peer_connection_test.cpp
@@ -2,13 +2,16 @@
 // peers that vanish while their messages are unread, silence without a reset, floods.
 
 #include "hung_proxy_test.h"
+#include "used_descriptors_test.h"
 
 #include <bluebell/runtime/peer_bus.h>
 #include <bluebell/wire/envelope.h>
 
 #include <boost/test/unit_test.hpp>
 #include <dirent.h>
+#include <netinet/in.h>
 #include <pthread.h>
+#include <sys/socket.h>
 #include <zmq.hpp>
 
 #include <atomic>
@@ -327,4 +330,30 @@
     BOOST_TEST(a.rejection_count == 0U);
 }
 
+// Guards against the end of a process by a connection that can't be opened or accepted for want of
+// file descriptors.
+BOOST_AUTO_TEST_CASE(peers_connect_once_file_descriptors_are_free_again)
+{
+    a.open(loop, "a", port_a);
+    b.open(loop, "b", port_b);
+    const int waiting = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    test::used_descriptors used;
+    sockaddr_in listen_address{};
+    listen_address.sin_family = AF_INET;
+    listen_address.sin_port = htons(port_a);
+    listen_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_TEST(::connect(waiting, reinterpret_cast<sockaddr*>(&listen_address),
+                         sizeof listen_address) == 0);
+    b.bus->connect(make_node_id("a"), address(port_a));
+    run_for(settle_time);
+    BOOST_TEST(a.senders.empty());
+    used.release();
+    run_until([&] {
+        send_to_a();
+        return !a.senders.empty();
+    });
+    BOOST_TEST(!a.senders.empty());
+    ::close(waiting);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
