Let requests wait for the first list of workers

Cause, by the logs: a restarted router takes the requests that waited for its first table as soon as that is in force (42.0009), and finds "no worker"; the list arrives at 42.0058. New requests in between fare the same. Change: requests wait for both, for as long as they did for the table (a sixth of their time, 0.6 s at most). A leader's list makes a router ready, too, as its own reading did. Measured: a_request_before_the_first_list_of_workers_waits_for_it and a_request_that_waited_too_long_for_a_list_of_workers_gets_a_retry_time failed before (503, no attempt), pass now; gateway_test, core_test, table_fleet_test pass.

--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -79,7 +79,7 @@
     friend bool operator==(const table_sync_state&, const table_sync_state&) = default;
 };
 
-/// A request that waits until the process has received its first routing table.
+/// A request that waits until the process has received its first routing table and list of workers.
 struct waiting_request {
     exchange_id id = 0;
     instant arrived_at{};
@@ -97,7 +97,8 @@
     std::unordered_map<exchange_id, exchange> exchanges;
     std::unordered_map<attempt_number, exchange_id> attempts; ///< attempts in progress
     std::set<std::pair<instant, exchange_id>> timers;         ///< next timeout of each request
-    /// Requests that arrived before the first table, in order of arrival. Each has a timer.
+    /// Requests that arrived before the first table or list of workers, in order of arrival. Each
+    /// has a timer.
     std::vector<waiting_request> waiting_requests;
     std::map<service_id, retry_budget> retry_budgets;
     retry_budget_config retry_config{0, 0, 0};
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -81,11 +81,12 @@
 /// timeout divided by this. That is the longest time that callers honour, and it is used in full
 /// because a caller may retry only once.
 constexpr int retry_after_divisor = 3;
-/// A request that arrives before the first table waits for it: for its caller's timeout divided by
-/// this, but at most for the time in which a restarted fleet finds a table.
+/// A request that arrives before the first table or the first list of workers waits for both: for
+/// its caller's timeout divided by this, but at most for the time in which a restarted fleet finds
+/// them.
 constexpr int table_wait_divisor = 6;
 constexpr microseconds max_table_wait{600'000};
-/// Requests that may wait for the first table; further ones are refused at once.
+/// Requests that may wait for that; further ones are refused at once.
 constexpr std::size_t max_waiting_requests = 256;
 
 /// Finds the request's route, checks its key and id, and starts its first attempt.
@@ -115,10 +116,18 @@
     assign_worker(t, id);
 }
 
+/// Without a list of workers every request would be refused, right after a start when callers come
+/// back.
+bool can_admit(const gateway_state& st)
+{
+    return st.table.version != 0 && st.workers.list_received;
+}
+
 void refuse_waiting(turn& t, exchange_id id, const pass_request& request)
 {
-    refuse_unadmitted(t, id, 503, "no routing table yet", request,
-                      request.caller_timeout / retry_after_divisor);
+    refuse_unadmitted(t, id, 503,
+                      t.st.table.version == 0 ? "no routing table yet" : "no list of workers yet",
+                      request, request.caller_timeout / retry_after_divisor);
 }
 
 void on(turn& t, const pass_request_received& ev)
@@ -128,7 +137,7 @@
         refuse_unadmitted(t, ev.exchange, 503, "draining", ev.request, draining_retry_after);
         return;
     }
-    if (t.st.table.version != 0) {
+    if (can_admit(t.st)) {
         admit(t, ev.exchange, ev.request, t.ctx.now);
         return;
     }
@@ -142,17 +151,17 @@
     t.st.timers.emplace(t.ctx.now + timeout, ev.exchange);
 }
 
-/// Starts the requests that have waited for the first table.
+/// Starts the requests that have waited for the first table and list of workers.
 void admit_waiting(turn& t)
 {
     const auto waiting = std::exchange(t.st.waiting_requests, {});
-    t.st.timers.clear(); // before the first table, only waiting requests have timers
+    t.st.timers.clear(); // until now, only waiting requests have timers
     for (const auto& e : waiting)
         admit(t, e.id, e.request, e.arrived_at);
 }
 
-/// Removes a request that waits for the first table; `sends_reply` also answers its caller with an
-/// error. Returns false if no such request waits.
+/// Removes a request that waits for the first table or list; `sends_reply` also answers its caller
+/// with an error. Returns false if no such request waits.
 bool remove_waiting(turn& t, exchange_id id, bool sends_reply)
 {
     const auto it = std::find_if(t.st.waiting_requests.begin(), t.st.waiting_requests.end(),
@@ -194,10 +203,13 @@
     reschedule_timer(t, ev.exchange, ex);
 }
 
-/// Reports a change of the process's readiness for requests.
+} // namespace
+
 void update_readiness(turn& t)
 {
-    const bool ready = t.st.table.version != 0 && t.st.workers.list_received && !t.st.draining;
+    if (can_admit(t.st) && !t.st.waiting_requests.empty())
+        admit_waiting(t);
+    const bool ready = can_admit(t.st) && !t.st.draining;
     if (ready == t.st.ready)
         return;
     t.st.ready = ready;
@@ -210,6 +222,8 @@
                                       {"draining", t.st.draining ? "yes" : "no"}}));
 }
 
+namespace {
+
 void on(turn& t, const worker_list_received& ev)
 {
     t.st.list_read_in_progress = false;
@@ -321,11 +335,8 @@
                                          {{"version", std::to_string(table.version)},
                                           {"routes", std::to_string(table.routes.size())},
                                           {"keys", std::to_string(table.keys.size())}}));
-        const bool is_first = t.st.table.version == 0;
         t.st.table = std::move(table);
         t.out.emplace_back(set_caller_limits{t.st.table.limits});
-        if (is_first)
-            admit_waiting(t);
     }
     update_readiness(t);
     return finish(std::move(t));
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -23,6 +23,12 @@
 /// read.
 inline constexpr microseconds list_interval{1'000'000};
 
+// gateway.cpp
+
+/// Starts the waiting requests once there is a table and a list of workers, and reports a change of
+/// the process's readiness for requests.
+void update_readiness(turn& t);
+
 // gateway_tables.cpp
 
 /// Sends control a query for the routing table if it is time for one.
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -236,8 +236,10 @@
             st.table_sync.next_query_at = ctx.now; // after the received table is decoded
         }
     }
-    out.emplace_back(schedule_tick{st.table_sync.next_query_at});
-    return {std::move(st), std::move(out)};
+    gateway::turn t{std::move(st), ctx, std::move(out)};
+    gateway::update_readiness(t);
+    t.out.emplace_back(schedule_tick{t.st.table_sync.next_query_at});
+    return {std::move(t.st), std::move(t.out)};
 }
 
 } // namespace bluebell::core
--- a/src/libcore/gateway_test.cpp
+++ b/src/libcore/gateway_test.cpp
@@ -205,6 +205,50 @@
     BOOST_TEST(g.started_attempt().time_left.count() == 2'800'000);
 }
 
+// Guards against requests that are refused right after a start because the table arrives some
+// milliseconds before the list of workers.
+BOOST_AUTO_TEST_CASE(a_request_before_the_first_list_of_workers_waits_for_it)
+{
+    worker_list_received list;
+    for (int n = 0; n < worker_count; ++n)
+        list.workers.push_back(worker(n, "plain"));
+    gateway_fixture g;
+    g.handle(pass_request_received{1, request("/safe/x", "r1")});
+    g.apply(apply_table(std::move(g.st), context{g.now, 1, g.self, g.fleet}, table()));
+    BOOST_TEST(g.refused_status() == 0);
+    g.handle(pass_request_received{2, request("/safe/x", "r2")});
+    BOOST_TEST(g.refused_status() == 0);
+    g.now += milliseconds(5);
+    g.handle(exchange_event(list));
+    BOOST_TEST(g.st.attempts.size() == 2U);
+    // The leader's list serves as well.
+    gateway_fixture other;
+    other.handle(pass_request_received{1, request("/safe/x", "r1")});
+    other.apply(
+        apply_table(std::move(other.st), context{other.now, 1, other.self, other.fleet}, table()));
+    table_update update;
+    update.from_leader = true;
+    update.worker_list_version = 1;
+    update.workers.emplace();
+    update.workers->workers = list.workers;
+    other.apply(handle_table_update(std::move(other.st),
+                                    context{other.now, 1, other.self, other.fleet},
+                                    node_id::from_trusted("control-1"), update));
+    BOOST_TEST(other.st.attempts.size() == 1U);
+    BOOST_TEST(other.st.ready);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_waited_too_long_for_a_list_of_workers_gets_a_retry_time)
+{
+    gateway_fixture g;
+    g.apply(apply_table(std::move(g.st), context{g.now, 1, g.self, g.fleet}, table()));
+    g.handle(pass_request_received{1, request("/safe/x")});
+    BOOST_TEST(g.refused_status() == 0);
+    g.advance_time(milliseconds(501));
+    BOOST_TEST(g.refused_status() == 503);
+    BOOST_TEST(g.find_effect<pass_error_reply>()->text == "no list of workers yet");
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_waited_too_long_for_a_table_gets_a_retry_time)
 {
     gateway_fixture g;
