Let only answers that were read count as notices in the soak

Cause, by the logs: c1-21 is a stream that broke at engine-0 and was resumed at engine-1. That worker's answer, with its notice, was held by the proxy and reset before the router had read its head; the caller had status 200 from the first worker, and the checker took it for engine-1's. The router logged the notice with a later request and kept to it. No fault of the product. Change: of a request that several workers got, only the last one's answer counts, and only if it is whole; all others count as before.

--- a/testsuite/soak/soak_notices.cpp
+++ b/testsuite/soak/soak_notices.cpp
@@ -22,6 +22,9 @@
     std::int64_t pause_s = 0;
     std::string router;
     sent_request sent;
+    /// The router has read the head of this worker's answer: the caller got one that can't come
+    /// from another worker.
+    bool head_was_read = false;
 };
 
 struct outage {
@@ -66,7 +69,7 @@
     void check_leaving(const std::vector<arrival>& arrivals)
     {
         for (const auto& told : arrivals) {
-            if (!told.leaves || told.pause_s != 0 || told.sent.status != 200)
+            if (!told.leaves || told.pause_s != 0 || !told.head_was_read)
                 continue;
             const std::int64_t known_ms = told.sent.answered_at_ms;
             for (const auto& a : arrivals) {
@@ -122,12 +125,28 @@
     return "";
 }
 
+/// Sets head_was_read. Of a request that several workers got, only the last one's answer is known
+/// to have been read, and only if it is complete: a stream that breaks may be resumed at another
+/// worker, whose answer may be lost on its way.
+void find_heads_that_were_read(std::vector<arrival>& arrivals)
+{
+    std::map<std::string, std::vector<arrival*>> by_request;
+    for (auto& a : arrivals)
+        by_request[a.request].push_back(&a);
+    for (auto& [request, group] : by_request) {
+        const auto last = std::max_element(group.begin(), group.end(),
+                                           [](auto* a, auto* b) { return a->at_ms < b->at_ms; });
+        const sent_request& sent = (*last)->sent;
+        (*last)->head_was_read = sent.status == 200 && (group.size() == 1 || sent.complete);
+    }
+}
+
 } // namespace
 
 void check_notices(soak_results& results, const std::vector<address>& fronts,
                    const std::string& arrivals, const std::string& outages)
 {
-    std::map<std::pair<std::string, std::string>, std::vector<arrival>> by_router_and_instance;
+    std::vector<arrival> known_arrivals;
     std::istringstream in(arrivals);
     arrival a;
     while (in >> a.at_ms >> a.request >> a.instance >> a.leaves >> a.pause_s) {
@@ -136,8 +155,12 @@
             continue; // check_runs reports it
         a.sent = it->second;
         a.router = router_at(fronts, a.sent.front);
-        by_router_and_instance[{a.router, a.instance}].push_back(a);
+        known_arrivals.push_back(a);
     }
+    find_heads_that_were_read(known_arrivals);
+    std::map<std::pair<std::string, std::string>, std::vector<arrival>> by_router_and_instance;
+    for (const auto& known : known_arrivals)
+        by_router_and_instance[{known.router, known.instance}].push_back(known);
     notice_checker checker(results, outages);
     for (const auto& [key, group] : by_router_and_instance)
         checker.check(group);
