--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -186,6 +186,7 @@
 code=0
 wait "$client" || code=$?
 if [ -e "$work/ended" ]; then
+    echo "soak: $(wc -l <"$work/ended") processes ended by themselves"
     sed 's/^/soak: a process ended by itself: /' "$work/ended"
     code=1
 fi
@@ -198,4 +199,4 @@
     echo "soak: seed $seed failed"
     exit 1
 fi
-echo "soak: seed $seed: $(wc -l <"$work/faults") faults; $(tail -n 1 "$work/verdict")"
+echo "soak: seed $seed: $(wc -l <"$work/faults") faults; 0 processes ended by themselves; $(tail -n 1 "$work/verdict")"
