Count a notice in the soak only if one worker got its request

Cause, by the logs: c10-7 was held on its way to plain-3 and went to plain-2 after 0.8 s, which answered it whole; what the proxy had held arrived at plain-3 afterwards. Change: of a request that several workers got, no notice counts; which of them the caller heard isn't known.

--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -63,6 +63,11 @@
 }
 pid_of() { cat "$work/$1.pid" 2>/dev/null; }
 end_all() {
+    local ended=0
+    if [ -n "${pid_workers:-}" ] && ! kill -0 "$pid_workers" 2>/dev/null; then
+        wait "$pid_workers" || ended=$?
+        echo "soak: the stand-in workers ended by themselves with code $ended"
+    fi
     touch "$work/stop"
     for name in "${names[@]}"; do
         kill -CONT "$(pid_of "$name")" 2>/dev/null || true
--- a/testsuite/soak/soak_caller.cpp
+++ b/testsuite/soak/soak_caller.cpp
@@ -89,7 +89,7 @@
     if (!reuses_connection)
         connection_ = connection::open(front);
     connection_address_ = front;
-    sent_request sent{kind, 0, front.port, wall_ms(), 0, false};
+    sent_request sent{kind, 0, front.port, wall_ms(), 0};
     results_.record_request(id, sent);
     if (!connection_.is_open() || !connection_.send(request_text(kind, id, length))) {
         connection_ = {};
@@ -99,7 +99,6 @@
     check_answer(kind, id, length, a);
     sent.status = a.status;
     sent.answered_at_ms = wall_ms();
-    sent.complete = a.complete;
     results_.record_request(id, sent);
     const auto connection_header = a.headers.find("connection");
     if (!a.complete || connection_header != a.headers.end())
--- a/testsuite/soak/soak_caller.h
+++ b/testsuite/soak/soak_caller.h
@@ -23,7 +23,6 @@
     std::uint16_t front = 0;         ///< port of the router that it was sent to
     std::int64_t sent_at_ms = 0;     ///< in ms since the epoch
     std::int64_t answered_at_ms = 0; ///< when the answer had ended; 0 if there was none
-    bool complete = false;           ///< the whole answer was received
 };
 
 /// Milliseconds since the epoch, as the stand-in workers record them.
--- a/testsuite/soak/soak_notices.cpp
+++ b/testsuite/soak/soak_notices.cpp
@@ -125,20 +125,16 @@
     return "";
 }
 
-/// Sets head_was_read. Of a request that several workers got, only the last one's answer is known
-/// to have been read, and only if it is complete: a stream that breaks may be resumed at another
-/// worker, whose answer may be lost on its way.
+/// Sets head_was_read. If several workers got a request, it isn't known whose answer the caller
+/// got: a stream that breaks is resumed at another worker, whose answer may be lost on its way, and
+/// what was held on its way to the first worker may arrive after the second one's answer.
 void find_heads_that_were_read(std::vector<arrival>& arrivals)
 {
-    std::map<std::string, std::vector<arrival*>> by_request;
+    std::map<std::string, int> workers_by_request;
+    for (const auto& a : arrivals)
+        workers_by_request[a.request] += 1;
     for (auto& a : arrivals)
-        by_request[a.request].push_back(&a);
-    for (auto& [request, group] : by_request) {
-        const auto last = std::max_element(group.begin(), group.end(),
-                                           [](auto* a, auto* b) { return a->at_ms < b->at_ms; });
-        const sent_request& sent = (*last)->sent;
-        (*last)->head_was_read = sent.status == 200 && (group.size() == 1 || sent.complete);
-    }
+        a.head_was_read = a.sent.status == 200 && workers_by_request[a.request] == 1;
 }
 
 } // namespace
