--- a/src/libcore/table_fleet_test.cpp
+++ b/src/libcore/table_fleet_test.cpp
@@ -58,7 +58,7 @@
 std::optional<std::size_t> table_fleet::leader() const
 {
     for (std::size_t n = 0; n < plan_.voters; ++n) {
-        if (runs(n) && has_leader_lease(machines_[n].control_state_.replication, now_))
+        if (runs(n) && has_leader_lease(machines_[n].replica.replication, now_))
             return n;
     }
     return std::nullopt;
@@ -117,9 +117,9 @@
     last_incarnation_ += 1;
     m.control.incarnation = last_incarnation_;
     m.gateway.incarnation = last_incarnation_;
-    m.gateway_state_ = gateway_state();
-    m.gateway_state_.enabled = true;
-    m.gateway_state_.next_list_read_at = instant::max();
+    m.router = gateway_state();
+    m.router.enabled = true;
+    m.router.next_list_read_at = instant::max();
     m.gateway_tick_at = instant::max();
     m.control_tick_at = instant::max();
     m.decoder_free_at = now_;
@@ -127,13 +127,13 @@
     std::vector<node_info> seeds;
     for (std::size_t s = 0; s < std::min<std::size_t>(3, plan_.voters); ++s)
         seeds.push_back(machines_[s].control);
-    m.gateway_state_.table_sync.seeds = seeds;
+    m.router.table_sync.seeds = seeds;
     if (is_control(n)) {
-        m.control_state_ = control_state();
-        m.control_state_.peers.seeds = seeds;
-        m.control_state_.peers.has_disk = is_core(n);
-        m.control_state_.peers.bootstrapping = now_ < instant{seconds(1'000)} + warm_up;
-        m.control_state_.peers.tolerated_failures = (plan_.voters - 1) / 2;
+        m.replica = control_state();
+        m.replica.peers.seeds = seeds;
+        m.replica.peers.has_disk = is_core(n);
+        m.replica.peers.bootstrapping = now_ < start_time + warm_up;
+        m.replica.peers.tolerated_failures = (plan_.voters - 1) / 2;
         if (is_core(n)) {
             disk_loaded loaded;
             loaded.was_empty = m.stored.was_empty;
@@ -154,8 +154,8 @@
 void table_fleet::to_control(std::size_t n, const Event& ev)
 {
     machine& m = machines_[n];
-    control_step done = reduce(std::move(m.control_state_), make_context(m.control), ev);
-    m.control_state_ = std::move(done.next);
+    control_step done = reduce(std::move(m.replica), make_context(m.control), ev);
+    m.replica = std::move(done.next);
     carry_out_control(n, done.out);
 }
 
@@ -211,9 +211,8 @@
 void table_fleet::tick_gateway(std::size_t n)
 {
     machine& m = machines_[n];
-    gateway_step done =
-        reduce(std::move(m.gateway_state_), make_context(m.gateway), clock_event(tick{}));
-    m.gateway_state_ = std::move(done.next);
+    gateway_step done = reduce(std::move(m.router), make_context(m.gateway), clock_event(tick{}));
+    m.router = std::move(done.next);
     carry_out_gateway(n, done.out);
 }
 
@@ -221,8 +220,8 @@
 {
     machine& m = machines_[n];
     gateway_step done =
-        handle_table_update(std::move(m.gateway_state_), make_context(m.gateway), from, update);
-    m.gateway_state_ = std::move(done.next);
+        handle_table_update(std::move(m.router), make_context(m.gateway), from, update);
+    m.router = std::move(done.next);
     carry_out_gateway(n, done.out);
 }
 
@@ -257,12 +256,10 @@
     machine& m = machines_[n];
     routing_table table;
     table.version = document.version;
-    gateway_step done =
-        apply_table(std::move(m.gateway_state_), make_context(m.gateway), std::move(table));
-    m.gateway_state_ = std::move(done.next);
+    gateway_step done = apply_table(std::move(m.router), make_context(m.gateway), std::move(table));
+    m.router = std::move(done.next);
     carry_out_gateway(n, done.out);
-    if (m.gateway_state_.table.version != document.version ||
-        m.version_in_force == document.version)
+    if (m.router.table.version != document.version || m.version_in_force == document.version)
         return;
     m.version_in_force = document.version;
     const std::string text(document.text.view());
@@ -552,8 +549,8 @@
 void table_fleet::record_violation(std::string text)
 {
     if (!violation_)
-        violation_ = "at " + std::to_string((now_ - instant{seconds(1'000)}).count() / 1'000) +
-                     " ms: " + std::move(text);
+        violation_ =
+            "at " + std::to_string((now_ - start_time).count() / 1'000) + " ms: " + std::move(text);
 }
 
 } // namespace bluebell::core::test
--- a/src/libcore/table_fleet_test.h
+++ b/src/libcore/table_fleet_test.h
@@ -75,8 +75,8 @@
         instant disturbed_at{}; ///< last time at which it was down, frozen, or changed
         instant path_lost_at{}; ///< last time at which it could not reach the connected core
         disk stored;
-        control_state control_state_;
-        gateway_state gateway_state_;
+        control_state replica; ///< used if the machine has a control process
+        gateway_state router;
         instant control_tick_at = instant::max();
         instant gateway_tick_at = instant::max();
         instant decoder_free_at{};
@@ -138,7 +138,8 @@
 
     table_fleet_plan plan_;
     std::mt19937_64 random_;
-    instant now_{seconds(1'000)};
+    static constexpr instant start_time{seconds(1'000)};
+    instant now_ = start_time;
     std::uint64_t last_sequence_ = 0;
     std::map<std::pair<instant, std::uint64_t>, std::function<void()>> queue_;
     std::vector<machine> machines_;
