--- a/src/libruntime/peer_bus.cpp
+++ b/src/libruntime/peer_bus.cpp
@@ -420,9 +420,10 @@
         const core::probe_config config{options.probe_interval, options.probe_timeout};
         core::instant next_check_at = core::instant::max();
         std::vector<std::string> failed;
-        for (auto& [address, probe] : probes) {
-            auto done = core::check(probe, config, now);
-            probe = done.next;
+        for (auto& entry : probes) {
+            const std::string& address = entry.first;
+            auto done = core::check(entry.second, config, now);
+            entry.second = done.next;
             core::match(
                 done.action,
                 [&](const core::probe_idle& a) {
