Answer reads of the routing table only after a quorum has confirmed the leader

What callers saw: an operator's read returned an older table than one that had been acknowledged seconds before the read was sent.

Cause: reads were answered under the leader's lease. A leader that is suspended wakes with up to 0.6 s of its lease left by a clock that didn't count the suspension, while another leader has committed and acknowledged. The class: a promise by time of one process to another, kept by a clock that may stop.

Change: a read waits for a round of appends that begins after it (ReadIndex). A quorum that answers it had elected no other leader before the read began, whatever any clock says. Rounds for reads start at once, 5 ms apart at least; 64 reads may wait; those pending when the leadership ends are redirected.

Without the new guard (confirm_reads) the same plays fail again, which is a test of its own.

--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -65,6 +65,14 @@
     friend bool operator==(const reported_prompt&, const reported_prompt&) = default;
 };
 
+/// An operator's read of the routing table that is answered once a quorum has confirmed the leader.
+struct pending_read {
+    std::string operation;
+    read_point point;
+
+    friend bool operator==(const pending_read&, const pending_read&) = default;
+};
+
 /// State of a leader besides the log. Dropped when the leadership ends.
 struct leadership {
     term at_term = 0; ///< 0: this replica doesn't lead
@@ -73,7 +81,8 @@
     command_queue queue;
     std::map<std::string, bool> awaited_operations; ///< operations whose operator awaits a reply
     std::vector<pending_change> pending_changes;
-    std::set<std::string> pending_tables; ///< operations whose routing table is not applied yet
+    std::set<std::string> pending_tables;    ///< operations whose routing table is not applied yet
+    std::vector<pending_read> pending_reads; ///< oldest first
     std::map<node_id, table_subscriber> subscribers;
     std::deque<reported_prompt> reported_prompts; ///< the newest ones, oldest first
     std::uint64_t prompt_count = 0; ///< all prompts reported so far, also those no longer stored
--- a/src/include/bluebell/core/replication.h
+++ b/src/include/bluebell/core/replication.h
@@ -20,13 +20,17 @@
 /// A replica grants no vote for this time after its last contact with a leader, or after a start
 /// with a disk that was used before. It is also the shortest election timeout.
 inline constexpr microseconds election_timeout_min{600'000};
+/// Minimum time between two rounds that are started for reads.
+inline constexpr microseconds read_round_interval{5'000};
 /// Upper bound of the random election timeout.
 inline constexpr microseconds election_timeout_max{1'200'000};
 /// Maximum difference between the rates of two replicas' clocks, in permille. leader_lease is safe
 /// only within this bound.
 inline constexpr std::int64_t clock_drift_permille = 20;
-/// How long a leader may answer reads after it sent a round that a quorum confirmed. It is shorter
-/// than election_timeout_min by the clock drift, so that it ends before another leader can win.
+/// How long a leader may take itself for the only one after it sent a round that a quorum
+/// confirmed. It is shorter than election_timeout_min by the clock drift, so that it ends before
+/// another leader can win, if the clocks go on while the processes stand still. Reads don't rely on
+/// it.
 inline constexpr microseconds leader_lease{election_timeout_min.count() *
                                            (1000 - clock_drift_permille) / 1000};
 /// Size of the entries sent to one replica and not confirmed yet, in estimated bytes, from which on
@@ -60,7 +64,8 @@
     bool persist_vote = true;      ///< no message is sent before term and vote are durable
     bool check_term = true;        ///< messages of earlier terms are rejected
     bool majority_quorum = true;   ///< a quorum is more than half of the voters
-    bool check_lease = true;       ///< a leader answers reads only while it has a lease
+    bool check_lease = true;       ///< a leader acts as one only while it has a lease
+    bool confirm_reads = true;     ///< a quorum confirms the leader after each read began
     bool hold_votes = true;        ///< no vote is granted while a leader's lease may be valid
     bool commit_own_term = true;   ///< confirmations commit only entries of the leader's term
     bool check_log = true;         ///< a vote is granted only to a log that is up to date
@@ -168,6 +173,8 @@
     std::map<node_id, replica_progress> progress; ///< the other voters and learners
     std::deque<round_start> unconfirmed_rounds;   ///< not confirmed by a quorum, oldest first
     std::uint64_t last_round = 0;
+    std::uint64_t confirmed_round = 0; ///< newest round that a quorum confirmed
+    instant round_started_at{};        ///< start of last_round
     instant next_round_at{};
     instant lease_started_at{}; ///< start of the newest round that a quorum confirmed
     instant elected_at{};
@@ -311,8 +318,30 @@
 [[nodiscard]] proposal_step propose_replicas(replication_state current, const context& ctx,
                                              std::vector<node_info> target);
 
+/// A read of the state machine that must see all that was committed before it began. Once a quorum
+/// has confirmed this round, which starts after the read began, no other leader can have committed
+/// anything before that. This needs no clock.
+struct read_point {
+    term at_term = 0;
+    std::uint64_t round = 0;
+
+    friend bool operator==(const read_point&, const read_point&) = default;
+};
+
+struct read_step {
+    replication_state next;
+    effects out;
+    std::optional<read_point> point; ///< absent: this replica isn't the leader
+};
+
+/// Begins a read at the leader. The round starts soon, and serves all reads that begin until then.
+[[nodiscard]] read_step begin_read(replication_state current, const context& ctx);
+
+/// Returns whether the read may be answered from the state machine now.
+[[nodiscard]] bool is_read_confirmed(const replication_state& st, const read_point& point);
+
 /// Returns true if this replica is the leader, knows all committed entries, and no other replica
-/// can be leader at this time. Only then may it answer reads from its state machine.
+/// can be leader at this time, as far as this replica's clock tells.
 [[nodiscard]] bool has_leader_lease(const replication_state& st, instant now);
 
 /// Returns the leader of the current term that this replica knows, possibly itself; empty if it
--- a/src/libcore/control.cpp
+++ b/src/libcore/control.cpp
@@ -191,6 +191,7 @@
 control_step finish(control_turn t)
 {
     review_leadership(t);
+    answer_reads(t);
     if (t.is_leading()) {
         run_timers(t);
         propose_queued(t);
--- a/src/libcore/control_lead.cpp
+++ b/src/libcore/control_lead.cpp
@@ -169,7 +169,9 @@
         t.out.emplace_back(operator_reply{change.operation, failure});
     for (const auto& operation : t.st.lead.pending_tables)
         t.out.emplace_back(table_reply{operation, table_unavailable{"leadership was lost"}});
+    const auto reads = std::move(t.st.lead.pending_reads);
     t.st.lead = leadership{};
+    redirect_reads(t, reads);
 }
 
 // Batches.
--- a/src/libcore/control_pvt.h
+++ b/src/libcore/control_pvt.h
@@ -56,6 +56,11 @@
 /// Handles operators' submissions and requests of the routing table.
 void handle_table_event(control_turn& t, const table_event& ev);
 
+/// Answers the reads of the routing table for which a quorum has confirmed this leader.
+void answer_reads(control_turn& t);
+/// Sends operators to the new leader whose reads were pending when the leadership ended.
+void redirect_reads(control_turn& t, const std::vector<pending_read>& reads);
+
 /// Sends the table that was just applied to the gateways.
 void push_table(control_turn& t);
 
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -22,6 +22,8 @@
 constexpr microseconds voter_interval{500'000};
 /// Submitted tables that may wait to be applied. Further submissions are rejected.
 constexpr std::size_t max_pending_tables = 64;
+/// Reads of the table that may wait for a quorum. Further ones are rejected.
+constexpr std::size_t max_pending_reads = 64;
 /// Time for which the request counts of a gateway's last query remain valid.
 constexpr microseconds request_count_timeout{1'500'000};
 /// Time after its election at which a leader has had contact with all gateways: they send a query
@@ -109,10 +111,14 @@
 {
     if (!check_leading(t, ev.operation))
         return;
-    if (t.st.machine.table.version == 0)
-        reply(t, ev.operation, table_unavailable{"no table yet"});
-    else
-        reply(t, ev.operation, table_returned{t.st.machine.table});
+    if (t.st.lead.pending_reads.size() >= max_pending_reads) {
+        reply(t, ev.operation, table_unavailable{"too many reads wait"});
+        return;
+    }
+    read_step begun = begin_read(std::move(t.st.replication), t.ctx);
+    t.st.replication = std::move(begun.next);
+    t.add(std::move(begun.out));
+    t.st.lead.pending_reads.push_back({ev.operation, *begun.point});
 }
 
 void on(control_turn&, const table_decoded&) {}
@@ -325,6 +331,25 @@
     std::visit([&](const auto& e) { on(t, e); }, ev);
 }
 
+void answer_reads(control_turn& t)
+{
+    std::erase_if(t.st.lead.pending_reads, [&](const pending_read& read) {
+        if (!is_read_confirmed(t.st.replication, read.point))
+            return false;
+        if (t.st.machine.table.version == 0)
+            reply(t, read.operation, table_unavailable{"no table yet"});
+        else
+            reply(t, read.operation, table_returned{t.st.machine.table});
+        return true;
+    });
+}
+
+void redirect_reads(control_turn& t, const std::vector<pending_read>& reads)
+{
+    for (const auto& read : reads)
+        (void)check_leading(t, read.operation);
+}
+
 void push_table(control_turn& t)
 {
     const routing_document& table = t.st.machine.table;
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -39,6 +39,12 @@
         apply_step(reduce(std::move(st), make_context(), clock_event(tick{})));
     }
     void submit(const table_event& ev) { apply_step(reduce(std::move(st), make_context(), ev)); }
+    /// Requests the table and lets the time pass in which a quorum confirms the leader.
+    void read(const std::string& operation)
+    {
+        submit(table_requested{operation});
+        advance(read_round_interval);
+    }
     void receive(const fleet_message& msg, const char* sender = "router-1")
     {
         const auto from = node_id::from_trusted(sender);
@@ -182,7 +188,7 @@
     submit(table_submitted{"a", document(7, "seven")});
     BOOST_REQUIRE(reply("a") != nullptr);
     BOOST_TEST(std::holds_alternative<table_accepted>(*reply("a")));
-    submit(table_requested{"b"});
+    read("b");
     BOOST_REQUIRE(reply("b") != nullptr);
     BOOST_TEST((std::get<table_returned>(*reply("b")).document == document(7, "seven")));
 }
@@ -200,10 +206,35 @@
 
 BOOST_FIXTURE_TEST_CASE(a_request_before_any_table_is_set_gets_unavailable, leading_replica)
 {
-    submit(table_requested{"a"});
+    read("a");
+    BOOST_REQUIRE(reply("a") != nullptr);
     BOOST_TEST(std::holds_alternative<table_unavailable>(*reply("a")));
 }
 
+// A confirmation of a round that began before the read says nothing about the time after it.
+BOOST_FIXTURE_TEST_CASE(a_read_is_answered_only_after_a_round_that_began_after_it, leading_replica)
+{
+    submit(table_submitted{"a", document(7, "seven")});
+    submit(table_requested{"b"});
+    BOOST_TEST(reply("b") == nullptr);
+    advance(read_round_interval);
+    BOOST_TEST(reply("b") != nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(reads_beyond_the_limit_are_rejected_at_once, leading_replica)
+{
+    submit(table_submitted{"a", document(7, "seven")});
+    constexpr int count = 100;
+    for (int n = 0; n < count; ++n)
+        submit(table_requested{std::to_string(n)});
+    BOOST_REQUIRE(reply("99") != nullptr);
+    BOOST_TEST(std::holds_alternative<table_unavailable>(*reply("99")));
+    advance(read_round_interval);
+    BOOST_REQUIRE(reply("0") != nullptr);
+    BOOST_TEST(std::holds_alternative<table_returned>(*reply("0")));
+    BOOST_TEST(st.lead.pending_reads.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_replica_that_does_not_lead_answers_unavailable, sole_replica)
 {
     submit(table_submitted{"a", document(7, "seven")});
--- a/src/libcore/replication.cpp
+++ b/src/libcore/replication.cpp
@@ -287,6 +287,30 @@
     return finish_proposal(std::move(t), done);
 }
 
+read_step begin_read(replication_state current, const context& ctx)
+{
+    turn t = start_turn(std::move(current), ctx);
+    auto* leader = t.as_leader();
+    std::optional<read_point> point;
+    if (leader != nullptr && t.st.health == replica_health::healthy) {
+        point = read_point{t.st.current_term, leader->last_round + 1};
+        leader->next_round_at =
+            std::min(leader->next_round_at,
+                     std::max(ctx.now, leader->round_started_at + read_round_interval));
+    }
+    replication_step done = finish_turn(std::move(t));
+    return {std::move(done.next), std::move(done.out), point};
+}
+
+bool is_read_confirmed(const replication_state& st, const read_point& point)
+{
+    const auto* leader = std::get_if<leader_role>(&st.role);
+    if (leader == nullptr || st.health != replica_health::healthy ||
+        st.current_term != point.at_term || st.commit_index < leader->first_own_index)
+        return false;
+    return !st.guards.confirm_reads || leader->confirmed_round >= point.round;
+}
+
 bool has_leader_lease(const replication_state& st, instant now)
 {
     const auto* leader = std::get_if<leader_role>(&st.role);
--- a/src/libcore/replication_append.cpp
+++ b/src/libcore/replication_append.cpp
@@ -154,6 +154,7 @@
                                     [](const replica_progress& p) { return p.confirmed_round; });
     while (!leader.unconfirmed_rounds.empty() && leader.unconfirmed_rounds.front().round <= round) {
         leader.lease_started_at = leader.unconfirmed_rounds.front().started_at;
+        leader.confirmed_round = leader.unconfirmed_rounds.front().round;
         leader.unconfirmed_rounds.pop_front();
     }
 }
@@ -229,6 +230,7 @@
     }
     leader.last_round += 1;
     leader.unconfirmed_rounds.push_back({leader.last_round, t.ctx.now});
+    leader.round_started_at = t.ctx.now;
     leader.next_round_at = t.ctx.now + round_interval;
     for (auto& [peer, p] : leader.progress)
         send_round(t, peer, p);
--- a/src/libcore/table_fleet_test.cpp
+++ b/src/libcore/table_fleet_test.cpp
@@ -147,6 +147,7 @@
     m.router.table_sync.seeds = seeds;
     if (is_control(n)) {
         m.replica = control_state();
+        m.replica.replication.guards = plan_.guards;
         m.replica.peers.seeds = seeds;
         m.replica.peers.has_disk = is_core(n);
         m.replica.peers.bootstrapping = now_ < start_time + warm_up;
--- a/src/libcore/table_fleet_test.h
+++ b/src/libcore/table_fleet_test.h
@@ -38,6 +38,7 @@
     microseconds read_interval{150'000};
     /// A frozen machine's clock doesn't count the time of the freeze, as while a VM is suspended.
     bool clocks_stop = false;
+    replication_guards guards;
     microseconds length{60'000'000};
 };
 
--- a/src/libcore/table_propagation_test.cpp
+++ b/src/libcore/table_propagation_test.cpp
@@ -86,4 +86,19 @@
     play(plan);
 }
 
+BOOST_AUTO_TEST_CASE(without_the_confirmation_of_reads_the_same_plays_return_older_tables)
+{
+    table_fleet_plan plan;
+    plan.clocks_stop = true;
+    plan.read_interval = milliseconds(20);
+    plan.guards.confirm_reads = false;
+    bool found = false;
+    for (std::uint64_t seed = 1; seed <= default_seed_count && !found; ++seed) {
+        table_fleet fleet(seed, plan);
+        fleet.run();
+        found = fleet.violation().value_or("").find("older than acknowledged") != std::string::npos;
+    }
+    BOOST_TEST(found);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
