--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -406,6 +406,10 @@
     {
         workers_->start(from, e);
     }
+    void apply_effect(const node_id& from, simulated_node&, const probe_worker& e)
+    {
+        workers_->probe(from, e);
+    }
     void apply_effect(const node_id&, simulated_node&, const recall_attempt&) {}
     void apply_effect(const node_id& from, simulated_node&, const cancel_attempt& e)
     {
--- a/bench/worker_pool.cpp
+++ b/bench/worker_pool.cpp
@@ -82,6 +82,15 @@
     clock_.schedule(clock_.now() + link_delay, [this, gateway, e] { arrive(gateway, e); });
 }
 
+void worker_pool::probe(const node_id& gateway, const probe_worker& e)
+{
+    clock_.schedule(clock_.now() + link_delay, [this, gateway, e] {
+        const bool up = workers_.at(e.address).up;
+        report(gateway,
+               worker_probed{e.instance, up ? probe_outcome::connected : probe_outcome::refused});
+    });
+}
+
 void worker_pool::arrive(const node_id& gateway, const start_attempt& e)
 {
     const run_id id{gateway, e.attempt};
--- a/bench/worker_pool.h
+++ b/bench/worker_pool.h
@@ -35,6 +35,7 @@
 
     void announce(const request_id& id, request_work work) { works_[id] = work; }
     void start(const node_id& gateway, const start_attempt& e);
+    void probe(const node_id& gateway, const probe_worker& e);
     void cancel(const node_id& gateway, attempt_number attempt);
     /// Ends all runs of a gateway that has stopped.
     void cancel_all(const node_id& gateway);
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <bluebell/core/context.h>
+#include <bluebell/core/crash_watch.h>
 #include <bluebell/core/dissemination.h>
 #include <bluebell/core/replication.h>
 #include <bluebell/core/request_sums.h>
@@ -85,6 +86,7 @@
     std::vector<pending_read> pending_reads; ///< oldest first
     std::map<node_id, table_subscriber> subscribers;
     std::deque<reported_prompt> reported_prompts; ///< the newest ones, oldest first
+    crash_evidence_table crash_evidence;          ///< of requests that are not quarantined
     std::uint64_t prompt_count = 0; ///< all prompts reported so far, also those no longer stored
     instant next_voter_review_at{};
     request_sums sums;      ///< over all subscribers
--- /dev/null
+++ b/src/include/bluebell/core/crash_watch.h
@@ -0,0 +1,142 @@
+/// \file
+/// Detects pass-through requests that end the workers that run them. A gateway only sees that its
+/// connection to a worker broke while a request ran there. It watches that worker until a refused
+/// connection, the list of workers or another instance at its address shows that its process has
+/// ended; then the end counts against each request that it broke off. A complete answer clears a
+/// request. Control adds up what all gateways report, and the whole fleet refuses a request under
+/// which max_ended_workers workers have ended.
+#pragma once
+
+#include <bluebell/core/expiring_table.h>
+#include <bluebell/core/fleet_message.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bluebell::core {
+
+/// Number of workers that may end under a request before the fleet refuses it.
+inline constexpr std::size_t max_ended_workers = 3;
+/// Time for which an end counts against a request that gets no complete answer.
+inline constexpr microseconds crash_memory{120'000'000};
+/// Maximum number of suspects that a gateway or the leader keeps; beyond it the one that expires
+/// first is dropped.
+inline constexpr std::size_t max_crash_suspects = 1'024;
+
+/// The workers that broke off one request since its last complete answer, by the hashes of their
+/// instances. A worker is in one of the sets.
+struct crash_suspect_record {
+    std::set<hash64> unproven;  ///< their connections broke; they may have ended
+    std::set<hash64> accepting; ///< as `unproven`, but they accept connections: most likely alive
+    std::set<hash64> ended;
+
+    friend bool operator==(const crash_suspect_record&, const crash_suspect_record&) = default;
+};
+
+/// A worker whose connection broke, until it is known whether its process has ended.
+struct watched_worker {
+    std::string address; ///< IP:PORT
+    instant broke_at{};
+    std::uint32_t probes = 0;          ///< sent so far
+    std::vector<body_digest> requests; ///< fingerprints of those that it broke off
+
+    friend bool operator==(const watched_worker&, const watched_worker&) = default;
+};
+
+/// What a gateway knows of requests that may end workers.
+struct crash_watch {
+    expiring_table<body_digest, crash_suspect_record> suspects;
+    std::map<std::string, watched_worker> watched; ///< by instance
+    std::set<body_digest> unreported;              ///< suspects that control must be told of
+    std::set<body_digest> cleared;                 ///< of which control must be told as well
+    request_crash_list fleet;                      ///< as last received from a leader
+
+    friend bool operator==(const crash_watch&, const crash_watch&) = default;
+};
+
+/// Nothing counts against the request.
+struct crash_unsuspected {
+    friend bool operator==(const crash_unsuspected&, const crash_unsuspected&) = default;
+};
+/// Fewer than max_ended_workers have ended, or may have ended, under the request.
+struct crash_suspected {
+    std::size_t workers = 0;
+    bool is_last_trial = false; ///< one more end makes it refused
+    bool awaits_proof = false;  ///< whether the last worker has ended will be known soon
+    friend bool operator==(const crash_suspected&, const crash_suspected&) = default;
+};
+/// The request must not run.
+struct crash_quarantined {
+    friend bool operator==(const crash_quarantined&, const crash_quarantined&) = default;
+};
+using crash_standing = std::variant<crash_unsuspected, crash_suspected, crash_quarantined>;
+
+/// Returns whether nothing counts against any request, so that no fingerprint is needed.
+[[nodiscard]] bool has_no_suspects(const crash_watch& w);
+
+[[nodiscard]] crash_standing standing_of(const crash_watch& w, instant now,
+                                         const body_digest& fingerprint);
+
+/// Records that the worker's connection broke while the request ran there.
+[[nodiscard]] crash_watch with_broken_run(crash_watch w, instant now, const std::string& instance,
+                                          const std::string& address,
+                                          const body_digest& fingerprint);
+
+/// Records that the worker's process has ended. Does nothing unless the worker is watched.
+[[nodiscard]] crash_watch with_ended_worker(crash_watch w, instant now,
+                                            const std::string& instance);
+
+/// Records that the worker accepts connections. It may still have ended and been started again.
+[[nodiscard]] crash_watch with_accepting_worker(crash_watch w, instant now,
+                                                const std::string& instance);
+
+/// Records that the worker has not ended by itself: it drains, or was watched for long enough.
+[[nodiscard]] crash_watch with_living_worker(crash_watch w, instant now,
+                                             const std::string& instance);
+
+/// Clears the request, which got a complete answer.
+[[nodiscard]] crash_watch with_complete_answer(crash_watch w, const body_digest& fingerprint);
+
+/// Applies the leader's list. A request that it no longer names as quarantined is cleared.
+[[nodiscard]] crash_watch with_fleet_list(crash_watch w, const request_crash_list& list);
+
+/// Returns the workers whose next probe is due, and those that were watched for long enough.
+struct due_watches {
+    std::vector<std::string> to_probe;
+    std::vector<std::string> over;
+};
+[[nodiscard]] due_watches find_due(const crash_watch& w, instant now);
+
+/// Returns when the next probe or the end of a watch is due; instant::max() if nothing is watched.
+[[nodiscard]] instant next_watch_at(const crash_watch& w);
+
+/// Returns the reports for control and marks them as sent.
+struct crash_reports_step {
+    crash_watch next;
+    std::vector<request_crash_report> reports;
+};
+[[nodiscard]] crash_reports_step take_reports(crash_watch w, instant now);
+
+/// Marks all suspects as unreported, as a new leader knows none of them.
+[[nodiscard]] crash_watch with_new_leader(crash_watch w);
+
+/// What the leader knows of one request from the gateways' reports.
+struct crash_evidence {
+    std::set<hash64> workers; ///< that ended under it, by the hash of their instances
+    instant reported_at{};
+
+    friend bool operator==(const crash_evidence&, const crash_evidence&) = default;
+};
+using crash_evidence_table = std::map<body_digest, crash_evidence>;
+
+/// Adds a gateway's report. Drops evidence older than crash_memory.
+[[nodiscard]] crash_evidence_table with_report(crash_evidence_table current, instant now,
+                                               const request_crash_report& report);
+
+/// Returns a hash by which a gateway tells the leader which list it has; 0 for an empty list.
+[[nodiscard]] hash64 list_hash(const request_crash_list& list);
+
+} // namespace bluebell::core
--- a/src/include/bluebell/core/effect.h
+++ b/src/include/bluebell/core/effect.h
@@ -227,14 +227,15 @@
     friend bool operator==(const drain_complete&, const drain_complete&) = default;
 };
 
-using effect = std::variant<send_message, connect_peer, disconnect_peer, reply_head, reply_chunk,
-                            reply_end, reply_error, engine_run, engine_cancel, engine_pause,
-                            engine_order_run, disk_vote, disk_append, disk_commit, disk_snapshot,
-                            disk_reopen, read_snapshot_part, store_snapshot_part, operator_reply,
-                            schedule_tick, log_line, record_metric, set_ready, drain_complete,
-                            start_attempt, cancel_attempt, recall_attempt, pause_attempt, pass_head,
-                            pass_data, pass_end, pass_abort, pass_error_reply, disable_keep_alive,
-                            read_worker_list, set_caller_limits, decode_table, table_reply>;
+using effect =
+    std::variant<send_message, connect_peer, disconnect_peer, reply_head, reply_chunk, reply_end,
+                 reply_error, engine_run, engine_cancel, engine_pause, engine_order_run, disk_vote,
+                 disk_append, disk_commit, disk_snapshot, disk_reopen, read_snapshot_part,
+                 store_snapshot_part, operator_reply, schedule_tick, log_line, record_metric,
+                 set_ready, drain_complete, start_attempt, cancel_attempt, recall_attempt,
+                 probe_worker, pause_attempt, pass_head, pass_data, pass_end, pass_abort,
+                 pass_error_reply, disable_keep_alive, read_worker_list, set_caller_limits,
+                 decode_table, table_reply>;
 using effects = std::vector<effect>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -175,10 +175,22 @@
     error failure;
     friend bool operator==(const worker_list_failed&, const worker_list_failed&) = default;
 };
+/// Whether a worker's address accepts connections.
+enum class probe_outcome : std::uint8_t {
+    connected,
+    refused, ///< the machine answers, but no process listens there
+    unknown, ///< no answer
+};
+/// Answers probe_worker.
+struct worker_probed {
+    std::string instance;
+    probe_outcome outcome = probe_outcome::unknown;
+    friend bool operator==(const worker_probed&, const worker_probed&) = default;
+};
 using exchange_event =
     std::variant<pass_request_received, pass_caller_disconnected, pass_caller_lagging, attempt_head,
                  attempt_data, attempt_completed, attempt_broken, attempt_recalled,
-                 worker_list_received, worker_list_failed>;
+                 worker_list_received, worker_list_failed, worker_probed>;
 
 // Effects.
 
@@ -207,6 +219,12 @@
     attempt_number attempt = 0;
     friend bool operator==(const recall_attempt&, const recall_attempt&) = default;
 };
+/// Tries to connect to a worker and closes the connection at once.
+struct probe_worker {
+    std::string instance; ///< named in the answer
+    std::string address;  ///< IP:PORT
+    friend bool operator==(const probe_worker&, const probe_worker&) = default;
+};
 /// Stops or resumes reading the answer of an attempt.
 struct pause_attempt {
     attempt_number attempt = 0;
--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -74,6 +74,22 @@
     friend bool operator==(const worker_list_change&, const worker_list_change&) = default;
 };
 
+/// What a gateway has seen of a pass-through request that may end the workers that run it.
+struct request_crash_report {
+    body_digest fingerprint;     ///< identifies the request when it comes again
+    std::vector<hash64> workers; ///< that ended while they ran it, by the hash of their instances
+    bool cleared = false;        ///< it got a complete answer: earlier ends don't count
+    friend bool operator==(const request_crash_report&, const request_crash_report&) = default;
+};
+
+/// The requests that the whole fleet takes for a danger to workers. Both lists are sorted.
+struct request_crash_list {
+    std::vector<body_digest> suspects; ///< one more end of a worker quarantines them
+    std::vector<body_digest> quarantined;
+
+    friend bool operator==(const request_crash_list&, const request_crash_list&) = default;
+};
+
 /// Sent by a gateway to control: requests the routing table if it is newer than the sender's.
 struct table_query {
     node_info sender;
@@ -83,7 +99,9 @@
         worker_request_counts; ///< the sender's own requests; idle workers are omitted
     /// Newest list of workers received from a leader; 0: the complete list is needed.
     std::uint64_t worker_list_version = 0;
-    bool version_only = false; ///< the answer must omit the table's document
+    bool version_only = false;                       ///< the answer must omit the table's document
+    std::vector<request_crash_report> crash_reports; ///< news since the sender's last query
+    hash64 crash_list_hash = 0; ///< of the list that the sender has; 0: an empty one
 
     friend bool operator==(const table_query&, const table_query&) = default;
 };
@@ -106,7 +124,8 @@
         worker_request_counts;
     /// Version of the leader's list of workers; 0: it has no recent list.
     std::uint64_t worker_list_version = 0;
-    std::optional<worker_list_change> workers; ///< absent: the receiver has this list
+    std::optional<worker_list_change> workers;    ///< absent: the receiver has this list
+    std::optional<request_crash_list> crash_list; ///< absent: the receiver has it
 
     friend bool operator==(const table_update&, const table_update&) = default;
 };
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <bluebell/core/context.h>
+#include <bluebell/core/crash_watch.h>
 #include <bluebell/core/retry.h>
 #include <bluebell/core/worker_table.h>
 
@@ -46,14 +47,15 @@
     std::vector<std::string> tried_instances; ///< workers tried so far, in order
     attempt_number attempt = 0;               ///< attempt in progress; 0: none
     instant attempt_started_at{};
-    bool may_have_run = false;                  ///< an earlier attempt was sent and not refused
-    bool answer_started = false;                ///< the head of an answer was sent to the caller
-    std::uint16_t answer_status = 0;            ///< status in that head
-    instant answer_started_at{};                ///< when that head was sent
-    instant progressed_at{};                    ///< when a stream last brought a whole event
-    bool caller_lags = false;                   ///< the answer must not be read at present
-    std::optional<worker_answer> held_head;     ///< head of an answer that is not sent yet
-    std::string pending_data;                   ///< body of the held answer, or an incomplete event
+    bool suspected = false;                 ///< workers may have ended under it, see crash_watch
+    bool may_have_run = false;              ///< an earlier attempt was sent and not refused
+    bool answer_started = false;            ///< the head of an answer was sent to the caller
+    std::uint16_t answer_status = 0;        ///< status in that head
+    instant answer_started_at{};            ///< when that head was sent
+    instant progressed_at{};                ///< when a stream last brought a whole event
+    bool caller_lags = false;               ///< the answer must not be read at present
+    std::optional<worker_answer> held_head; ///< head of an answer that is not sent yet
+    std::string pending_data;               ///< body of the held answer, or an incomplete event
     std::optional<std::uint64_t> last_event_id; ///< last complete event sent to the caller
 
     friend bool operator==(const exchange&, const exchange&) = default;
@@ -94,6 +96,7 @@
     routing_table table;
     table_sync_state table_sync;
     worker_table workers;
+    crash_watch crashes;
     std::unordered_map<exchange_id, exchange> exchanges;
     std::unordered_map<attempt_number, exchange_id> attempts; ///< attempts in progress
     std::set<std::pair<instant, exchange_id>> timers;         ///< next timeout of each request
--- a/src/include/bluebell/core/quarantine.h
+++ b/src/include/bluebell/core/quarantine.h
@@ -34,7 +34,7 @@
 /// Applies a crash report. A body that was the only one in the crashed engine, or that was in the
 /// crash of a second agent's engine, is quarantined until `expires_at`. Otherwise the first agent
 /// that reports it becomes its holder. A holder's report that the body is cleared removes the
-/// suspect.
+/// suspect. A report that clears a body without a sole call releases it from quarantine.
 [[nodiscard]] quarantine_table
 apply_crash_report(quarantine_table current, const crash_report& report, microseconds expires_at);
 
--- a/src/include/bluebell/runtime/byte_stream.h
+++ b/src/include/bluebell/runtime/byte_stream.h
@@ -23,7 +23,8 @@
         /// Bytes arrived. Returns how many were consumed; the remaining ones are passed again
         /// together with the bytes that follow.
         std::function<std::size_t(std::string_view data)> data;
-        /// The peer closed the connection (null), or it failed. Called once.
+        /// The peer closed the connection (null), or it failed: with deadline_exceeded if nothing
+        /// came from the peer's machine any more. Called once.
         std::function<void(const core::error* failure)> closed;
         /// The connection started by connect() is established.
         std::function<void()> connected;
@@ -40,11 +41,15 @@
     [[nodiscard]] static std::shared_ptr<byte_stream>
     adopt(std::shared_ptr<event_loop> loop, int descriptor,
           core::microseconds stall_timeout = default_stall_timeout);
-    /// Starts a connection attempt. Fails at step `connect` with unavailable, or with
-    /// invalid_argument when the host is not an IPv4 address.
+    /// Starts a connection attempt. Fails at step `open socket` with unavailable, at step `connect`
+    /// with unavailable or deadline_exceeded, or there with invalid_argument when the host is not
+    /// an IPv4 address.
     [[nodiscard]] static core::result<std::shared_ptr<byte_stream>>
     connect(std::shared_ptr<event_loop> loop, const std::string& host, std::uint16_t port);
 
+    /// Returns whether a failed connection attempt was refused by the peer's machine.
+    [[nodiscard]] static bool is_refusal(const core::error& e);
+
     byte_stream(const byte_stream&) = delete;
     byte_stream& operator=(const byte_stream&) = delete;
     ~byte_stream();
--- a/src/include/bluebell/runtime/worker_client.h
+++ b/src/include/bluebell/runtime/worker_client.h
@@ -33,6 +33,7 @@
     void run(const core::start_attempt& e);
     void run(const core::cancel_attempt& e);
     void run(const core::recall_attempt& e);
+    void run(const core::probe_worker& e);
     void run(const core::pause_attempt& e);
 
 private:
@@ -43,6 +44,14 @@
     void remove_idle(const std::shared_ptr<worker_channel>& channel);
     void report(core::exchange_event ev);
     void close_expired();
+    /// Ends the probe, if it is in progress, and reports its outcome.
+    void finish_probe(const std::string& instance, core::probe_outcome outcome);
+
+    /// A connection that is only being established.
+    struct probe {
+        std::shared_ptr<byte_stream> stream;
+        std::unique_ptr<watcher> timeout;
+    };
 
     std::shared_ptr<event_loop> loop_;
     const pass_codec& codec_;
@@ -51,6 +60,7 @@
     /// Idle channels by address, the most recently used last.
     std::map<std::string, std::deque<std::shared_ptr<worker_channel>>> idle_;
     std::unique_ptr<watcher> expiry_timer_;
+    std::map<std::string, probe> probes_; ///< in progress, by instance
 };
 
 } // namespace bluebell::runtime
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -243,6 +243,60 @@
         update.workers = changes_since(list, s.list_version);
 }
 
+bool is_quarantined(const control_turn& t, const body_digest& fingerprint)
+{
+    return t.st.machine.quarantine.quarantined_until.contains(fingerprint);
+}
+
+void log_crash(control_turn& t, const node_id& from, const body_digest& fingerprint,
+               std::string_view text)
+{
+    t.out.emplace_back(
+        make_log_line(log_level::warning, component, text, request_id(),
+                      {{"fingerprint", to_string(fingerprint)}, {"reported_by", from.str()}}));
+}
+
+/// Adds a gateway's report to what the others reported. A request under which enough workers have
+/// ended is quarantined through the log, so that it stays so under the next leader and after
+/// restarts; one that got a complete answer is released.
+void record_crash_report(control_turn& t, const node_id& from, const request_crash_report& report)
+{
+    auto& lead = t.st.lead;
+    lead.crash_evidence = with_report(std::move(lead.crash_evidence), t.ctx.now, report);
+    if (report.cleared) {
+        if (is_quarantined(t, report.fingerprint)) {
+            lead.queue.commands.emplace_back(
+                record_crash{crash_report{report.fingerprint, false, from, true}});
+            log_crash(t, from, report.fingerprint,
+                      "Request is released: it got a complete answer.");
+        }
+        return;
+    }
+    const auto it = lead.crash_evidence.find(report.fingerprint);
+    if (it == lead.crash_evidence.end() || it->second.workers.size() < max_ended_workers)
+        return;
+    lead.crash_evidence.erase(it);
+    if (is_quarantined(t, report.fingerprint))
+        return;
+    lead.queue.commands.emplace_back(
+        record_crash{crash_report{report.fingerprint, true, from, false}});
+    log_crash(t, from, report.fingerprint, "Request is quarantined: workers ended under it.");
+}
+
+/// Adds the requests that gateways must be careful with, if the subscriber has another list.
+void add_crash_list(const control_turn& t, hash64 known_hash, table_update& update)
+{
+    request_crash_list list;
+    for (const auto& [fingerprint, evidence] : t.st.lead.crash_evidence) {
+        if (evidence.workers.size() + 1 >= max_ended_workers)
+            list.suspects.push_back(fingerprint);
+    }
+    for (const auto& [fingerprint, until] : t.st.machine.quarantine.quarantined_until)
+        list.quarantined.push_back(fingerprint);
+    if (list_hash(list) != known_hash)
+        update.crash_list = std::move(list);
+}
+
 /// Returns the subscriber that sent the query. One that has restarted starts anew.
 table_subscriber& find_subscriber(leadership& lead, const node_id& from, const table_query& msg)
 {
@@ -274,6 +328,9 @@
         add_control_nodes(t, s, update);
         add_worker_list(t, s, update);
         add_request_counts(t, s, update);
+        for (const auto& report : msg.crash_reports)
+            record_crash_report(t, from, report);
+        add_crash_list(t, msg.crash_list_hash, update);
         s.last_contact_at = t.ctx.now;
         s.confirmed_version = msg.table_version;
         const bool recently_sent =
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -15,6 +15,13 @@
     return {version, bytes::from(text)};
 }
 
+table_query query(std::uint64_t table_version)
+{
+    table_query q;
+    q.table_version = table_version;
+    return q;
+}
+
 /// A control replica that is the only voter. Its writes become durable immediately.
 class sole_replica {
 public:
@@ -254,24 +261,71 @@
 BOOST_FIXTURE_TEST_CASE(gateways_get_the_document_only_when_theirs_is_older, leading_replica)
 {
     submit(table_submitted{"a", document(7, "seven")});
-    receive(table_query{{}, 0, {}, {}, 0});
+    receive(query(0));
     BOOST_TEST(last_update().from_leader);
     BOOST_TEST(last_update().document.has_value());
-    receive(table_query{{}, 7, {}, {}, 0});
+    receive(query(7));
     BOOST_TEST(!last_update().document.has_value());
     submit(table_submitted{"b", document(9, "nine")});
     BOOST_REQUIRE(last_update().document.has_value());
     BOOST_TEST(last_update().document->version == 9U);
 }
 
+namespace {
+
+table_query crash_query(std::vector<hash64> workers, bool cleared = false)
+{
+    table_query q = query(0);
+    q.crash_reports = {{{1, 2}, std::move(workers), cleared}};
+    return q;
+}
+
+} // namespace
+
+// Guards against a request that ends three workers at each gateway, one after the other.
+BOOST_FIXTURE_TEST_CASE(ends_that_several_gateways_report_are_added_up, leading_replica)
+{
+    receive(crash_query({7}), "router-1");
+    BOOST_TEST(!last_update().crash_list.has_value());
+    receive(crash_query({8}), "router-2");
+    BOOST_REQUIRE(last_update().crash_list.has_value());
+    BOOST_TEST(last_update().crash_list->suspects.size() == 1U);
+    BOOST_TEST(last_update().crash_list->quarantined.empty());
+    receive(crash_query({8, 7}), "router-3"); // the same workers
+    BOOST_TEST(last_update().crash_list->quarantined.empty());
+    receive(crash_query({9}), "router-3");
+    receive(query(0), "router-4");
+    BOOST_REQUIRE(last_update().crash_list.has_value());
+    BOOST_TEST((last_update().crash_list->quarantined == std::vector<body_digest>{{1, 2}}));
+    table_query informed = query(0);
+    informed.crash_list_hash = list_hash(*last_update().crash_list);
+    receive(informed, "router-4");
+    BOOST_TEST(!last_update().crash_list.has_value());
+}
+
+// The quarantine is in the log: the next leader and a restarted fleet know it.
+BOOST_FIXTURE_TEST_CASE(a_quarantine_outlives_the_leadership_and_ends_with_a_complete_answer,
+                        leading_replica)
+{
+    receive(crash_query({7, 8, 9}));
+    BOOST_TEST(st.machine.quarantine.quarantined_until.size() == 1U);
+    st.lead = leadership{};
+    advance(milliseconds(100));
+    receive(query(0));
+    BOOST_REQUIRE(last_update().crash_list.has_value());
+    BOOST_TEST(last_update().crash_list->quarantined.size() == 1U);
+    receive(crash_query({}, true));
+    BOOST_TEST(st.machine.quarantine.quarantined_until.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(before_a_leader_is_known_only_a_gateway_without_a_table_gets_one,
                         following_replica)
 {
     load({{2, 1, set_table{"x", document(4, "four")}}}, 2);
-    receive(table_query{{}, 0, {}, {}, 0});
+    receive(query(0));
     BOOST_TEST(!last_update().from_leader);
     BOOST_TEST((last_update().document == std::optional(document(4, "four"))));
-    receive(table_query{{}, 3, {}, {}, 0});
+    receive(query(3));
     BOOST_TEST(!last_update().document.has_value());
 }
 
@@ -281,7 +335,7 @@
 {
     load({{2, 1, set_table{"x", document(4, "four")}}, {3, 1, set_table{"y", document(5, "lost")}}},
          2);
-    receive(table_query{{}, 0, {}, {}, 0});
+    receive(query(0));
     BOOST_TEST((last_update().document == std::optional(document(4, "four"))));
 }
 
@@ -320,11 +374,11 @@
     load();
     const log_entry entry{2, 2, set_table{"x", document(5, "five")}};
     append(others[0], 2, 1, {entry});
-    receive(table_query{{}, 0, {}, {}, 0});
+    receive(query(0));
     BOOST_TEST(last_update().table_version == 0U);
     BOOST_TEST(!last_update().document.has_value());
     append(others[0], 2, 2, {entry});
-    receive(table_query{{}, 0, {}, {}, 0});
+    receive(query(0));
     BOOST_TEST(!last_update().from_leader);
     BOOST_TEST((last_update().document == std::optional(document(5, "five"))));
 }
@@ -400,7 +454,7 @@
         report.processes.push_back(presence);
     }
     receive(fleet_message(report), "control-2");
-    receive(table_query{{}, 0, {}, {}, 0});
+    receive(query(0));
     std::string names;
     for (const auto& n : last_update().control_nodes)
         names += n.id.str() + " ";
--- /dev/null
+++ b/src/libcore/crash_watch.cpp
@@ -0,0 +1,263 @@
+// Counts the workers that ended under requests, and decides which requests may run.
+
+#include <bluebell/core/crash_watch.h>
+
+#include <algorithm>
+#include <array>
+
+namespace bluebell::core {
+
+namespace {
+
+/// Times after a broken connection at which the worker's address is probed. A process that has
+/// ended refuses connections until it is started again.
+constexpr std::array<microseconds, 3> probe_times{milliseconds(50), milliseconds(300),
+                                                  milliseconds(1'000)};
+/// Time for which a worker is watched. The list of workers lags by seconds.
+constexpr microseconds watch_time{10'000'000};
+/// Maximum number of watched workers, and of requests remembered for each.
+constexpr std::size_t max_watched_workers = 256;
+constexpr std::size_t max_requests_per_worker = 256;
+
+/// Changes the record of a suspect by a function, keeping its expiry; removes an empty record.
+template <class Change>
+void change_record(crash_watch& w, const body_digest& fingerprint, Change change)
+{
+    const auto it = w.suspects.entries.find(fingerprint);
+    if (it == w.suspects.entries.end())
+        return;
+    crash_suspect_record record = it->second.value;
+    const instant expires_at = it->second.expires_at;
+    change(record);
+    if (record == crash_suspect_record{})
+        w.suspects = without_entry(std::move(w.suspects), fingerprint);
+    else
+        w.suspects = with_entry(std::move(w.suspects), fingerprint, std::move(record), expires_at,
+                                max_crash_suspects);
+}
+
+bool is_being_probed(const crash_watch& w, const body_digest& fingerprint)
+{
+    return std::any_of(w.watched.begin(), w.watched.end(), [&](const auto& entry) {
+        const watched_worker& watched = entry.second;
+        return watched.probes < probe_times.size() &&
+               std::find(watched.requests.begin(), watched.requests.end(), fingerprint) !=
+                   watched.requests.end();
+    });
+}
+
+bool contains(const std::vector<body_digest>& sorted, const body_digest& fingerprint)
+{
+    return std::binary_search(sorted.begin(), sorted.end(), fingerprint);
+}
+
+instant next_watch_at(const watched_worker& watched)
+{
+    return watched.broke_at +
+           (watched.probes < probe_times.size() ? probe_times.at(watched.probes) : watch_time);
+}
+
+} // namespace
+
+bool has_no_suspects(const crash_watch& w)
+{
+    return w.suspects.entries.empty() && w.fleet == request_crash_list{};
+}
+
+crash_standing standing_of(const crash_watch& w, instant now, const body_digest& fingerprint)
+{
+    if (contains(w.fleet.quarantined, fingerprint))
+        return crash_quarantined{};
+    const auto* record = find(w.suspects, fingerprint, now);
+    std::size_t workers = record == nullptr ? 0 : record->unproven.size() + record->ended.size();
+    if (record != nullptr && record->ended.size() >= max_ended_workers)
+        return crash_quarantined{};
+    if (contains(w.fleet.suspects, fingerprint))
+        workers = std::max(workers, max_ended_workers - 1);
+    if (workers == 0)
+        return crash_unsuspected{};
+    const bool has_unproven = record != nullptr && !record->unproven.empty();
+    return crash_suspected{workers, workers + 1 >= max_ended_workers,
+                           has_unproven && is_being_probed(w, fingerprint)};
+}
+
+crash_watch with_broken_run(crash_watch w, instant now, const std::string& instance,
+                            const std::string& address, const body_digest& fingerprint)
+{
+    const auto* known = find(w.suspects, fingerprint, now);
+    crash_suspect_record record = known == nullptr ? crash_suspect_record{} : *known;
+    const hash64 worker = hash_of(instance);
+    if (!record.ended.contains(worker) && !record.accepting.contains(worker))
+        record.unproven.insert(worker);
+    w.suspects = with_entry(std::move(w.suspects), fingerprint, std::move(record),
+                            now + crash_memory, max_crash_suspects);
+    if (!w.watched.contains(instance) && w.watched.size() >= max_watched_workers)
+        return w;
+    watched_worker& watched = w.watched[instance];
+    if (watched.requests.empty()) {
+        watched.address = address;
+        watched.broke_at = now;
+    }
+    if (watched.requests.size() < max_requests_per_worker)
+        watched.requests.push_back(fingerprint);
+    return w;
+}
+
+crash_watch with_ended_worker(crash_watch w, instant now, const std::string& instance)
+{
+    const auto it = w.watched.find(instance);
+    if (it == w.watched.end())
+        return w;
+    const hash64 worker = hash_of(instance);
+    for (const auto& fingerprint : it->second.requests) {
+        if (find(w.suspects, fingerprint, now) == nullptr)
+            continue; // it got a complete answer since
+        change_record(w, fingerprint, [&](crash_suspect_record& record) {
+            record.unproven.erase(worker);
+            record.accepting.erase(worker);
+            record.ended.insert(worker);
+        });
+        w.cleared.erase(fingerprint);
+        w.unreported.insert(fingerprint);
+    }
+    w.watched.erase(it);
+    return w;
+}
+
+crash_watch with_accepting_worker(crash_watch w, instant now, const std::string& instance)
+{
+    const auto it = w.watched.find(instance);
+    if (it == w.watched.end())
+        return w;
+    const hash64 worker = hash_of(instance);
+    for (const auto& fingerprint : it->second.requests) {
+        if (find(w.suspects, fingerprint, now) != nullptr)
+            change_record(w, fingerprint, [&](crash_suspect_record& record) {
+                if (record.unproven.erase(worker) != 0)
+                    record.accepting.insert(worker);
+            });
+    }
+    return w;
+}
+
+crash_watch with_living_worker(crash_watch w, instant now, const std::string& instance)
+{
+    const auto it = w.watched.find(instance);
+    if (it == w.watched.end())
+        return w;
+    const hash64 worker = hash_of(instance);
+    for (const auto& fingerprint : it->second.requests) {
+        if (find(w.suspects, fingerprint, now) != nullptr)
+            change_record(w, fingerprint, [&](crash_suspect_record& record) {
+                record.unproven.erase(worker);
+                record.accepting.erase(worker);
+            });
+    }
+    w.watched.erase(it);
+    return w;
+}
+
+crash_watch with_complete_answer(crash_watch w, const body_digest& fingerprint)
+{
+    const auto it = w.suspects.entries.find(fingerprint);
+    const bool was_reported = it != w.suspects.entries.end() && !it->second.value.ended.empty();
+    const bool is_known =
+        contains(w.fleet.suspects, fingerprint) || contains(w.fleet.quarantined, fingerprint);
+    if (was_reported || is_known)
+        w.cleared.insert(fingerprint);
+    w.unreported.erase(fingerprint);
+    std::erase(w.fleet.suspects, fingerprint);
+    w.suspects = without_entry(std::move(w.suspects), fingerprint);
+    return w;
+}
+
+crash_watch with_fleet_list(crash_watch w, const request_crash_list& list)
+{
+    for (const auto& fingerprint : w.fleet.quarantined) {
+        if (!contains(list.quarantined, fingerprint))
+            w.suspects = without_entry(std::move(w.suspects), fingerprint);
+    }
+    w.fleet = list;
+    std::sort(w.fleet.suspects.begin(), w.fleet.suspects.end());
+    std::sort(w.fleet.quarantined.begin(), w.fleet.quarantined.end());
+    return w;
+}
+
+due_watches find_due(const crash_watch& w, instant now)
+{
+    due_watches due;
+    for (const auto& [instance, watched] : w.watched) {
+        if (next_watch_at(watched) > now)
+            continue;
+        (watched.probes < probe_times.size() ? due.to_probe : due.over).push_back(instance);
+    }
+    return due;
+}
+
+instant next_watch_at(const crash_watch& w)
+{
+    instant next = instant::max();
+    for (const auto& [instance, watched] : w.watched)
+        next = std::min(next, next_watch_at(watched));
+    return next;
+}
+
+crash_reports_step take_reports(crash_watch w, instant now)
+{
+    std::vector<request_crash_report> reports;
+    for (const auto& fingerprint : w.cleared)
+        reports.push_back({fingerprint, {}, true});
+    for (const auto& fingerprint : w.unreported) {
+        const auto* record = find(w.suspects, fingerprint, now);
+        if (record != nullptr && !record->ended.empty())
+            reports.push_back({fingerprint, {record->ended.begin(), record->ended.end()}, false});
+    }
+    w.cleared.clear();
+    w.unreported.clear();
+    return {std::move(w), std::move(reports)};
+}
+
+crash_watch with_new_leader(crash_watch w)
+{
+    for (const auto& [fingerprint, entry] : w.suspects.entries)
+        w.unreported.insert(fingerprint);
+    return w;
+}
+
+crash_evidence_table with_report(crash_evidence_table current, instant now,
+                                 const request_crash_report& report)
+{
+    std::erase_if(current,
+                  [&](const auto& e) { return now - e.second.reported_at >= crash_memory; });
+    if (report.cleared) {
+        current.erase(report.fingerprint);
+        return current;
+    }
+    crash_evidence& evidence = current[report.fingerprint];
+    evidence.reported_at = now;
+    for (const auto worker : report.workers) {
+        if (evidence.workers.size() < max_ended_workers)
+            evidence.workers.insert(worker);
+    }
+    if (current.size() <= max_crash_suspects)
+        return current;
+    current.erase(
+        std::min_element(current.begin(), current.end(), [](const auto& a, const auto& b) {
+            return a.second.reported_at < b.second.reported_at;
+        }));
+    return current;
+}
+
+hash64 list_hash(const request_crash_list& list)
+{
+    hash64 hash = 0;
+    for (const auto* digests : {&list.suspects, &list.quarantined}) {
+        for (const auto& d : *digests)
+            hash = hash_of(to_string(d), hash);
+        if (hash != 0)
+            hash = hash_of("/", hash);
+    }
+    return hash;
+}
+
+} // namespace bluebell::core
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -241,6 +241,7 @@
     const std::size_t previous_count = t.st.workers.workers.size();
     t.st.workers = with_list(std::move(t.st.workers), t.ctx.now, ev.workers);
     t.st.table_sync.uses_leader_list = false;
+    review_watched_workers(t);
     if (added != 0 || newly_draining != 0 || previous_count + added != t.st.workers.workers.size())
         t.out.emplace_back(make_log_line(log_level::info, component, "List of workers has changed.",
                                          request_id(),
@@ -274,6 +275,7 @@
 instant next_tick_at(const gateway_state& st, instant now)
 {
     instant next_at = std::min(st.next_list_read_at, st.table_sync.next_query_at);
+    next_at = std::min(next_at, next_watch_at(st.crashes));
     if (!st.timers.empty())
         next_at = std::min(next_at, st.timers.begin()->first);
     const instant drain_ends_at = st.drain_started_at + min_drain_time;
@@ -290,6 +292,7 @@
         if (!remove_waiting(t, id, true))
             handle_timeout(t, id);
     }
+    watch_due_workers(t);
     read_list_if_due(t);
     query_table_if_due(t);
 }
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -86,8 +86,10 @@
 {
     const std::string worker = ex.tried_instances.back();
     end_attempt(t, ex, false);
-    if (status == misdirected_request)
+    if (status == misdirected_request) {
         t.st.workers = without_worker(std::move(t.st.workers), worker);
+        record_ended_worker(t, worker, crash_proof::other_instance);
+    }
     retry_or_fail(t, id,
                   error{error_code::overloaded, "run request", worker,
                         "the worker refused with " + std::to_string(status)});
@@ -259,6 +261,7 @@
     if (ex == nullptr)
         return;
     end_attempt(t, *ex, false);
+    record_complete_answer(t, *ex);
     if (ex->answer_started)
         finish_answer(t, id, *ex);
     else
@@ -280,6 +283,7 @@
     } else {
         ex->may_have_run = true;
     }
+    record_broken_run(t, *ex, worker, ev);
     retry_or_fail(t, id, ev.failure);
 }
 
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -212,7 +212,11 @@
         remove_exchange(t, id);
         return;
     }
-    refuse(t, id, ex.may_have_run ? 502 : 503, to_string(failure));
+    const std::uint16_t status = ex.may_have_run ? 502 : 503;
+    if (failure.code == error_code::quarantined)
+        refuse_without_retry(t, id, status, to_string(failure));
+    else
+        refuse(t, id, status, to_string(failure));
 }
 
 /// Recalls the requests to the worker of which no byte has left yet, for instance because their
@@ -297,10 +301,13 @@
 
 } // namespace
 
-void refuse(turn& t, exchange_id id, std::uint16_t status, std::string_view text)
+namespace {
+
+/// Sends the error answer and ends the exchange. A retry time of 0 is not stated.
+void send_refusal(turn& t, exchange_id id, std::uint16_t status, std::string_view text,
+                  microseconds retry_after)
 {
     const exchange& ex = t.st.exchanges.at(id);
-    const auto retry_after = status == 503 ? choose_retry_after(t, id, ex) : microseconds{0};
     t.out.emplace_back(pass_error_reply{id, status, retry_after, std::string(text)});
     t.out.emplace_back(make_log_line(
         log_level::warning, component, "Request is refused.", ex.request.id,
@@ -314,24 +321,90 @@
     remove_exchange(t, id);
 }
 
-void assign_worker(turn& t, exchange_id id)
+} // namespace
+
+void refuse(turn& t, exchange_id id, std::uint16_t status, std::string_view text)
+{
+    const auto retry_after =
+        status == 503 ? choose_retry_after(t, id, t.st.exchanges.at(id)) : microseconds{0};
+    send_refusal(t, id, status, text, retry_after);
+}
+
+void refuse_without_retry(turn& t, exchange_id id, std::uint16_t status, std::string_view text)
+{
+    send_refusal(t, id, status, text, microseconds{0});
+}
+
+namespace {
+
+/// Chooses a worker that has not been tried and isn't one of `avoided`.
+worker_choice choose_for(turn& t, exchange_id id, const std::vector<std::string>& avoided)
+{
+    const exchange& ex = t.st.exchanges.at(id);
+    std::vector<std::string> excluded = ex.tried_instances;
+    excluded.insert(excluded.end(), avoided.begin(), avoided.end());
+    const worker_criteria criteria{ex.policy.service, find_demand(ex), find_engine(t, ex), excluded,
+                                   t.ctx.self.zone};
+    return choose_worker(t.st.workers, criteria, t.ctx.now, t.ctx.random ^ id);
+}
+
+void start_or_fail(turn& t, exchange_id id, const worker_choice& choice)
 {
     exchange& ex = t.st.exchanges.at(id);
-    const worker_criteria criteria{ex.policy.service, find_demand(ex), find_engine(t, ex),
-                                   ex.tried_instances, t.ctx.self.zone};
-    const worker_choice choice =
-        choose_worker(t.st.workers, criteria, t.ctx.now, t.ctx.random ^ id);
-    if (choice.instance.empty()) {
-        std::string reason = ex.tried_instances.empty() ? "no worker" : "no other worker";
-        const auto passed_over = find_passed_over(t.st.workers, ex.policy.service, t.ctx.now);
-        if (!passed_over.empty())
-            reason += ": " + format_passed_over(passed_over, t.ctx.now);
-        fail_exchange(t, id, ex,
-                      error{error_code::unavailable, "choose worker", ex.policy.service.str(),
-                            std::move(reason)});
+    if (!choice.instance.empty()) {
+        start_on_worker(t, id, ex, choice);
         return;
     }
-    start_on_worker(t, id, ex, choice);
+    std::string reason = ex.tried_instances.empty() ? "no worker" : "no other worker";
+    const auto passed_over = find_passed_over(t.st.workers, ex.policy.service, t.ctx.now);
+    if (!passed_over.empty())
+        reason += ": " + format_passed_over(passed_over, t.ctx.now);
+    fail_exchange(t, id, ex,
+                  error{error_code::unavailable, "choose worker", ex.policy.service.str(),
+                        std::move(reason)});
+}
+
+/// Places a request under which workers may have ended, where no other such request runs: so that a
+/// further end counts against one of them only. Before its last trial it runs beside another one if
+/// every worker has one.
+void place_suspect(turn& t, exchange_id id, const crash_suspected& standing)
+{
+    const auto avoided = workers_with_suspects(t, id);
+    if (!standing.is_last_trial) {
+        const worker_choice apart = choose_for(t, id, avoided);
+        start_or_fail(t, id, apart.instance.empty() ? choose_for(t, id, {}) : apart);
+        return;
+    }
+    if (standing.awaits_proof || is_running_elsewhere(t, id)) {
+        fail_exchange(t, id, t.st.exchanges.at(id),
+                      error{error_code::overloaded, "choose worker", "",
+                            "workers may have ended under this request; one is tried at a time"});
+        return;
+    }
+    start_or_fail(t, id, choose_for(t, id, avoided));
+}
+
+/// Fails a request that must not run. It is not told when to come back, as it would not run then.
+void refuse_quarantined(turn& t, exchange_id id)
+{
+    const exchange& ex = t.st.exchanges.at(id);
+    t.out.emplace_back(record_metric{"quarantined_requests_refused", 1, rank::normal, {}});
+    fail_exchange(t, id, ex,
+                  error{error_code::quarantined, "choose worker", "",
+                        "workers have ended under this request"});
+}
+
+} // namespace
+
+void assign_worker(turn& t, exchange_id id)
+{
+    exchange& ex = t.st.exchanges.at(id);
+    const crash_standing standing = standing_of(t, ex);
+    ex.suspected = !std::holds_alternative<crash_unsuspected>(standing);
+    match(
+        standing, [&](const crash_unsuspected&) { start_or_fail(t, id, choose_for(t, id, {})); },
+        [&](const crash_suspected& s) { place_suspect(t, id, s); },
+        [&](const crash_quarantined&) { refuse_quarantined(t, id); });
 }
 
 void apply_notice(turn& t, const std::string& worker, const attempt_head& ev)
@@ -383,7 +456,11 @@
     const bool attempts_remain =
         ex.sent_attempts < ex.policy.max_workers && ex.unsent_attempts < max_unsent_attempts;
     const bool never_sent = ex.sent_attempts == 0;
-    if (!has_time || !may_run_again || !can_resume || !attempts_remain ||
+    const auto standing = standing_of(t, ex);
+    const auto* suspected = std::get_if<crash_suspected>(&standing);
+    // Its caller decides whether a request goes to the worker that may be the last one to end.
+    const bool is_risky = ex.may_have_run && suspected != nullptr && suspected->is_last_trial;
+    if (is_risky || !has_time || !may_run_again || !can_resume || !attempts_remain ||
         !(never_sent || spend_retry(t, ex))) {
         fail_exchange(t, id, ex, failure);
         return;
--- /dev/null
+++ b/src/libcore/gateway_crash_test.cpp
@@ -0,0 +1,235 @@
+// Requests that end the workers that run them.
+
+#include "gateway_test.h"
+
+#include <bluebell/core/crash_watch.h>
+#include <bluebell/core/effect.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace bluebell::core;
+using namespace bluebell::core::test;
+
+namespace {
+
+/// A gateway whose workers end under requests.
+struct crashing_gateway : ready_gateway {
+    exchange_id last_exchange = 0;
+
+    pass_request make_request(const std::string& body, const char* target = "/safe/x")
+    {
+        last_exchange += 1;
+        pass_request r = request(target, "r" + std::to_string(last_exchange));
+        r.body = bytes::from(body);
+        return r;
+    }
+    /// Sends a request with this body; returns its attempt, or 0 if it was not sent to a worker.
+    attempt_number ask(const std::string& body, const char* target = "/safe/x")
+    {
+        handle(pass_request_received{last_exchange + 1, make_request(body, target)});
+        const auto* started = find_effect<start_attempt>();
+        return started == nullptr ? 0 : started->attempt;
+    }
+    std::string worker_of(attempt_number attempt) const
+    {
+        return st.exchanges.at(st.attempts.at(attempt)).tried_instances.back();
+    }
+    /// The worker's connection breaks while the request runs.
+    void break_off(attempt_number attempt, error_code code = error_code::unavailable)
+    {
+        handle(attempt_broken{attempt, attempt_stage::sent, {code, "receive", "w", "closed"}});
+    }
+    /// Ends the worker under the request, and answers the probe. Returns the attempt that follows.
+    attempt_number end_worker(attempt_number attempt)
+    {
+        const std::string worker = worker_of(attempt);
+        break_off(attempt);
+        const auto* retried = find_effect<start_attempt>();
+        const attempt_number next = retried == nullptr ? 0 : retried->attempt;
+        handle(worker_probed{worker, probe_outcome::refused});
+        return next;
+    }
+    void answer_fully(attempt_number attempt)
+    {
+        const std::string id = st.exchanges.at(st.attempts.at(attempt)).request.id.str();
+        handle(attempt_head{attempt, answer(200, id)});
+        handle(attempt_completed{attempt});
+    }
+    std::vector<request_crash_report> take_crash_reports()
+    {
+        crash_reports_step taken = take_reports(std::move(st.crashes), now);
+        st.crashes = std::move(taken.next);
+        return taken.reports;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(crashing_requests, crashing_gateway)
+
+// Guards against a request that ends worker after worker because each end is taken for a failed
+// attempt.
+BOOST_AUTO_TEST_CASE(a_request_under_which_three_workers_ended_is_refused_at_once)
+{
+    const auto second = end_worker(ask("poison"));
+    BOOST_REQUIRE(second != 0U);
+    BOOST_TEST(end_worker(second) == 0U); // it may be the last one: its caller decides
+    const auto third = ask("poison");
+    BOOST_REQUIRE(third != 0U);
+    BOOST_TEST(end_worker(third) == 0U);
+    BOOST_TEST(ask("poison") == 0U);
+    BOOST_REQUIRE(find_effect<pass_error_reply>() != nullptr);
+    BOOST_TEST(find_effect<pass_error_reply>()->status == 503);
+    BOOST_TEST(find_effect<pass_error_reply>()->retry_after.count() == 0);
+    BOOST_TEST(ask("other") != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ends_are_counted_by_workspace_path_and_body)
+{
+    st.table.keys["k2"] = {workspace_id::from_trusted("lenas"), std::nullopt};
+    st.table.keys["k3"] = {workspace_id::from_trusted("guards"), std::nullopt};
+    end_worker(end_worker(ask("poison")));
+    end_worker(ask("poison"));
+    pass_request other_key = make_request("poison");
+    other_key.credential = "k2";
+    handle(pass_request_received{last_exchange, other_key});
+    BOOST_TEST(find_effect<start_attempt>() == nullptr);
+    pass_request other_workspace = make_request("poison");
+    other_workspace.credential = "k3";
+    handle(pass_request_received{last_exchange, other_workspace});
+    BOOST_TEST(find_effect<start_attempt>() != nullptr);
+    BOOST_TEST(ask("poison", "/safe/y") != 0U);
+    BOOST_TEST(ask("poison!") != 0U);
+}
+
+// A request that ran beside the one that ended the worker must not be refused for it.
+BOOST_AUTO_TEST_CASE(a_complete_answer_clears_a_request)
+{
+    end_worker(end_worker(ask("sound")));
+    const auto third = ask("sound");
+    BOOST_REQUIRE(third != 0U);
+    (void)take_crash_reports();
+    answer_fully(third);
+    BOOST_TEST(has_no_suspects(st.crashes));
+    const auto reports = take_crash_reports();
+    BOOST_REQUIRE(reports.size() == 1U);
+    BOOST_TEST(reports[0].cleared);
+}
+
+BOOST_AUTO_TEST_CASE(connections_that_end_otherwise_are_no_sign)
+{
+    break_off(ask("cut"), error_code::deadline_exceeded);
+    BOOST_TEST(st.crashes.watched.empty());
+    const auto attempt = ask("drain");
+    st.workers.workers.at(worker_of(attempt)).entry.draining = true;
+    break_off(attempt);
+    BOOST_TEST(st.crashes.watched.empty());
+    const auto unsent = ask("unsent");
+    handle(attempt_broken{
+        unsent, attempt_stage::unsent, {error_code::unavailable, "connect", "w", "refused"}});
+    BOOST_TEST(st.crashes.watched.empty());
+}
+
+// Resets of connections are no ends: the worker still accepts connections and stays in the list.
+BOOST_AUTO_TEST_CASE(a_worker_that_lives_on_is_forgotten)
+{
+    const auto attempt = ask("reset");
+    const std::string worker = worker_of(attempt);
+    break_off(attempt);
+    BOOST_TEST(st.crashes.watched.contains(worker));
+    BOOST_TEST(!has_no_suspects(st.crashes));
+    for (const auto time : {milliseconds(50), milliseconds(250), milliseconds(700)}) {
+        advance_time(time);
+        BOOST_REQUIRE(find_effect<probe_worker>() != nullptr);
+        handle(worker_probed{worker, probe_outcome::connected});
+        BOOST_TEST(ask("reset") != 0U);
+        BOOST_TEST(!st.exchanges.at(last_exchange).suspected);
+    }
+    BOOST_TEST(take_crash_reports().empty());
+    advance_time(milliseconds(10'000));
+    BOOST_TEST(st.crashes.watched.empty());
+    BOOST_TEST(has_no_suspects(st.crashes));
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_that_the_list_drops_or_another_instance_replaces_has_ended)
+{
+    const auto first = ask("listed");
+    const std::string dropped = worker_of(first);
+    break_off(first);
+    worker_list_received list;
+    for (int n = 0; n < worker_count; ++n) {
+        if (worker(n, "plain").instance != dropped)
+            list.workers.push_back(worker(n, "plain"));
+    }
+    handle(exchange_event(list));
+    BOOST_TEST(!st.crashes.watched.contains(dropped));
+    BOOST_TEST(take_crash_reports().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(suspects_run_at_different_workers)
+{
+    break_off(ask("one"));
+    const auto one = find_effect<start_attempt>()->instance;
+    break_off(ask("two"));
+    BOOST_TEST(find_effect<start_attempt>()->instance != one);
+}
+
+BOOST_AUTO_TEST_CASE(the_last_trial_is_made_once_at_a_time_and_after_the_proof_of_the_one_before)
+{
+    const auto second = end_worker(ask("poison"));
+    const std::string worker = worker_of(second);
+    break_off(second);
+    BOOST_TEST(ask("poison") == 0U); // the end of the second worker is not proved yet
+    BOOST_TEST(refused_status() == 503);
+    handle(worker_probed{worker, probe_outcome::refused});
+    BOOST_TEST(ask("poison") != 0U);
+    BOOST_TEST(ask("poison") == 0U);
+    BOOST_TEST(refused_status() == 503);
+    BOOST_TEST(find_effect<pass_error_reply>()->retry_after.count() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(the_leaders_list_decides_for_requests_of_other_gateways)
+{
+    end_worker(ask("poison"));
+    const auto reports = take_crash_reports();
+    BOOST_REQUIRE(reports.size() == 1U);
+    table_update update;
+    update.from_leader = true;
+    update.crash_list = request_crash_list{{}, {reports[0].fingerprint}};
+    apply(handle_table_update(std::move(st), context{now, 1, self, fleet},
+                              node_id::from_trusted("control-1"), update));
+    BOOST_TEST(ask("poison") == 0U);
+    update.crash_list = request_crash_list{};
+    apply(handle_table_update(std::move(st), context{now, 1, self, fleet},
+                              node_id::from_trusted("control-1"), update));
+    BOOST_TEST(ask("poison") != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_is_told_of_all_suspects)
+{
+    end_worker(ask("poison"));
+    BOOST_TEST(take_crash_reports().size() == 1U);
+    BOOST_TEST(take_crash_reports().empty());
+    st.crashes = with_new_leader(std::move(st.crashes));
+    BOOST_TEST(take_crash_reports().size() == 1U);
+}
+
+// Callers must not fill the memory with suspects.
+BOOST_AUTO_TEST_CASE(what_is_remembered_is_limited)
+{
+    crash_watch w;
+    for (std::uint64_t n = 0; n < 3 * max_crash_suspects; ++n)
+        w = with_broken_run(std::move(w), now, "w" + std::to_string(n), "10.0.0.1:80", {n, n});
+    BOOST_TEST(w.suspects.entries.size() <= max_crash_suspects);
+    BOOST_TEST(w.watched.size() <= 256U);
+    crash_evidence_table evidence;
+    for (std::uint64_t n = 0; n < 3 * max_crash_suspects; ++n)
+        evidence = with_report(std::move(evidence), now, {{n, n}, {1, 2, 3, 4, 5}, false});
+    BOOST_TEST(evidence.size() <= max_crash_suspects);
+    BOOST_TEST(evidence.begin()->second.workers.size() <= max_ended_workers);
+    evidence = with_report(std::move(evidence), now + crash_memory, {{0, 0}, {1}, false});
+    BOOST_TEST(evidence.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/libcore/gateway_crashes.cpp
@@ -0,0 +1,158 @@
+// Keeps requests that end the workers that run them from further workers.
+
+#include "gateway_pvt.h"
+
+#include <bluebell/core/visit.h>
+
+#include <algorithm>
+
+namespace bluebell::core::gateway {
+
+namespace {
+
+/// Returns an API key of the workspace, the same at all gateways, or an empty text. Other callers
+/// don't know it, so they can't choose a request with another workspace's fingerprint.
+std::string_view key_of(const routing_table& table, const workspace_id& workspace)
+{
+    const auto it = std::find_if(table.keys.begin(), table.keys.end(), [&](const auto& entry) {
+        return entry.second.workspace == workspace;
+    });
+    return it == table.keys.end() ? std::string_view() : std::string_view(it->first);
+}
+
+/// Identifies a request that comes again: by its workspace, path and body, whatever its id.
+body_digest fingerprint_of(const routing_table& table, const exchange& ex)
+{
+    const pass_request& r = ex.request;
+    const hash64 caller = hash_of(key_of(table, ex.workspace), hash_of(ex.workspace.str()));
+    const hash64 path = hash_of(r.target, hash_of(r.host, hash_of(r.method, caller)));
+    return {hash_of(r.body.view(), path), hash_of(r.body.view(), hash_of("low", path))};
+}
+
+std::string_view reason_text(crash_proof proof)
+{
+    switch (proof) {
+    case crash_proof::connection_refused:
+        return "connection refused";
+    case crash_proof::not_listed:
+        return "not listed any more";
+    case crash_proof::other_instance:
+        return "another instance at its address";
+    }
+    return "";
+}
+
+} // namespace
+
+crash_standing standing_of(const turn& t, const exchange& ex)
+{
+    if (has_no_suspects(t.st.crashes))
+        return crash_unsuspected{};
+    return standing_of(t.st.crashes, t.ctx.now, fingerprint_of(t.st.table, ex));
+}
+
+std::vector<std::string> workers_with_suspects(const turn& t, exchange_id except)
+{
+    std::vector<std::string> instances;
+    for (const auto& [attempt, id] : t.st.attempts) {
+        const exchange& ex = t.st.exchanges.at(id);
+        if (id != except && ex.suspected)
+            instances.push_back(ex.tried_instances.back());
+    }
+    return instances;
+}
+
+bool is_running_elsewhere(const turn& t, exchange_id id)
+{
+    const body_digest own = fingerprint_of(t.st.table, t.st.exchanges.at(id));
+    return std::any_of(t.st.attempts.begin(), t.st.attempts.end(), [&](const auto& entry) {
+        const exchange& other = t.st.exchanges.at(entry.second);
+        return entry.second != id && other.suspected && fingerprint_of(t.st.table, other) == own;
+    });
+}
+
+/// A connection that the worker closed or reset is a sign of its end. One that got no answer any
+/// more is not, and neither is the planned end of a worker that drains or leaves.
+void record_broken_run(turn& t, exchange& ex, const std::string& worker, const attempt_broken& ev)
+{
+    const auto it = t.st.workers.workers.find(worker);
+    const bool is_sign =
+        ev.stage != attempt_stage::unsent && ev.failure.code == error_code::unavailable;
+    if (!is_sign || it == t.st.workers.workers.end() || it->second.entry.draining ||
+        std::holds_alternative<worker_leaving>(
+            availability(t.st.workers.standings, worker, t.ctx.now)))
+        return;
+    const body_digest fingerprint = fingerprint_of(t.st.table, ex);
+    t.st.crashes = with_broken_run(std::move(t.st.crashes), t.ctx.now, worker,
+                                   it->second.entry.address, fingerprint);
+    ex.suspected = true;
+    t.out.emplace_back(make_log_line(log_level::info, component,
+                                     "Worker broke off a request; it is watched.", ex.request.id,
+                                     {{"worker", worker},
+                                      {"fingerprint", to_string(fingerprint)},
+                                      {"workspace", ex.workspace.str()}}));
+}
+
+void record_complete_answer(turn& t, const exchange& ex)
+{
+    if (has_no_suspects(t.st.crashes))
+        return;
+    t.st.crashes = with_complete_answer(std::move(t.st.crashes), fingerprint_of(t.st.table, ex));
+}
+
+void record_ended_worker(turn& t, const std::string& worker, crash_proof proof)
+{
+    const auto it = t.st.crashes.watched.find(worker);
+    if (it == t.st.crashes.watched.end())
+        return;
+    t.out.emplace_back(make_log_line(
+        log_level::warning, component, "Worker ended while it ran requests.", request_id(),
+        {{"worker", worker},
+         {"requests", std::to_string(it->second.requests.size())},
+         {"proof", std::string(reason_text(proof))},
+         {"after_ms",
+          std::to_string(std::chrono::duration_cast<milliseconds>(t.ctx.now - it->second.broke_at)
+                             .count())}}));
+    t.out.emplace_back(record_metric{"workers_ended_under_requests", 1, rank::normal, {}});
+    t.st.crashes = with_ended_worker(std::move(t.st.crashes), t.ctx.now, worker);
+    t.st.table_sync.next_query_at = std::min(t.st.table_sync.next_query_at, t.ctx.now);
+}
+
+void review_watched_workers(turn& t)
+{
+    std::vector<std::string> ended;
+    std::vector<std::string> draining;
+    for (const auto& [instance, watched] : t.st.crashes.watched) {
+        const auto it = t.st.workers.workers.find(instance);
+        if (it == t.st.workers.workers.end())
+            ended.push_back(instance);
+        else if (it->second.entry.draining)
+            draining.push_back(instance);
+    }
+    for (const auto& instance : ended)
+        record_ended_worker(t, instance, crash_proof::not_listed);
+    for (const auto& instance : draining)
+        t.st.crashes = with_living_worker(std::move(t.st.crashes), t.ctx.now, instance);
+}
+
+void watch_due_workers(turn& t)
+{
+    const due_watches due = find_due(t.st.crashes, t.ctx.now);
+    for (const auto& instance : due.over)
+        t.st.crashes = with_living_worker(std::move(t.st.crashes), t.ctx.now, instance);
+    for (const auto& instance : due.to_probe) {
+        watched_worker& watched = t.st.crashes.watched.at(instance);
+        watched.probes += 1;
+        t.out.emplace_back(probe_worker{instance, watched.address});
+    }
+}
+
+void on(turn& t, const worker_probed& ev)
+{
+    if (ev.outcome == probe_outcome::refused)
+        record_ended_worker(t, ev.instance, crash_proof::connection_refused);
+    else if (ev.outcome == probe_outcome::connected)
+        t.st.crashes = with_accepting_worker(std::move(t.st.crashes), t.ctx.now, ev.instance);
+}
+
+} // namespace bluebell::core::gateway
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -52,6 +52,8 @@
 /// function may pass a status that promises that the request did not run (429, 503, 408, 421) only
 /// if that is certain.
 void refuse(turn& t, exchange_id id, std::uint16_t status, std::string_view text);
+/// As refuse, without a time at which the caller should come back.
+void refuse_without_retry(turn& t, exchange_id id, std::uint16_t status, std::string_view text);
 /// Removes an exchange whose answer is complete or can't be completed.
 void remove_exchange(turn& t, exchange_id id);
 /// Computes the exchange's next timeout and updates its timer.
@@ -60,6 +62,28 @@
 /// brought no answer for too long.
 void handle_timeout(turn& t, exchange_id id);
 
+// gateway_crashes.cpp
+
+/// How it was found that a worker's process has ended.
+enum class crash_proof : std::uint8_t { connection_refused, not_listed, other_instance };
+/// Returns what counts against the request.
+[[nodiscard]] crash_standing standing_of(const turn& t, const exchange& ex);
+/// Returns the workers that run suspects, other than the given one.
+[[nodiscard]] std::vector<std::string> workers_with_suspects(const turn& t, exchange_id except);
+/// Returns whether another exchange with the same fingerprint has an attempt in progress.
+[[nodiscard]] bool is_running_elsewhere(const turn& t, exchange_id id);
+/// Watches the worker if its broken connection may be a sign of its end.
+void record_broken_run(turn& t, exchange& ex, const std::string& worker, const attempt_broken& ev);
+/// Clears a request that a worker has answered completely.
+void record_complete_answer(turn& t, const exchange& ex);
+/// Counts the end of a watched worker against the requests that it broke off.
+void record_ended_worker(turn& t, const std::string& worker, crash_proof proof);
+/// Compares the watched workers with a new list.
+void review_watched_workers(turn& t);
+/// Sends the probes that are due, and ends watches that are over.
+void watch_due_workers(turn& t);
+void on(turn& t, const worker_probed& ev);
+
 // gateway_answers.cpp
 
 void on(turn& t, const attempt_head& ev);
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -48,12 +48,19 @@
     sync.next_query_at = ctx.now + (!has_table        ? first_query_timeout
                                     : leader_is_known ? query_timeout
                                                       : query_interval);
-    const table_query query{ctx.self,
-                            st.table.version,
-                            std::exchange(sync.new_cached_prompts, {}),
-                            own_request_counts(st.workers),
-                            known_list_version(sync),
-                            !has_table};
+    table_query query{ctx.self,
+                      st.table.version,
+                      std::exchange(sync.new_cached_prompts, {}),
+                      own_request_counts(st.workers),
+                      known_list_version(sync),
+                      !has_table,
+                      {},
+                      list_hash(st.crashes.fleet)};
+    if (leader_is_known) {
+        crash_reports_step taken = take_reports(std::move(st.crashes), ctx.now);
+        st.crashes = std::move(taken.next);
+        query.crash_reports = std::move(taken.reports);
+    }
     if (has_table && leader_is_known) {
         out.emplace_back(send_message{sync.contact, fleet_message(query)});
         return;
@@ -126,8 +133,14 @@
 {
     st.table_sync.contact = from;
     st.table_sync.fetch_deadline = ctx.now + first_table_timeout;
-    const table_query query{
-        ctx.self, 0, {}, own_request_counts(st.workers), known_list_version(st.table_sync), false};
+    const table_query query{ctx.self,
+                            0,
+                            {},
+                            own_request_counts(st.workers),
+                            known_list_version(st.table_sync),
+                            false,
+                            {},
+                            list_hash(st.crashes.fleet)};
     out.emplace_back(send_message{from, fleet_message(query)});
 }
 
@@ -204,8 +217,11 @@
                                            {{"leader", from.str()},
                                             {"table", std::to_string(st.table.version)},
                                             {"newest", std::to_string(update.table_version)}}));
+            st.crashes = with_new_leader(std::move(st.crashes));
         }
         apply_leader_list(st, ctx, update);
+        if (update.crash_list)
+            st.crashes = with_fleet_list(std::move(st.crashes), *update.crash_list);
     }
     update_controls(st.table_sync, update.control_nodes);
     st.workers = with_cached_prompts(std::move(st.workers), update.cached_prompts,
@@ -237,6 +253,7 @@
         }
     }
     gateway::turn t{std::move(st), ctx, std::move(out)};
+    gateway::review_watched_workers(t);
     gateway::update_readiness(t);
     t.out.emplace_back(schedule_tick{t.st.table_sync.next_query_at});
     return {std::move(t.st), std::move(t.out)};
--- a/src/libcore/quarantine.cpp
+++ b/src/libcore/quarantine.cpp
@@ -37,8 +37,12 @@
 quarantine_table apply_crash_report(quarantine_table current, const crash_report& report,
                                     microseconds expires_at)
 {
-    if (current.quarantined_until.contains(report.digest) && !report.was_sole_call)
+    const bool is_quarantined = current.quarantined_until.contains(report.digest);
+    if (is_quarantined && !report.was_sole_call) {
+        if (report.cleared)
+            current.quarantined_until.erase(report.digest);
         return current;
+    }
     const auto it = current.suspects.find(report.digest);
     const bool is_suspect = it != current.suspects.end();
     const bool is_from_holder = is_suspect && it->second.holder == report.agent;
--- a/src/libruntime/byte_stream.cpp
+++ b/src/libruntime/byte_stream.cpp
@@ -46,8 +46,23 @@
     set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
 }
 
+/// Makes the error of a failed call on a connection: unavailable if the peer's machine has
+/// answered, deadline_exceeded if it hasn't.
+core::error make_error(std::string step, std::string peer, int system_error)
+{
+    const bool has_answered =
+        system_error != ETIMEDOUT && system_error != EHOSTUNREACH && system_error != ENETUNREACH;
+    return {has_answered ? error_code::unavailable : error_code::deadline_exceeded, std::move(step),
+            std::move(peer), std::strerror(system_error)};
+}
+
 } // namespace
 
+bool byte_stream::is_refusal(const core::error& e)
+{
+    return e.step == "connect" && e.code == error_code::unavailable;
+}
+
 byte_stream::byte_stream(std::shared_ptr<event_loop> loop, int descriptor,
                          core::microseconds stall_timeout)
     : loop_(std::move(loop)), descriptor_(descriptor), output_(evbuffer_new())
@@ -81,12 +96,12 @@
         return core::fail(error_code::invalid_argument, "connect", peer, "not an IP number");
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0)
-        return core::fail(error_code::unavailable, "connect", peer, std::strerror(errno));
+        return core::fail(error_code::unavailable, "open socket", peer, std::strerror(errno));
     auto stream = adopt(std::move(loop), fd);
     stream->peer_ = peer;
     if (::connect(fd, reinterpret_cast<const sockaddr*>(&remote), sizeof remote) != 0 &&
         errno != EINPROGRESS)
-        return core::fail(error_code::unavailable, "connect", peer, std::strerror(errno));
+        return tl::unexpected(make_error("connect", peer, errno));
     stream->connecting_ = true;
     return stream;
 }
@@ -121,7 +136,7 @@
     ::getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &code, &size);
     connecting_ = false;
     if (code != 0) {
-        const core::error failure{error_code::unavailable, "connect", peer_, std::strerror(code)};
+        const core::error failure = make_error("connect", peer_, code);
         fail(&failure);
         return;
     }
@@ -140,7 +155,7 @@
     if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
     if (n < 0) {
-        const core::error failure{error_code::unavailable, "receive", peer_, std::strerror(errno)};
+        const core::error failure = make_error("receive", peer_, errno);
         fail(&failure);
         return;
     }
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -59,6 +59,7 @@
     void operator()(const start_attempt& e) const { node.adapters_.workers->run(e); }
     void operator()(const cancel_attempt& e) const { node.adapters_.workers->run(e); }
     void operator()(const recall_attempt& e) const { node.adapters_.workers->run(e); }
+    void operator()(const probe_worker& e) const { node.adapters_.workers->run(e); }
     void operator()(const pause_attempt& e) const { node.adapters_.workers->run(e); }
     void operator()(const pass_head& e) const { node.adapters_.pass_through->run(e); }
     void operator()(const pass_data& e) const { node.adapters_.pass_through->run(e); }
--- a/src/libruntime/worker_channel.cpp
+++ b/src/libruntime/worker_channel.cpp
@@ -85,9 +85,8 @@
 {
 }
 
-core::result<std::shared_ptr<worker_channel>>
-worker_channel::connect(std::weak_ptr<worker_client> client,
-                        const std::shared_ptr<event_loop>& loop, const std::string& address)
+core::result<std::shared_ptr<byte_stream>>
+worker_channel::connect_stream(const std::shared_ptr<event_loop>& loop, const std::string& address)
 {
     const auto colon = address.rfind(':');
     std::uint16_t port = 0;
@@ -95,7 +94,14 @@
         std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
     if (port == 0)
         return core::fail(error_code::invalid_argument, "connect", address, "not IP:PORT");
-    auto stream = byte_stream::connect(loop, address.substr(0, colon), port);
+    return byte_stream::connect(loop, address.substr(0, colon), port);
+}
+
+core::result<std::shared_ptr<worker_channel>>
+worker_channel::connect(std::weak_ptr<worker_client> client,
+                        const std::shared_ptr<event_loop>& loop, const std::string& address)
+{
+    auto stream = connect_stream(loop, address);
     if (!stream)
         return tl::unexpected(stream.error());
     std::shared_ptr<worker_channel> c(
--- a/src/libruntime/worker_channel_pvt.h
+++ b/src/libruntime/worker_channel_pvt.h
@@ -14,6 +14,9 @@
     [[nodiscard]] static core::result<std::shared_ptr<worker_channel>>
     connect(std::weak_ptr<worker_client> client, const std::shared_ptr<event_loop>& loop,
             const std::string& address);
+    /// Starts connecting to IP:PORT, without a channel. Fails as connect does.
+    [[nodiscard]] static core::result<std::shared_ptr<byte_stream>>
+    connect_stream(const std::shared_ptr<event_loop>& loop, const std::string& address);
 
     /// Sends the request. The channel must be idle.
     void run(const core::start_attempt& e, const std::vector<core::header_field>& fields);
--- a/src/libruntime/worker_client.cpp
+++ b/src/libruntime/worker_client.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t max_idle_per_worker = 16;
 /// Time between two checks for idle channels that expired.
 constexpr core::microseconds expiry_check_interval{1'000'000};
+/// A probe without an answer ends after this time.
+constexpr core::microseconds probe_timeout{300'000};
 
 } // namespace
 
@@ -76,6 +78,47 @@
         it->second->pause(e.paused);
 }
 
+void worker_client::run(const core::probe_worker& e)
+{
+    if (probes_.contains(e.instance))
+        return;
+    auto connected = worker_channel::connect_stream(loop_, e.address);
+    if (!connected) {
+        finish_probe(e.instance, byte_stream::is_refusal(connected.error())
+                                     ? core::probe_outcome::refused
+                                     : core::probe_outcome::unknown);
+        return;
+    }
+    probe& p = probes_[e.instance];
+    p.stream = std::move(*connected);
+    const auto finish = [self = weak_from_this(), instance = e.instance](core::probe_outcome o) {
+        if (const auto client = self.lock())
+            client->finish_probe(instance, o);
+    };
+    p.timeout = watcher::timer(*loop_, [finish] { finish(core::probe_outcome::unknown); });
+    p.timeout->arm(probe_timeout);
+    byte_stream::callbacks handlers;
+    handlers.data = [](std::string_view data) { return data.size(); };
+    handlers.connected = [finish] { finish(core::probe_outcome::connected); };
+    handlers.closed = [finish](const core::error* failure) {
+        const bool is_refused = failure != nullptr && byte_stream::is_refusal(*failure);
+        finish(is_refused ? core::probe_outcome::refused : core::probe_outcome::unknown);
+    };
+    p.stream->start(std::move(handlers));
+}
+
+void worker_client::finish_probe(const std::string& instance, core::probe_outcome outcome)
+{
+    const auto it = probes_.find(instance);
+    if (it != probes_.end()) {
+        it->second.stream->close();
+        // The stream or the timer may be the caller of this function.
+        loop_->defer([p = std::make_shared<probe>(std::move(it->second))] {});
+        probes_.erase(it);
+    }
+    report(core::worker_probed{instance, outcome});
+}
+
 std::shared_ptr<worker_channel> worker_client::take_idle(const std::string& address)
 {
     const auto it = idle_.find(address);
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -103,11 +103,52 @@
     });
 }
 
+void put(const request_crash_report& from, pb::RequestCrashes& to)
+{
+    wire::put(from.fingerprint, *to.mutable_request());
+    for (const auto worker : from.workers)
+        to.add_workers(worker);
+    to.set_cleared(from.cleared);
+}
+
+request_crash_report get(const pb::RequestCrashes& from)
+{
+    return {
+        wire::get(from.request()), {from.workers().begin(), from.workers().end()}, from.cleared()};
+}
+
+void put(const request_crash_list& from, pb::RequestCrashList& to)
+{
+    for (const auto& d : from.suspects)
+        wire::put(d, *to.add_suspects());
+    for (const auto& d : from.quarantined)
+        wire::put(d, *to.add_quarantined());
+}
+
+request_crash_list get(const pb::RequestCrashList& from)
+{
+    request_crash_list list;
+    for (const auto& d : from.suspects())
+        list.suspects.push_back(wire::get(d));
+    for (const auto& d : from.quarantined())
+        list.quarantined.push_back(wire::get(d));
+    return list;
+}
+
 result<fleet_message> get(const pb::TableQuery& from)
 {
     return wire::get(from.from()).map([&](auto node) {
-        return fleet_message(table_query{std::move(node), from.version(), get_cached_prompts(from),
-                                         get_request_counts(from), from.list(), from.names_only()});
+        table_query query{std::move(node),
+                          from.version(),
+                          get_cached_prompts(from),
+                          get_request_counts(from),
+                          from.list(),
+                          from.names_only(),
+                          {},
+                          from.crash_list()};
+        for (const auto& report : from.crashes())
+            query.crash_reports.push_back(get(report));
+        return fleet_message(std::move(query));
     });
 }
 
@@ -169,6 +210,8 @@
     to.set_list(from.worker_list_version);
     if (from.workers)
         put(*from.workers, to);
+    if (from.crash_list)
+        put(*from.crash_list, *to.mutable_crashes());
 }
 
 result<fleet_message> get(const pb::TableNews& from)
@@ -184,7 +227,10 @@
                         get_cached_prompts(from),
                         std::nullopt,
                         from.list(),
-                        get_list_change(from)};
+                        get_list_change(from),
+                        std::nullopt};
+    if (from.has_crashes())
+        update.crash_list = get(from.crashes());
     if (from.has_running())
         update.worker_request_counts = get_request_counts(from.running());
     if (from.has_listed())
@@ -224,6 +270,9 @@
             put_request_counts(m.worker_request_counts, *to.mutable_table_query());
             to.mutable_table_query()->set_list(m.worker_list_version);
             to.mutable_table_query()->set_names_only(m.version_only);
+            for (const auto& report : m.crash_reports)
+                put(report, *to.mutable_table_query()->add_crashes());
+            to.mutable_table_query()->set_crash_list(m.crash_list_hash);
         },
         [&](const table_update& m) { put(m, *to.mutable_table_news()); });
 }
