Don't send a request again on a connection that carried its refusal

A worker may repeat a refusal on a kept connection. Answers are told apart by the request's id, so the copy was believed if the same id was sent again there: its caller was told 'not run' while it ran. Attempts of one request never go to one worker twice, but callers may reuse ids.

Change: a connection remembers the requests that were refused on it, and doesn't carry them again; after 64 refusals it is closed.

Evidence: a_repeated_refusal_is_not_taken_for_the_answer_to_the_same_request failed before. Other requests still use the connection (a_connection_with_a_refusal_serves_other_requests).

--- a/src/include/bluebell/runtime/worker_client.h
+++ b/src/include/bluebell/runtime/worker_client.h
@@ -39,7 +39,9 @@
 private:
     friend class worker_channel;
     worker_client(std::shared_ptr<event_loop> loop, const pass_codec& codec, sink on_event);
-    std::shared_ptr<worker_channel> take_idle(const std::string& address);
+    /// Returns an idle channel that may carry the request, or null.
+    std::shared_ptr<worker_channel> take_idle(const std::string& address,
+                                              const core::request_id& request);
     void add_idle(const std::shared_ptr<worker_channel>& channel);
     void remove_idle(const std::shared_ptr<worker_channel>& channel);
     void report(core::exchange_event ev);
--- a/src/libruntime/worker_channel.cpp
+++ b/src/libruntime/worker_channel.cpp
@@ -30,6 +30,8 @@
 /// Time for which an idle channel may be used if the worker states none, and at most.
 constexpr microseconds default_keep_alive{4'000'000};
 constexpr int max_keep_alive_s = 60;
+/// Refusals on one channel after which it is not used again.
+constexpr std::size_t max_refusals = 64;
 /// An idle channel is closed this long before the worker would close it.
 constexpr microseconds keep_alive_margin{700'000};
 
@@ -151,6 +153,13 @@
     stream_->write(e.request.body.view());
 }
 
+bool worker_channel::may_carry(const core::request_id& request) const
+{
+    const core::hash64 id = core::hash_of(request.str());
+    return std::find(refused_requests_.begin(), refused_requests_.end(), id) ==
+           refused_requests_.end();
+}
+
 void worker_channel::pause(bool paused)
 {
     stream_->pause_reading(paused);
@@ -279,8 +288,10 @@
     if (client == nullptr)
         return;
     client->busy_.erase(ended_attempt);
+    if (is_refusal_)
+        refused_requests_.push_back(core::hash_of(request_.str()));
     // A worker may answer before it has read the whole request.
-    if (reusable && stream_->unsent_bytes() == 0) {
+    if (reusable && stream_->unsent_bytes() == 0 && refused_requests_.size() < max_refusals) {
         stream_->pause_reading(false);
         usable_until_ =
             client->loop_->now() + std::max(microseconds{0}, keep_alive_ - keep_alive_margin);
--- a/src/libruntime/worker_channel_pvt.h
+++ b/src/libruntime/worker_channel_pvt.h
@@ -24,6 +24,10 @@
     /// Stops or resumes reading the answer in progress.
     void pause(bool paused);
 
+    /// Returns whether the request's answer could be told from a late copy: the worker may repeat a
+    /// refusal, which names the request, when the same one is sent again.
+    [[nodiscard]] bool may_carry(const core::request_id& request) const;
+
     /// Aborts the request in progress and closes the connection. No event follows.
     void close();
 
@@ -52,8 +56,9 @@
     std::string address_;
     message_reader reader_;
     std::unique_ptr<watcher> connect_timer_;
-    core::attempt_number attempt_ = 0; ///< attempt in progress; 0: idle
-    core::request_id request_;         ///< answers that name another request are dropped
+    core::attempt_number attempt_ = 0;           ///< attempt in progress; 0: idle
+    core::request_id request_;                   ///< answers that name another request are dropped
+    std::vector<core::hash64> refused_requests_; ///< hashes of the ids of those refused here
     bool connected_ = false;
     bool head_only_ = false;              ///< the request was HEAD
     bool head_handled_ = false;           ///< the head of the current answer was handled
--- a/src/libruntime/worker_client.cpp
+++ b/src/libruntime/worker_client.cpp
@@ -37,7 +37,7 @@
 
 void worker_client::run(const core::start_attempt& e)
 {
-    auto channel = take_idle(e.address);
+    auto channel = take_idle(e.address, e.request.id);
     if (channel == nullptr) {
         auto connected = worker_channel::connect(weak_from_this(), loop_, e.address);
         if (!connected) {
@@ -119,17 +119,20 @@
     report(core::worker_probed{instance, outcome});
 }
 
-std::shared_ptr<worker_channel> worker_client::take_idle(const std::string& address)
+std::shared_ptr<worker_channel> worker_client::take_idle(const std::string& address,
+                                                         const core::request_id& request)
 {
     const auto it = idle_.find(address);
     if (it == idle_.end())
         return nullptr;
     auto& channels = it->second;
-    std::shared_ptr<worker_channel> channel;
-    if (!channels.empty() && channels.back()->usable_until() > loop_->now()) {
-        channel = std::move(channels.back());
-        channels.pop_back();
-    }
+    const auto newest = std::find_if(channels.rbegin(), channels.rend(), [&](const auto& channel) {
+        return channel->usable_until() > loop_->now() && channel->may_carry(request);
+    });
+    if (newest == channels.rend())
+        return nullptr;
+    const std::shared_ptr<worker_channel> channel = *newest;
+    channels.erase(std::next(newest).base());
     return channel;
 }
 
--- a/src/libruntime/worker_client_test.cpp
+++ b/src/libruntime/worker_client_test.cpp
@@ -186,6 +186,32 @@
     BOOST_TEST(body_of(second) == "two");
 }
 
+// Guards against a refusal that the worker repeats when the same request is sent again: the caller
+// would be told that it has not run, while it runs.
+BOOST_FIXTURE_TEST_CASE(a_repeated_refusal_is_not_taken_for_the_answer_to_the_same_request, fixture)
+{
+    const std::string refusal =
+        "HTTP/1.1 503 Full\r\nId: q1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    ask("q1");
+    send(refusal);
+    const auto second = ask("q1");
+    accepted.front()->write(refusal); // on the connection that was kept
+    run();
+    BOOST_TEST(!is_completed(second));
+    send(make_answer("q1", "ran"));
+    BOOST_TEST(body_of(second) == "ran");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_connection_with_a_refusal_serves_other_requests, fixture)
+{
+    ask("q1");
+    send("HTTP/1.1 503 Full\r\nId: q1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    const auto second = ask("q2");
+    BOOST_TEST(accepted.size() == 1U);
+    send(make_answer("q2", "two"));
+    BOOST_TEST(body_of(second) == "two");
+}
+
 // The copy arrives when the connection is in use again; the next caller must not get it.
 BOOST_FIXTURE_TEST_CASE(a_late_copy_is_not_taken_for_the_next_answer, fixture)
 {
