Discard what doesn't continue a resumed stream

What callers would see: the text of a document in the middle of a stream, an event twice or left out, or a stream that ends as if it were complete.

Cause: a resumed attempt's answer was judged by its status alone, and the ids of its events by nothing.

Change: a resumed answer must be a stream of events that goes on behind the last event: at the next id if the ids had a constant step, else at a higher one. A document on a route of streams is no stream: it is held or passed on as it is, and never resumed.

Evidence: five of the eight new cases of gateway_streams failed before (a document, an empty success, a repeated and a skipped event, a document that was resumed); errors and encoded bodies were discarded. Heads of streams in older tests say now that they are streams, as workers do.

--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -34,6 +34,23 @@
     friend bool operator==(const exchange_policy&, const exchange_policy&) = default;
 };
 
+/// The ids of the events of one stream.
+struct event_sequence {
+    std::optional<std::uint64_t> last; ///< of the last complete event sent to the caller
+    std::uint64_t step = 0;            ///< from each event to the next, as far as it is constant
+    std::uint32_t steps = 0;           ///< steps seen
+    bool is_irregular = false;         ///< the steps differ
+
+    friend bool operator==(const event_sequence&, const event_sequence&) = default;
+};
+
+/// Adds the ids of events that are sent to the caller.
+[[nodiscard]] event_sequence with_events(event_sequence s, const std::vector<std::uint64_t>& ids);
+
+/// Returns whether a resumed stream that goes on with this event neither repeats nor skips one, as
+/// far as the earlier ids tell.
+[[nodiscard]] bool continues_at(const event_sequence& s, std::uint64_t id);
+
 /// One caller's request and the state of its answer, until the answer has ended.
 struct exchange {
     pass_request request;
@@ -51,12 +68,14 @@
     bool may_have_run = false;              ///< an earlier attempt was sent and not refused
     bool answer_started = false;            ///< the head of an answer was sent to the caller
     std::uint16_t answer_status = 0;        ///< status in that head
+    bool is_event_stream = false;           ///< that answer is a stream of events
+    bool must_continue = false;             ///< the next event is the first one of a resumed stream
     instant answer_started_at{};            ///< when that head was sent
     instant progressed_at{};                ///< when a stream last brought a whole event
     bool caller_lags = false;               ///< the answer must not be read at present
     std::optional<worker_answer> held_head; ///< head of an answer that is not sent yet
     std::string pending_data;               ///< body of the held answer, or an incomplete event
-    std::optional<std::uint64_t> last_event_id; ///< last complete event sent to the caller
+    event_sequence events;                  ///< that the caller has received
 
     friend bool operator==(const exchange&, const exchange&) = default;
 };
@@ -145,9 +164,8 @@
 /// Data of an event stream, split after its last complete event.
 struct split_events {
     std::string complete_events;
-    std::string incomplete_event; ///< beginning of the next event
-    /// Id of the last complete event that has one.
-    std::optional<std::uint64_t> last_event_id;
+    std::string incomplete_event;         ///< beginning of the next event
+    std::vector<std::uint64_t> event_ids; ///< of the complete events that have one
 };
 [[nodiscard]] split_events split_at_events(std::string data);
 
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -69,7 +69,7 @@
     const microseconds caller_timeout =
         request.caller_timeout.count() > 0 ? request.caller_timeout : default_caller_timeout;
     ex.deadline = arrived_at + std::min(caller_timeout, r.time_limit);
-    ex.last_event_id = request.last_event_id;
+    ex.events.last = request.last_event_id;
     ex.request = std::move(request);
     return ex;
 }
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -19,24 +19,43 @@
     s.incomplete_event = data.substr(end + 2);
     data.resize(end + 2);
     constexpr std::string_view field = "id:";
-    for (auto field_at = data.rfind(field); field_at != std::string::npos;
-         field_at = data.rfind(field, field_at - 1)) {
-        if (field_at == 0 || data[field_at - 1] == '\n') {
-            std::uint64_t id = 0;
-            const char* first = data.data() + field_at + field.size();
-            first += *first == ' ' ? 1 : 0;
-            const auto [last, ec] = std::from_chars(first, data.data() + data.size(), id);
-            if (ec == std::errc())
-                s.last_event_id = id;
-            break;
-        }
-        if (field_at == 0)
-            break;
+    for (auto at = data.find(field); at != std::string::npos; at = data.find(field, at + 1)) {
+        if (at != 0 && data[at - 1] != '\n')
+            continue;
+        const char* first = data.data() + at + field.size();
+        first += *first == ' ' ? 1 : 0;
+        std::uint64_t id = 0;
+        const auto [last, ec] = std::from_chars(first, data.data() + data.size(), id);
+        if (ec == std::errc())
+            s.event_ids.push_back(id);
     }
     s.complete_events = std::move(data);
     return s;
 }
 
+event_sequence with_events(event_sequence s, const std::vector<std::uint64_t>& ids)
+{
+    for (const auto id : ids) {
+        if (s.last) {
+            const std::uint64_t step = id - *s.last;
+            s.is_irregular = s.is_irregular || (s.steps != 0 && step != s.step);
+            s.step = step;
+            s.steps += 1;
+        }
+        s.last = id;
+    }
+    return s;
+}
+
+bool continues_at(const event_sequence& s, std::uint64_t id)
+{
+    constexpr std::uint32_t min_steps = 2;
+    if (!s.last)
+        return true;
+    const bool has_constant_step = !s.is_irregular && s.steps >= min_steps;
+    return has_constant_step ? id == *s.last + s.step : id > *s.last;
+}
+
 namespace gateway {
 
 namespace {
@@ -130,9 +149,15 @@
     }
     if (s.complete_events.empty())
         return;
+    if (ex.must_continue && !s.event_ids.empty()) {
+        if (!continues_at(ex.events, s.event_ids.front())) {
+            discard_answer(t, id, ex, "the stream goes on at another event");
+            return;
+        }
+        ex.must_continue = false;
+    }
     ex.progressed_at = t.ctx.now;
-    if (s.last_event_id)
-        ex.last_event_id = s.last_event_id;
+    ex.events = with_events(ex.events, s.event_ids);
     t.out.emplace_back(pass_data{id, std::move(s.complete_events)});
 }
 
@@ -209,11 +234,11 @@
         return;
     }
     if (ex->answer_started) {
-        if (!is_success(ev.head.status))
+        if (!is_success(ev.head.status) || !ev.head.event_stream)
             discard_answer(t, id, *ex, "the stream was not resumed");
         return;
     }
-    const bool streamed = is_success(ev.head.status) && ex->policy.streamed;
+    const bool streamed = is_success(ev.head.status) && ex->policy.streamed && ev.head.event_stream;
     if (promises_not_run(ev.head.status)) {
         ex->held_head = ev.head; // never sent, see handle_held_answer
         return;
@@ -223,6 +248,7 @@
         worker_answer head = ev.head;
         if (streamed)
             head.length.reset(); // the stream may be resumed, and then its length may differ
+        ex->is_event_stream = streamed;
         start_answer(t, id, *ex, std::move(head));
         return;
     }
@@ -235,7 +261,7 @@
     exchange* ex = find_exchange(t, ev.attempt, id);
     if (ex == nullptr)
         return;
-    if (ex->answer_started && ex->policy.streamed) {
+    if (ex->is_event_stream) {
         forward_events(t, id, *ex, ev.data);
         return;
     }
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -66,8 +66,8 @@
 /// be resumed: the worker's silence is no reason to end it before its deadline.
 instant stalls_at(const exchange& ex)
 {
-    const bool can_resume =
-        ex.policy.resumable && ex.attempt != 0 && ex.sent_attempts < ex.policy.max_workers;
+    const bool can_resume = ex.policy.resumable && ex.is_event_stream && ex.attempt != 0 &&
+                            ex.sent_attempts < ex.policy.max_workers;
     return can_resume && !ex.caller_lags ? ex.progressed_at + stall_time(ex.policy)
                                          : instant::max();
 }
@@ -178,7 +178,8 @@
     effect.time_left = ex.deadline - t.ctx.now;
     if (engine != nullptr)
         effect.priority = engine_priority(ex);
-    effect.last_event_id = ex.last_event_id;
+    effect.last_event_id = ex.events.last;
+    ex.must_continue = ex.events.last.has_value();
     effect.fetch_from = choice.fetch_from;
     if (demand != nullptr)
         add_new_cached_prompts(t, instance, *demand);
@@ -452,7 +453,7 @@
     exchange& ex = t.st.exchanges.at(id);
     const bool has_time = ex.deadline - t.ctx.now > min_retry_time;
     const bool may_run_again = !ex.may_have_run || ex.policy.repeatable;
-    const bool can_resume = !ex.answer_started || ex.policy.resumable;
+    const bool can_resume = !ex.answer_started || (ex.policy.resumable && ex.is_event_stream);
     const bool attempts_remain =
         ex.sent_attempts < ex.policy.max_workers && ex.unsent_attempts < max_unsent_attempts;
     const bool never_sent = ex.sent_attempts == 0;
@@ -470,7 +471,7 @@
                       {{"why", to_string(failure)},
                        {"worker", ex.tried_instances.empty() ? "" : ex.tried_instances.back()},
                        {"sends", std::to_string(ex.sent_attempts)},
-                       {"after", std::to_string(ex.last_event_id.value_or(0))}}));
+                       {"after", std::to_string(ex.events.last.value_or(0))}}));
     ex.held_head.reset();
     ex.pending_data.clear();
     assign_worker(t, id);
--- a/src/libcore/gateway_history_test.cpp
+++ b/src/libcore/gateway_history_test.cpp
@@ -96,7 +96,9 @@
                     static_cast<std::uint16_t>(*rc::gen::element(200, 500, 503, 404));
                 if (in_progress)
                     requests[id].may_have_run = true;
-                g.handle(attempt_head{attempt, answer(status, name)});
+                worker_answer head = answer(status, name);
+                head.event_stream = *rc::gen::arbitrary<bool>();
+                g.handle(attempt_head{attempt, head});
             } else if (kind == 6) {
                 if (in_progress && g.st.exchanges.at(id).held_head.has_value())
                     g.handle(attempt_completed{attempt});
--- a/src/libcore/gateway_notice_test.cpp
+++ b/src/libcore/gateway_notice_test.cpp
@@ -127,7 +127,9 @@
 BOOST_AUTO_TEST_CASE(a_stream_that_says_its_worker_leaves_goes_on_and_is_resumed_elsewhere)
 {
     const auto first = ask_until_sent_to("w1engine", "/stream/x");
-    handle(attempt_head{first, leaving(200)});
+    worker_answer head = leaving(200);
+    head.event_stream = true;
+    handle(attempt_head{first, head});
     BOOST_TEST(find_effect<pass_head>() != nullptr);
     handle(attempt_data{first, "id: 1\ndata: e1\n\n"});
     BOOST_TEST(find_effect<pass_data>() != nullptr);
--- a/src/libcore/gateway_stream_test.cpp
+++ b/src/libcore/gateway_stream_test.cpp
@@ -124,6 +124,113 @@
     BOOST_TEST(started_attempt().last_event_id.value_or(0) == 1U);
 }
 
+namespace {
+
+/// A stream whose first worker has broken off after three events; it is resumed at another one.
+struct resumed_stream : streaming_gateway {
+    resumed_stream()
+    {
+        for (int n = 1; n <= 3; ++n)
+            send_event(first.attempt, n);
+        handle(attempt_broken{first.attempt,
+                              attempt_stage::answer_started,
+                              {error_code::unavailable, "receive", "w", "closed"}});
+        second = started_attempt().attempt;
+    }
+    /// Sends the head and the body of the second worker's answer, and expects that no byte of it
+    /// reaches the caller and that the stream doesn't end as if it were complete.
+    void check_is_discarded(const worker_answer& head, const std::string& body)
+    {
+        const auto reaches_caller = [&] {
+            return find_effect<pass_head>() != nullptr || find_effect<pass_data>() != nullptr ||
+                   find_effect<pass_end>() != nullptr || find_effect<pass_error_reply>() != nullptr;
+        };
+        handle(attempt_head{second, head});
+        BOOST_TEST(!reaches_caller());
+        handle(attempt_data{second, body});
+        BOOST_TEST(!reaches_caller());
+        handle(attempt_completed{second});
+        BOOST_TEST(!reaches_caller());
+    }
+    static worker_answer stream_head()
+    {
+        worker_answer head = answer(200);
+        head.event_stream = true;
+        return head;
+    }
+    attempt_number second = 0;
+};
+
+} // namespace
+
+// Guards against the text of another answer in the middle of a stream.
+BOOST_FIXTURE_TEST_CASE(an_error_in_place_of_the_rest_of_a_stream_is_discarded, resumed_stream)
+{
+    check_is_discarded(answer(500), "{\"error\":\"oops\"}\n\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_document_in_place_of_the_rest_of_a_stream_is_discarded, resumed_stream)
+{
+    worker_answer head = answer(200);
+    head.length = 6;
+    check_is_discarded(head, "{\"a\":1}\n\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(an_empty_success_in_place_of_the_rest_of_a_stream_is_discarded,
+                        resumed_stream)
+{
+    handle(attempt_head{second, answer(204)});
+    handle(attempt_completed{second});
+    BOOST_TEST(find_effect<pass_end>() == nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_encoded_rest_of_a_stream_is_discarded, resumed_stream)
+{
+    worker_answer head = stream_head();
+    head.encoded = true;
+    check_is_discarded(head, "id: 4\ndata: x\n\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_that_repeats_an_event_is_discarded, resumed_stream)
+{
+    check_is_discarded(stream_head(), "id: 3\ndata: x\n\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_that_skips_an_event_is_discarded, resumed_stream)
+{
+    check_is_discarded(stream_head(), "id: 5\ndata: x\n\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_that_starts_where_it_was_asked_goes_on, resumed_stream)
+{
+    handle(attempt_head{second, stream_head()});
+    BOOST_TEST(find_effect<pass_head>() == nullptr);
+    handle(attempt_data{second, "id: 4\nda"});
+    handle(attempt_data{second, "ta: x\n\n"});
+    BOOST_REQUIRE(find_effect<pass_data>() != nullptr);
+    BOOST_TEST(find_effect<pass_data>()->data == "id: 4\ndata: x\n\n");
+    handle(attempt_completed{second});
+    BOOST_TEST(find_effect<pass_end>() != nullptr);
+}
+
+// A document on a route of streams can't be continued behind a part of it.
+BOOST_FIXTURE_TEST_CASE(a_document_on_a_route_of_streams_is_never_resumed, ready_gateway)
+{
+    handle(pass_request_received{1, request("/stream/a")});
+    const auto attempt = started_attempt().attempt;
+    worker_answer head = answer(200);
+    head.length = 2'000'000;
+    handle(attempt_head{attempt, head});
+    handle(attempt_data{attempt, "{\"a\":\n\n1"});
+    BOOST_REQUIRE(find_effect<pass_data>() != nullptr);
+    BOOST_TEST(find_effect<pass_data>()->data == "{\"a\":\n\n1");
+    handle(attempt_broken{attempt,
+                          attempt_stage::answer_started,
+                          {error_code::unavailable, "receive", "w", "closed"}});
+    BOOST_TEST(find_effect<start_attempt>() == nullptr);
+    BOOST_TEST(find_effect<pass_abort>() != nullptr);
+}
+
 // A refusal of the worker without its statement that nothing ran would be a false promise, however
 // long its body is.
 BOOST_FIXTURE_TEST_CASE(a_long_answer_with_a_status_that_would_promise_not_run_is_replaced,
--- a/src/libcore/gateway_test.cpp
+++ b/src/libcore/gateway_test.cpp
@@ -125,7 +125,7 @@
 {
     handle(pass_request_received{1, request("/stream/x")});
     const auto attempt = started_attempt().attempt;
-    handle(attempt_head{attempt, answer(200)});
+    handle(attempt_head{attempt, stream_answer()});
     BOOST_REQUIRE(find_effect<pass_head>() != nullptr);
     BOOST_TEST(!find_effect<pass_head>()->head.length.has_value());
     handle(attempt_data{attempt, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"});
@@ -133,7 +133,7 @@
     handle(attempt_broken{attempt, attempt_stage::answer_started, {}});
     BOOST_TEST(started_attempt().last_event_id.value() == 2U);
     const auto second = started_attempt().attempt;
-    handle(attempt_head{second, answer(200)});
+    handle(attempt_head{second, stream_answer()});
     BOOST_TEST(find_effect<pass_head>() == nullptr);
     handle(attempt_data{second, "id: 3\ndata: c\n\n"});
     BOOST_TEST(find_effect<pass_data>()->data == "id: 3\ndata: c\n\n");
@@ -145,7 +145,7 @@
 {
     handle(pass_request_received{1, request("/once/x")});
     const auto attempt = started_attempt().attempt;
-    handle(attempt_head{attempt, answer(200)});
+    handle(attempt_head{attempt, stream_answer()});
     handle(attempt_data{attempt, "id: 1\ndata: a\n\n"});
     handle(attempt_broken{attempt, attempt_stage::answer_started, {}});
     BOOST_TEST(find_effect<start_attempt>() == nullptr);
@@ -387,9 +387,9 @@
     const auto s = split_at_events("id: 7\ndata: x\n\nid:8\ndata: y\n\nid: 9\n");
     BOOST_TEST(s.complete_events == "id: 7\ndata: x\n\nid:8\ndata: y\n\n");
     BOOST_TEST(s.incomplete_event == "id: 9\n");
-    BOOST_TEST(s.last_event_id.value() == 8U);
+    BOOST_TEST(s.event_ids.back() == 8U);
     BOOST_TEST(split_at_events("data: id: 3").complete_events.empty());
-    BOOST_TEST(!split_at_events("data: id: 3\n\n").last_event_id.has_value());
+    BOOST_TEST(split_at_events("data: id: 3\n\n").event_ids.empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libcore/gateway_test.h
+++ b/src/libcore/gateway_test.h
@@ -82,6 +82,13 @@
     return a;
 }
 
+inline worker_answer stream_answer(const std::string& id = "r1")
+{
+    worker_answer a = answer(200, id);
+    a.event_stream = true;
+    return a;
+}
+
 /// Runs a gateway at a simulated time and keeps the effects of its last step.
 class gateway_fixture {
 public:
