Clear a suspected request at all gateways once one of them has an answer to it

What callers would see: sound requests of equal fingerprints (the same path without a body) refused by one router for two minutes after three workers had ended, while all others served them.

A gateway's own three ends refused the request whatever the leader knew, and the leader's list named nothing between a quarantine and its commit.

Change: the leader's list decides for what it was told: a suspect that it doesn't name after the reports has been cleared elsewhere. The list names what is about to be quarantined. A stream that has run for a second clears its request, so that equal ones needn't wait for its end. A request that broke three connections waits for the proof, also where only the list of workers gives it.

--- a/src/include/bluebell/core/crash_watch.h
+++ b/src/include/bluebell/core/crash_watch.h
@@ -100,7 +100,9 @@
 /// Clears the request, which got a complete answer.
 [[nodiscard]] crash_watch with_complete_answer(crash_watch w, const body_digest& fingerprint);
 
-/// Applies the leader's list. A request that it no longer names as quarantined is cleared.
+/// Applies the leader's list. A request that it no longer names as quarantined is cleared, and so
+/// is one that it would name after this gateway's reports, had no other gateway seen a complete
+/// answer.
 [[nodiscard]] crash_watch with_fleet_list(crash_watch w, const request_crash_list& list);
 
 /// Returns the workers whose next probe is due, and those that were watched for long enough.
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -275,7 +275,6 @@
     const auto it = lead.crash_evidence.find(report.fingerprint);
     if (it == lead.crash_evidence.end() || it->second.workers.size() < max_ended_workers)
         return;
-    lead.crash_evidence.erase(it);
     if (is_quarantined(t, report.fingerprint))
         return;
     lead.queue.commands.emplace_back(
@@ -287,12 +286,16 @@
 void add_crash_list(const control_turn& t, hash64 known_hash, table_update& update)
 {
     request_crash_list list;
+    std::set<body_digest> quarantined; // those whose entry is not committed yet included
+    for (const auto& [fingerprint, until] : t.st.machine.quarantine.quarantined_until)
+        quarantined.insert(fingerprint);
     for (const auto& [fingerprint, evidence] : t.st.lead.crash_evidence) {
-        if (evidence.workers.size() + 1 >= max_ended_workers)
+        if (evidence.workers.size() >= max_ended_workers)
+            quarantined.insert(fingerprint);
+        else if (evidence.workers.size() + 1 >= max_ended_workers)
             list.suspects.push_back(fingerprint);
     }
-    for (const auto& [fingerprint, until] : t.st.machine.quarantine.quarantined_until)
-        list.quarantined.push_back(fingerprint);
+    list.quarantined.assign(quarantined.begin(), quarantined.end());
     if (list_hash(list) != known_hash)
         update.crash_list = std::move(list);
 }
--- a/src/libcore/crash_watch.cpp
+++ b/src/libcore/crash_watch.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace bluebell::core {
 
@@ -77,8 +78,9 @@
     if (workers == 0)
         return crash_unsuspected{};
     const bool has_unproven = record != nullptr && !record->unproven.empty();
-    return crash_suspected{workers, workers + 1 >= max_ended_workers,
-                           has_unproven && is_being_probed(w, fingerprint)};
+    const bool awaits_proof =
+        has_unproven && (is_being_probed(w, fingerprint) || workers >= max_ended_workers);
+    return crash_suspected{workers, workers + 1 >= max_ended_workers, awaits_proof};
 }
 
 crash_watch with_broken_run(crash_watch w, instant now, const std::string& instance,
@@ -173,13 +175,20 @@
 
 crash_watch with_fleet_list(crash_watch w, const request_crash_list& list)
 {
-    for (const auto& fingerprint : w.fleet.quarantined) {
-        if (!contains(list.quarantined, fingerprint))
-            w.suspects = without_entry(std::move(w.suspects), fingerprint);
-    }
-    w.fleet = list;
+    const request_crash_list previous = std::exchange(w.fleet, list);
     std::sort(w.fleet.suspects.begin(), w.fleet.suspects.end());
     std::sort(w.fleet.quarantined.begin(), w.fleet.quarantined.end());
+    std::vector<body_digest> cleared;
+    for (const auto& [fingerprint, entry] : w.suspects.entries) {
+        const bool is_known_to_leader = entry.value.ended.size() + 1 >= max_ended_workers &&
+                                        !w.unreported.contains(fingerprint);
+        const bool is_listed =
+            contains(w.fleet.suspects, fingerprint) || contains(w.fleet.quarantined, fingerprint);
+        if (!is_listed && (is_known_to_leader || contains(previous.quarantined, fingerprint)))
+            cleared.push_back(fingerprint);
+    }
+    for (const auto& fingerprint : cleared)
+        w.suspects = without_entry(std::move(w.suspects), fingerprint);
     return w;
 }
 
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -66,6 +66,9 @@
 constexpr std::size_t max_held_bytes = std::size_t{256} * 1024;
 /// Maximum size of one event of a stream, in bytes.
 constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+/// A stream that has run for this time hasn't ended its worker: it counts as answered, so that
+/// equal requests needn't wait for its end.
+constexpr microseconds sound_run_time{1'000'000};
 /// Another instance than the expected one runs at the worker's address.
 constexpr std::uint16_t misdirected_request = 421;
 
@@ -156,6 +159,10 @@
         }
         ex.must_continue = false;
     }
+    if (ex.suspected && t.ctx.now - ex.answer_started_at >= sound_run_time) {
+        ex.suspected = false;
+        record_complete_answer(t, ex);
+    }
     ex.progressed_at = t.ctx.now;
     ex.events = with_events(ex.events, s.event_ids);
     t.out.emplace_back(pass_data{id, std::move(s.complete_events)});
--- a/src/libcore/gateway_crash_test.cpp
+++ b/src/libcore/gateway_crash_test.cpp
@@ -189,6 +189,23 @@
     BOOST_TEST(find_effect<pass_error_reply>()->retry_after.count() > 0);
 }
 
+// The machine of a worker may be gone as well; then only the list tells, seconds later.
+BOOST_AUTO_TEST_CASE(a_request_that_broke_three_connections_waits_for_the_list)
+{
+    const body_digest fingerprint{1, 2};
+    crash_watch w;
+    for (const char* instance : {"w0", "w1", "w2"}) {
+        w = with_broken_run(std::move(w), now, instance, "10.0.0.1:80", fingerprint);
+        w.watched.at(instance).probes = 3; // none was answered
+    }
+    const crash_standing standing = standing_of(w, now, fingerprint);
+    BOOST_REQUIRE(std::holds_alternative<crash_suspected>(standing));
+    BOOST_TEST(std::get<crash_suspected>(standing).awaits_proof);
+    for (const char* instance : {"w0", "w1", "w2"})
+        w = with_ended_worker(std::move(w), now, instance);
+    BOOST_TEST(std::holds_alternative<crash_quarantined>(standing_of(w, now, fingerprint)));
+}
+
 BOOST_AUTO_TEST_CASE(the_leaders_list_decides_for_requests_of_other_gateways)
 {
     end_worker(ask("poison"));
@@ -206,6 +223,37 @@
     BOOST_TEST(ask("poison") != 0U);
 }
 
+// Guards against a gateway that refuses on a popular request which others have cleared since.
+BOOST_AUTO_TEST_CASE(a_request_that_the_leader_does_not_list_after_the_reports_is_cleared)
+{
+    end_worker(end_worker(ask("popular")));
+    end_worker(ask("popular"));
+    table_update update;
+    update.from_leader = true;
+    const auto receive = [&] {
+        apply(handle_table_update(std::move(st), context{now, 1, self, fleet},
+                                  node_id::from_trusted("control-1"), update));
+    };
+    receive(); // from a new leader, which knows nothing yet
+    BOOST_TEST(ask("popular") == 0U);
+    BOOST_TEST(take_crash_reports().size() == 1U);
+    receive();
+    BOOST_TEST(ask("popular") != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_has_run_for_a_second_clears_its_request)
+{
+    end_worker(end_worker(ask("popular", "/stream/x")));
+    const auto attempt = ask("popular", "/stream/x");
+    BOOST_REQUIRE(attempt != 0U);
+    handle(attempt_head{attempt, stream_answer("r" + std::to_string(last_exchange))});
+    handle(attempt_data{attempt, "id: 1\ndata: x\n\n"});
+    BOOST_TEST(!has_no_suspects(st.crashes));
+    advance_time(milliseconds(1'000));
+    handle(attempt_data{attempt, "id: 2\ndata: x\n\n"});
+    BOOST_TEST(has_no_suspects(st.crashes));
+}
+
 BOOST_AUTO_TEST_CASE(a_new_leader_is_told_of_all_suspects)
 {
     end_worker(ask("poison"));
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -220,8 +220,8 @@
             st.crashes = with_new_leader(std::move(st.crashes));
         }
         apply_leader_list(st, ctx, update);
-        if (update.crash_list)
-            st.crashes = with_fleet_list(std::move(st.crashes), *update.crash_list);
+        const request_crash_list crash_list = update.crash_list.value_or(st.crashes.fleet);
+        st.crashes = with_fleet_list(std::move(st.crashes), crash_list);
     }
     update_controls(st.table_sync, update.control_nodes);
     st.workers = with_cached_prompts(std::move(st.workers), update.cached_prompts,
--- a/src/libwire/damaged_messages_test.cpp
+++ b/src/libwire/damaged_messages_test.cpp
@@ -131,7 +131,14 @@
     presence_report presence;
     presence.processes.push_back(
         {make_info("control-3", node_role::control), true, false, seconds(1)});
-    table_query query{make_info("router-1", node_role::router), 1, {{1, 2, 3}}, {{7, 3}}, 1, false};
+    table_query query{make_info("router-1", node_role::router),
+                      1,
+                      {{1, 2, 3}},
+                      {{7, 3}},
+                      1,
+                      false,
+                      {{{1, 2}, {7, 8}, true}},
+                      5};
     table_update update;
     update.from_leader = true;
     update.leader = peer;
@@ -144,6 +151,7 @@
     update.workers.emplace();
     update.workers->workers.emplace_back();
     update.workers->workers.back().instance = "w1";
+    update.crash_list = request_crash_list{{{1, 2}}, {{3, 4}}};
     return {fleet_message(presence),
             fleet_message(bootstrap_replicas{{make_info("control-2", node_role::control)}}),
             fleet_message(query), fleet_message(update)};
