Let operators see and lift a quarantine

A request or body that the fleet refuses for ending workers or engines was known from log lines only, and could not be run again before its time.

Evidence: an_operator_releases_a_request_and_is_answered, a_release_from_quarantine_names_a_digest_and_a _reason, what_is_quarantined_is_shown_with_its_time_left.

--- a/src/bluebellctl/actions.cpp
+++ b/src/bluebellctl/actions.cpp
@@ -277,6 +277,20 @@
                           {"role", a.role}});
 }
 
+int do_action(const fleet_access& fleet, const show_quarantine&)
+{
+    return show_response(fleet, "/v1/quarantine");
+}
+
+int do_action(const fleet_access& fleet, const release_quarantine& a)
+{
+    if (fleet.reason.empty()) {
+        std::cerr << "bluebellctl: --why TEXT is required\n";
+        return exit_usage;
+    }
+    return submit_change(fleet, "/v1/quarantine/release", {{"digest", a.digest}});
+}
+
 int do_action(const fleet_access&, const create_key_file& a)
 {
     const auto written = write_key_file(a.file);
--- a/src/bluebellctl/command_line.cpp
+++ b/src/bluebellctl/command_line.cpp
@@ -101,6 +101,10 @@
         return show_orders{};
     if (w.size() >= 4 && w[0] == "orders" && w[1] == "give")
         return parse_order(w);
+    if (matches(w, 0, "quarantine"))
+        return show_quarantine{};
+    if (matches(w, 1, "quarantine", "release"))
+        return release_quarantine{w[2]};
     if (matches(w, 1, "keygen"))
         return create_key_file{w[1]};
     if (matches(w, 1, "check"))
@@ -227,6 +231,9 @@
            "                                  SCOPE is workspace:NAME, model:NAME or service:NAME\n"
            "  exception remove NAME --why TEXT\n"
            "  drain NODE --why TEXT           give the node no new work; undrain NODE ends that\n"
+           "  quarantine                      what the fleet refuses as it ends engines or "
+           "workers\n"
+           "  quarantine release DIGEST --why TEXT    run it again\n"
            "  orders                          orders to engines and their outcomes\n"
            "  orders give AGENT KIND [model=M] [adapter=A] [version=V] [role=R]\n"
            "                                  KIND is load_model, unload_model, load_adapter or\n"
--- a/src/bluebellctl/command_line.h
+++ b/src/bluebellctl/command_line.h
@@ -53,6 +53,11 @@
     std::string version;
     std::string role;
 };
+struct show_quarantine {};
+/// Has the fleet run again what it refuses for ending engines or workers.
+struct release_quarantine {
+    std::string digest;
+};
 struct create_key_file {
     std::string file;
 };
@@ -62,10 +67,10 @@
 struct show_help {};
 struct show_version {};
 
-using action =
-    std::variant<show_status, explain_request, get_config, set_config, show_history,
-                 list_exceptions, add_exception, remove_exception, drain_node, show_orders,
-                 issue_order, create_key_file, check_settings, show_help, show_version>;
+using action = std::variant<show_status, explain_request, get_config, set_config, show_history,
+                            list_exceptions, add_exception, remove_exception, drain_node,
+                            show_orders, issue_order, show_quarantine, release_quarantine,
+                            create_key_file, check_settings, show_help, show_version>;
 
 /// Where the fleet is, and the options that several actions share.
 struct fleet_access {
--- a/src/include/bluebell/admin/operator_api.h
+++ b/src/include/bluebell/admin/operator_api.h
@@ -66,6 +66,9 @@
 struct read_orders {
     friend bool operator==(const read_orders&, const read_orders&) = default;
 };
+struct read_quarantine {
+    friend bool operator==(const read_quarantine&, const read_quarantine&) = default;
+};
 /// Submits a change. Its result arrives as an operator_reply with this operation id;
 /// drain_requested gets no reply.
 struct submit_change {
@@ -76,7 +79,7 @@
 
 using operator_request =
     std::variant<read_health, read_readiness, read_metrics, read_status, read_explanation,
-                 read_config, read_history, read_orders, submit_change>;
+                 read_config, read_history, read_orders, read_quarantine, submit_change>;
 
 /// Parses a request that was received at wall-clock time `now`. All pages but health, readiness and
 /// metrics need an operator's token. Fails with not_found or invalid_argument at step
@@ -98,6 +101,10 @@
 [[nodiscard]] std::string history_json(const core::config_log& log, std::size_t max_records);
 /// Returns the open and ended orders and the drained nodes.
 [[nodiscard]] std::string orders_json(const core::order_book& book);
+/// Returns what the fleet refuses because it ends engines or workers, and the chat API's suspects,
+/// with the time left of each in seconds of the log's clock.
+[[nodiscard]] std::string quarantine_json(const core::quarantine_table& table,
+                                          core::microseconds log_time);
 /// Returns the result of a change.
 [[nodiscard]] std::string result_json(const std::string& operation,
                                       const core::operator_result& outcome);
--- a/src/include/bluebell/core/config_log.h
+++ b/src/include/bluebell/core/config_log.h
@@ -32,8 +32,12 @@
 struct replicas_accepted {
     friend bool operator==(const replicas_accepted&, const replicas_accepted&) = default;
 };
-using operator_result =
-    std::variant<config_accepted, order_accepted, drain_accepted, replicas_accepted>;
+/// Nothing with this digest is quarantined any more.
+struct release_accepted {
+    friend bool operator==(const release_accepted&, const release_accepted&) = default;
+};
+using operator_result = std::variant<config_accepted, order_accepted, drain_accepted,
+                                     replicas_accepted, release_accepted>;
 
 /// One default or exception that a change set, replaced or removed. An empty text means that it
 /// didn't exist.
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -84,9 +84,10 @@
     std::vector<pending_change> pending_changes;
     std::set<std::string> pending_tables;    ///< operations whose routing table is not applied yet
     std::vector<pending_read> pending_reads; ///< oldest first
+    std::map<std::string, body_digest> pending_releases; ///< by operation
     std::map<node_id, table_subscriber> subscribers;
     std::deque<reported_prompt> reported_prompts; ///< the newest ones, oldest first
-    crash_evidence_table crash_evidence;          ///< of requests that are not quarantined
+    crash_evidence_table crash_evidence;          ///< as gateways reported it
     std::uint64_t prompt_count = 0; ///< all prompts reported so far, also those no longer stored
     instant next_voter_review_at{};
     request_sums sums;      ///< over all subscribers
--- a/src/include/bluebell/core/event.h
+++ b/src/include/bluebell/core/event.h
@@ -215,6 +215,14 @@
     std::string reason;
     friend bool operator==(const node_drain&, const node_drain&) = default;
 };
+/// An operator releases a body or a pass-through request from quarantine.
+struct quarantine_release {
+    std::string operation;
+    operator_id issuer;
+    body_digest digest; ///< of the body, or the fingerprint of the request
+    std::string reason;
+    friend bool operator==(const quarantine_release&, const quarantine_release&) = default;
+};
 /// This process must drain (requested by an operator or SIGTERM).
 struct drain_requested {
     friend bool operator==(const drain_requested&, const drain_requested&) = default;
@@ -227,7 +235,7 @@
 };
 using operator_event =
     std::variant<config_change, order_requested, replicas_change, drain_requested, platform_vm_list,
-                 exception_change, node_drain>;
+                 exception_change, node_drain, quarantine_release>;
 
 // The routing table.
 
--- a/src/include/bluebell/core/ids.h
+++ b/src/include/bluebell/core/ids.h
@@ -129,6 +129,9 @@
 /// Returns 32 hexadecimal digits.
 [[nodiscard]] std::string to_string(const body_digest& d);
 
+/// Parses what to_string(body_digest) makes; fails with invalid_argument at step `parse digest`.
+[[nodiscard]] result<body_digest> parse_digest(std::string_view text);
+
 } // namespace bluebell::core
 
 template <class Tag>
--- a/src/libadmin/operator_api.cpp
+++ b/src/libadmin/operator_api.cpp
@@ -162,6 +162,18 @@
         operator_event(node_drain{header.operation, header.issuer, *node, drains, header.reason})};
 }
 
+result<operator_request> parse_release(const json& doc, const change_header& header)
+{
+    const auto digest = parse_digest(string_member(doc, "digest"));
+    if (!digest)
+        return invalid_request("digest: 32 hexadecimal digits are required");
+    if (header.reason.empty())
+        return invalid_request("why: a written reason is required");
+    return submit_change{header.operation,
+                         operator_event(quarantine_release{header.operation, header.issuer, *digest,
+                                                           header.reason})};
+}
+
 result<operator_request> parse_change(const wire::http_request& request, const operator_id& issuer,
                                       wall_time now)
 {
@@ -179,6 +191,8 @@
         return parse_order_request(doc, *header);
     if (request.path == "/v1/drains")
         return parse_node_drain(doc, *header);
+    if (request.path == "/v1/quarantine/release")
+        return parse_release(doc, *header);
     if (request.path == "/v1/shutdown")
         return submit_change{header->operation, operator_event(drain_requested{})};
     return fail(error_code::not_found, step, "", "no such page");
@@ -194,6 +208,8 @@
         return read_config{};
     if (path == "/v1/orders")
         return read_orders{};
+    if (path == "/v1/quarantine")
+        return read_quarantine{};
     if (path.starts_with(explain_prefix)) {
         auto id = request_id::make(path.substr(explain_prefix.size()));
         if (!id)
--- a/src/libadmin/operator_api_test.cpp
+++ b/src/libadmin/operator_api_test.cpp
@@ -71,7 +71,8 @@
 
 BOOST_AUTO_TEST_CASE(malformed_bodies_are_refused)
 {
-    for (const char* path : {"/v1/config", "/v1/exceptions", "/v1/orders", "/v1/drains"}) {
+    for (const char* path :
+         {"/v1/config", "/v1/exceptions", "/v1/orders", "/v1/drains", "/v1/quarantine/release"}) {
         for (const char* body : {"", "[]", "{}", R"({"operation":"o"})", R"({"operation":1})"})
             BOOST_TEST(!admin::parse(post(path, body), tokens(), wall_time{0}).has_value(), path);
     }
@@ -91,6 +92,33 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_release_from_quarantine_names_a_digest_and_a_reason)
+{
+    const std::string digest = to_string(body_digest{0x12, 0xabcdef});
+    const auto parse_release = [](const std::string& body) {
+        return admin::parse(post("/v1/quarantine/release", body.c_str()), tokens(), wall_time{0});
+    };
+    const auto parsed =
+        parse_release(R"({"operation":"o","why":"fixed","digest":")" + digest + "\"}");
+    BOOST_REQUIRE(parsed.has_value());
+    const auto& change = std::get<admin::submit_change>(*parsed).change;
+    BOOST_TEST((std::get<quarantine_release>(change).digest == body_digest{0x12, 0xabcdef}));
+    BOOST_TEST(!parse_release(R"({"operation":"o","digest":")" + digest + "\"}").has_value());
+    for (const char* wrong : {"", "12", "zz", "1200000000000000000000000000000g"})
+        BOOST_TEST(
+            !parse_release(R"({"operation":"o","why":"x","digest":")" + std::string(wrong) + "\"}")
+                 .has_value());
+}
+
+BOOST_AUTO_TEST_CASE(what_is_quarantined_is_shown_with_its_time_left)
+{
+    quarantine_table table;
+    table.quarantined_until.emplace(body_digest{1, 2}, seconds(600));
+    BOOST_TEST(admin::quarantine_json(table, seconds(100)) ==
+               R"({"quarantined":[{"digest":"00000000000000010000000000000002","ends_in_s":500}],)"
+               R"("suspects":[]})");
+}
+
 BOOST_AUTO_TEST_CASE(short_tokens_are_refused)
 {
     BOOST_TEST(!admin::operator_tokens::make("ana short\n").has_value());
--- a/src/libadmin/operator_json.cpp
+++ b/src/libadmin/operator_json.cpp
@@ -138,6 +138,22 @@
     return dump(doc);
 }
 
+std::string quarantine_json(const quarantine_table& table, microseconds log_time)
+{
+    ordered_json doc{{"quarantined", ordered_json::array()}, {"suspects", ordered_json::array()}};
+    const auto seconds_left = [&](microseconds end) {
+        return std::chrono::duration_cast<seconds>(end - log_time).count();
+    };
+    for (const auto& [digest, until] : table.quarantined_until)
+        doc["quarantined"].push_back(
+            {{"digest", to_string(digest)}, {"ends_in_s", seconds_left(until)}});
+    for (const auto& [digest, suspect] : table.suspects)
+        doc["suspects"].push_back({{"digest", to_string(digest)},
+                                   {"holder", suspect.holder.str()},
+                                   {"ends_in_s", seconds_left(suspect.expires_at)}});
+    return dump(doc);
+}
+
 std::string result_json(const std::string& operation, const operator_result& outcome)
 {
     ordered_json doc{{"operation", operation}};
@@ -145,7 +161,8 @@
         outcome, [&](const config_accepted& r) { doc["revision"] = r.revision_number; },
         [&](const order_accepted& r) { doc["fence"] = r.fence; },
         [&](const drain_accepted&) { doc["drain"] = "accepted"; },
-        [&](const replicas_accepted&) { doc["replicas"] = "accepted"; });
+        [&](const replicas_accepted&) { doc["replicas"] = "accepted"; },
+        [&](const release_accepted&) { doc["release"] = "accepted"; });
     return dump(doc);
 }
 
--- a/src/libcore/control.cpp
+++ b/src/libcore/control.cpp
@@ -155,6 +155,20 @@
                   set_drain{ev.operation, ev.issuer, ev.node, ev.draining, ev.reason});
 }
 
+/// Answered once nothing with this digest is quarantined.
+void on(control_turn& t, const quarantine_release& ev)
+{
+    const crash_report release{ev.digest, false, t.ctx.self.id, true};
+    if (!queue_command(t, ev.operation, record_crash{release}))
+        return;
+    t.st.lead.awaited_operations.erase(ev.operation); // the command itself has no result
+    t.st.lead.pending_releases.insert_or_assign(ev.operation, ev.digest);
+    t.st.lead.crash_evidence.erase(ev.digest);
+    t.out.emplace_back(make_log_line(
+        log_level::info, component, "Release from quarantine.", request_id(),
+        {{"digest", to_string(ev.digest)}, {"who", ev.issuer.str()}, {"why", ev.reason}}));
+}
+
 void on(control_turn& t, const replicas_change& ev)
 {
     proposal_step done = propose_replicas(std::move(t.st.replication), t.ctx, ev.replicas);
--- a/src/libcore/control_lead.cpp
+++ b/src/libcore/control_lead.cpp
@@ -86,6 +86,20 @@
         lead.dissemination_state.next_digest_at = t.ctx.now;
 }
 
+/// Answers the operators whose releases the command has carried out.
+void answer_releases(control_turn& t, const command& applied_command)
+{
+    const auto* recorded = std::get_if<record_crash>(&applied_command);
+    if (recorded == nullptr || !recorded->report.cleared)
+        return;
+    std::erase_if(t.st.lead.pending_releases, [&](const auto& release) {
+        if (release.second != recorded->report.digest)
+            return false;
+        t.out.emplace_back(operator_reply{release.first, operator_result(release_accepted{})});
+        return true;
+    });
+}
+
 void log_committed_table(control_turn& t, const log_entry& entry)
 {
     const routing_document& table = t.st.machine.table;
@@ -118,6 +132,7 @@
     for (const auto& a : done.results)
         std::visit([&](const auto& x) { on_applied(t, x); }, a);
     distribute_changes(t, previous_revision, entry.payload);
+    answer_releases(t, entry.payload);
     if (table_changed)
         push_table(t);
 }
@@ -167,6 +182,8 @@
         t.out.emplace_back(operator_reply{operation, failure});
     for (const auto& change : t.st.lead.pending_changes)
         t.out.emplace_back(operator_reply{change.operation, failure});
+    for (const auto& [operation, digest] : t.st.lead.pending_releases)
+        t.out.emplace_back(operator_reply{operation, failure});
     for (const auto& operation : t.st.lead.pending_tables)
         t.out.emplace_back(table_reply{operation, table_unavailable{"leadership was lost"}});
     const auto reads = std::move(t.st.lead.pending_reads);
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -75,6 +75,7 @@
     std::map<std::string, table_outcome> replies;
     std::vector<table_update> updates;
     std::vector<log_index> recorded_commits;
+    int operations_answered = 0;
 
 protected:
     [[nodiscard]] context make_context() const { return {now, 5, self, fleet}; }
@@ -85,6 +86,7 @@
         for (const auto& e : done.out) {
             if (const auto* r = std::get_if<table_reply>(&e))
                 replies.insert_or_assign(r->operation, r->outcome);
+            operations_answered += std::holds_alternative<operator_reply>(e) ? 1 : 0;
             if (const auto* vote = std::get_if<disk_vote>(&e))
                 ticket = std::max(ticket, vote->ticket);
             if (const auto* append = std::get_if<disk_append>(&e))
@@ -318,6 +320,16 @@
     BOOST_TEST(st.machine.quarantine.quarantined_until.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(an_operator_releases_a_request_and_is_answered, leading_replica)
+{
+    receive(crash_query({7, 8, 9}));
+    const quarantine_release release{"op", operator_id(), {1, 2}, "fixed"};
+    apply_step(reduce(std::move(st), make_context(), operator_event(release)));
+    BOOST_TEST(st.machine.quarantine.quarantined_until.empty());
+    BOOST_TEST(operations_answered == 1);
+    BOOST_TEST(st.lead.pending_releases.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(before_a_leader_is_known_only_a_gateway_without_a_table_gets_one,
                         following_replica)
 {
--- a/src/libcore/values.cpp
+++ b/src/libcore/values.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 
 namespace bluebell::core {
@@ -78,6 +79,22 @@
     return buf.data();
 }
 
+result<body_digest> parse_digest(std::string_view text)
+{
+    constexpr std::size_t half = 16;
+    constexpr int hexadecimal = 16;
+    const auto read = [&](std::size_t from, std::uint64_t& number) {
+        const char* end = text.data() + from + half;
+        const auto [at, ec] = std::from_chars(text.data() + from, end, number, hexadecimal);
+        return ec == std::errc() && at == end;
+    };
+    body_digest d;
+    if (text.size() != 2 * half || !read(0, d.high) || !read(half, d.low))
+        return fail(error_code::invalid_argument, "parse digest", "",
+                    "must be 32 hexadecimal digits");
+    return d;
+}
+
 std::string_view to_string(log_level level)
 {
     switch (level) {
--- a/src/libruntime/admin_server.cpp
+++ b/src/libruntime/admin_server.cpp
@@ -175,6 +175,10 @@
         [&](const admin::read_orders&) {
             reply_machine([](const auto& m) { return admin::orders_json(m.orders); });
         },
+        [&](const admin::read_quarantine&) {
+            reply_machine(
+                [](const auto& m) { return admin::quarantine_json(m.quarantine, m.log_time); });
+        },
         [&](const admin::submit_change& c) { start_change(request, c); });
 }
 
--- a/src/libwire/machine_codec.cpp
+++ b/src/libwire/machine_codec.cpp
@@ -76,7 +76,8 @@
             to.set_number(r.fence);
         },
         [&](const drain_accepted&) { to.set_kind(pb::OperatorResult::DRAIN); },
-        [&](const replicas_accepted&) { to.set_kind(pb::OperatorResult::REPLICAS); });
+        [&](const replicas_accepted&) { to.set_kind(pb::OperatorResult::REPLICAS); },
+        [&](const release_accepted&) { to.set_kind(pb::OperatorResult::RELEASE); });
 }
 
 operator_result get(const pb::OperatorResult& from)
@@ -88,6 +89,8 @@
         return drain_accepted{};
     case pb::OperatorResult::REPLICAS:
         return replicas_accepted{};
+    case pb::OperatorResult::RELEASE:
+        return release_accepted{};
     default:
         return config_accepted{from.number()};
     }
