--- a/src/libadmin/operator_api_test.cpp
+++ b/src/libadmin/operator_api_test.cpp
@@ -96,7 +96,7 @@
 {
     const std::string digest = to_string(body_digest{0x12, 0xabcdef});
     const auto parse_release = [](const std::string& body) {
-        return admin::parse(post("/v1/quarantine/release", body.c_str()), tokens(), wall_time{0});
+        return admin::parse(post("/v1/quarantine/release", body), tokens(), wall_time{0});
     };
     const auto parsed =
         parse_release(R"({"operation":"o","why":"fixed","digest":")" + digest + "\"}");
--- a/src/libruntime/worker_client.cpp
+++ b/src/libruntime/worker_client.cpp
@@ -131,7 +131,7 @@
     });
     if (newest == channels.rend())
         return nullptr;
-    const std::shared_ptr<worker_channel> channel = *newest;
+    std::shared_ptr<worker_channel> channel = *newest;
     channels.erase(std::next(newest).base());
     return channel;
 }
