Say in events and in the log what marked the end of an answer

An answer that was cut short and one that was whole left the same line. The event of a completed attempt names what marked its end (its framing, or only its connection's end), and the line "Answer is complete." has it with the stream's last event id.

No behaviour changes.

--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -116,6 +116,13 @@
 };
 [[nodiscard]] std::string_view to_string(attempt_stage s);
 
+/// What marked the end of a worker's answer.
+enum class answer_ending : std::uint8_t {
+    framing,    ///< its length, its last chunk, or a status without a body
+    connection, ///< only the end of the connection, which a process that crashes brings as well
+};
+[[nodiscard]] std::string_view to_string(answer_ending e);
+
 // Events.
 
 /// A caller's request has been read completely.
@@ -148,9 +155,10 @@
     std::string data;
     friend bool operator==(const attempt_data&, const attempt_data&) = default;
 };
-/// The worker's answer was received completely.
+/// The worker's answer was received up to its end.
 struct attempt_completed {
     attempt_number attempt = 0;
+    answer_ending end = answer_ending::framing;
     friend bool operator==(const attempt_completed&, const attempt_completed&) = default;
 };
 /// The attempt failed before the answer was complete.
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -169,7 +169,7 @@
 }
 
 /// Sends the remaining data and the end of the answer, and ends the exchange.
-void finish_answer(turn& t, exchange_id id, exchange& ex)
+void finish_answer(turn& t, exchange_id id, exchange& ex, answer_ending end)
 {
     if (!ex.pending_data.empty())
         t.out.emplace_back(pass_data{id, std::move(ex.pending_data)});
@@ -182,6 +182,8 @@
                                      {{"status", std::to_string(ex.answer_status)},
                                       {"worker", ex.tried_instances.back()},
                                       {"sends", std::to_string(ex.sent_attempts)},
+                                      {"end", std::string(to_string(end))},
+                                      {"last_event", std::to_string(ex.events.last.value_or(0))},
                                       {"first_ms", since_arrival(ex.answer_started_at)},
                                       {"passed_ms", since_arrival(t.ctx.now)}}));
     remove_exchange(t, id);
@@ -190,7 +192,7 @@
 /// Handles a held answer that is complete: retries the request if the answer is a server error and
 /// the policy and the budget allow it, else sends the answer to the caller. An answer whose status
 /// would wrongly promise that the request did not run is replaced by a 502.
-void handle_held_answer(turn& t, exchange_id id, exchange& ex)
+void handle_held_answer(turn& t, exchange_id id, exchange& ex, answer_ending end)
 {
     worker_answer head = std::move(*ex.held_head);
     ex.held_head.reset();
@@ -215,7 +217,7 @@
     }
     head.length = ex.pending_data.size();
     start_answer(t, id, ex, std::move(head));
-    finish_answer(t, id, ex);
+    finish_answer(t, id, ex, end);
 }
 
 } // namespace
@@ -296,9 +298,9 @@
     end_attempt(t, *ex, false);
     record_complete_answer(t, *ex);
     if (ex->answer_started)
-        finish_answer(t, id, *ex);
+        finish_answer(t, id, *ex, ev.end);
     else
-        handle_held_answer(t, id, *ex);
+        handle_held_answer(t, id, *ex, ev.end);
 }
 
 void on(turn& t, const attempt_broken& ev)
--- a/src/libcore/worker_table.cpp
+++ b/src/libcore/worker_table.cpp
@@ -28,6 +28,11 @@
 
 } // namespace
 
+std::string_view to_string(answer_ending e)
+{
+    return e == answer_ending::framing ? "framing" : "connection";
+}
+
 std::string_view to_string(attempt_stage s)
 {
     switch (s) {
--- a/src/libruntime/worker_channel.cpp
+++ b/src/libruntime/worker_channel.cpp
@@ -216,7 +216,8 @@
                 reader_.next(!head_only_);
                 continue;
             }
-            finish_answer(reader_.head().keep_alive && consumed == data.size());
+            finish_answer(core::answer_ending::framing,
+                          reader_.head().keep_alive && consumed == data.size());
             return data.size();
         }
         if (*n == 0)
@@ -280,7 +281,7 @@
     client->report(core::attempt_head{attempt_, std::move(answer)});
 }
 
-void worker_channel::finish_answer(bool reusable)
+void worker_channel::finish_answer(core::answer_ending end, bool reusable)
 {
     const auto client = client_.lock();
     const auto self = shared_from_this();
@@ -299,7 +300,7 @@
     } else {
         stream_->close();
     }
-    client->report(core::attempt_completed{ended_attempt});
+    client->report(core::attempt_completed{ended_attempt, end});
 }
 
 void worker_channel::on_closed(const core::error* failure)
@@ -310,7 +311,7 @@
             if (const auto client = client_.lock())
                 client->report(core::attempt_data{attempt_, std::move(body)});
         }
-        finish_answer(false);
+        finish_answer(core::answer_ending::connection, false);
         return;
     }
     fail(failure != nullptr ? *failure
--- a/src/libruntime/worker_channel_pvt.h
+++ b/src/libruntime/worker_channel_pvt.h
@@ -48,7 +48,7 @@
     void handle_head();
     void count_unrelated(std::size_t bytes);
     void time_head(bool head_has_begun);
-    void finish_answer(bool reusable);
+    void finish_answer(core::answer_ending end, bool reusable);
     void fail(core::error failure);
 
     std::weak_ptr<worker_client> client_;
--- a/src/libruntime/worker_client_test.cpp
+++ b/src/libruntime/worker_client_test.cpp
@@ -138,6 +138,9 @@
         }
         return found;
     }
+    /// Resets the newest connection, as the kernel does for a process that is killed with unread
+    /// bytes.
+    void reset_newest() { accepted.back()->reset(); }
     /// Returns the body that was reported for the attempt.
     std::string body_of(core::attempt_number attempt) const
     {
