Number the probes of workers

Several probes of one worker may be in progress; each has its own answer. So a state that waits for a worker can tell a probe that began after its question from an earlier one.

No decision changes.

--- a/bench/worker_pool.cpp
+++ b/bench/worker_pool.cpp
@@ -87,7 +87,8 @@
     clock_.schedule(clock_.now() + link_delay, [this, gateway, e] {
         const bool up = workers_.at(e.address).up;
         report(gateway,
-               worker_probed{e.instance, up ? probe_outcome::connected : probe_outcome::refused});
+               worker_probed{e.instance, up ? probe_outcome::connected : probe_outcome::refused,
+                             e.number});
     });
 }
 
--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -193,6 +193,7 @@
 struct worker_probed {
     std::string instance;
     probe_outcome outcome = probe_outcome::unknown;
+    std::uint64_t number = 0; ///< of the probe
     friend bool operator==(const worker_probed&, const worker_probed&) = default;
 };
 using exchange_event =
@@ -231,6 +232,8 @@
 struct probe_worker {
     std::string instance; ///< named in the answer
     std::string address;  ///< IP:PORT
+    /// Named in the answer. Unique within one run of this process.
+    std::uint64_t number = 0;
     friend bool operator==(const probe_worker&, const probe_worker&) = default;
 };
 /// Stops or resumes reading the answer of an attempt.
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -125,6 +125,7 @@
     std::map<service_id, retry_budget> retry_budgets;
     retry_budget_config retry_config{0, 0, 0};
     attempt_number last_attempt = 0;
+    std::uint64_t last_probe = 0; ///< number of the last probe of a worker
     bool enabled = false;  ///< this process serves pass-through requests
     bool draining = false; ///< the process finishes its requests and then exits
     instant drain_started_at{};
--- a/src/include/bluebell/runtime/worker_client.h
+++ b/src/include/bluebell/runtime/worker_client.h
@@ -47,7 +47,7 @@
     void report(core::exchange_event ev);
     void close_expired();
     /// Ends the probe, if it is in progress, and reports its outcome.
-    void finish_probe(const std::string& instance, core::probe_outcome outcome);
+    void finish_probe(const core::probe_worker& e, core::probe_outcome outcome);
 
     /// A connection that is only being established.
     struct probe {
@@ -62,7 +62,7 @@
     /// Idle channels by address, the most recently used last.
     std::map<std::string, std::deque<std::shared_ptr<worker_channel>>> idle_;
     std::unique_ptr<watcher> expiry_timer_;
-    std::map<std::string, probe> probes_; ///< in progress, by instance
+    std::map<std::uint64_t, probe> probes_; ///< in progress, by number
 };
 
 } // namespace bluebell::runtime
--- a/src/libcore/gateway_crashes.cpp
+++ b/src/libcore/gateway_crashes.cpp
@@ -143,10 +143,17 @@
     for (const auto& instance : due.to_probe) {
         watched_worker& watched = t.st.crashes.watched.at(instance);
         watched.probes += 1;
-        t.out.emplace_back(probe_worker{instance, watched.address});
+        start_probe(t, instance, watched.address);
     }
 }
 
+std::uint64_t start_probe(turn& t, const std::string& instance, const std::string& address)
+{
+    t.st.last_probe += 1;
+    t.out.emplace_back(probe_worker{instance, address, t.st.last_probe});
+    return t.st.last_probe;
+}
+
 void on(turn& t, const worker_probed& ev)
 {
     if (ev.outcome == probe_outcome::refused)
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -82,6 +82,8 @@
 void review_watched_workers(turn& t);
 /// Sends the probes that are due, and ends watches that are over.
 void watch_due_workers(turn& t);
+/// Probes a worker's address; returns the number of the probe.
+std::uint64_t start_probe(turn& t, const std::string& instance, const std::string& address);
 void on(turn& t, const worker_probed& ev);
 
 // gateway_answers.cpp
--- a/src/libruntime/worker_client.cpp
+++ b/src/libruntime/worker_client.cpp
@@ -80,20 +80,17 @@
 
 void worker_client::run(const core::probe_worker& e)
 {
-    if (probes_.contains(e.instance))
-        return;
     auto connected = worker_channel::connect_stream(loop_, e.address);
     if (!connected) {
-        finish_probe(e.instance, byte_stream::is_refusal(connected.error())
-                                     ? core::probe_outcome::refused
-                                     : core::probe_outcome::unknown);
+        finish_probe(e, byte_stream::is_refusal(connected.error()) ? core::probe_outcome::refused
+                                                                   : core::probe_outcome::unknown);
         return;
     }
-    probe& p = probes_[e.instance];
+    probe& p = probes_[e.number];
     p.stream = std::move(*connected);
-    const auto finish = [self = weak_from_this(), instance = e.instance](core::probe_outcome o) {
+    const auto finish = [self = weak_from_this(), e](core::probe_outcome o) {
         if (const auto client = self.lock())
-            client->finish_probe(instance, o);
+            client->finish_probe(e, o);
     };
     p.timeout = watcher::timer(*loop_, [finish] { finish(core::probe_outcome::unknown); });
     p.timeout->arm(probe_timeout);
@@ -107,16 +104,16 @@
     p.stream->start(std::move(handlers));
 }
 
-void worker_client::finish_probe(const std::string& instance, core::probe_outcome outcome)
+void worker_client::finish_probe(const core::probe_worker& e, core::probe_outcome outcome)
 {
-    const auto it = probes_.find(instance);
+    const auto it = probes_.find(e.number);
     if (it != probes_.end()) {
         it->second.stream->close();
         // The stream or the timer may be the caller of this function.
         loop_->defer([p = std::make_shared<probe>(std::move(it->second))] {});
         probes_.erase(it);
     }
-    report(core::worker_probed{instance, outcome});
+    report(core::worker_probed{e.instance, outcome, e.number});
 }
 
 std::shared_ptr<worker_channel> worker_client::take_idle(const std::string& address,
