Failing tests of answers that are cut short and end as if whole

Heads that are cut short were looked for and are no answers already: behind an answer on a kept connection, behind an interim answer and behind a late one, closed or reset.

--- a/src/include/bluebell/runtime/byte_stream.h
+++ b/src/include/bluebell/runtime/byte_stream.h
@@ -73,6 +73,9 @@
 
     /// Closes at once. No callback follows.
     void close();
+    /// Closes at once by a reset, so that the peer can't take the end of the connection for the end
+    /// of a message. Bytes that the peer has not read yet are lost. No callback follows.
+    void reset();
     /// Sends the queued bytes, then closes. The written and closed callbacks may still be called.
     /// Bytes that the peer sends meanwhile are read and dropped, because unread bytes would make
     /// the system send a reset before the peer has read the response.
--- a/src/libruntime/byte_stream.cpp
+++ b/src/libruntime/byte_stream.cpp
@@ -301,6 +301,15 @@
     loop_->defer([handlers = std::exchange(handlers_, {}), self = weak_from_this().lock()] {});
 }
 
+void byte_stream::reset()
+{
+    if (descriptor_ >= 0) {
+        const linger no_linger{1, 0};
+        (void)::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &no_linger, sizeof no_linger);
+    }
+    close();
+}
+
 void byte_stream::close_after_flush()
 {
     if (descriptor_ < 0)
--- a/src/libruntime/worker_client_test.cpp
+++ b/src/libruntime/worker_client_test.cpp
@@ -49,6 +49,7 @@
     std::shared_ptr<runtime::worker_client> client;
     std::vector<core::exchange_event> events;
     core::attempt_number last_attempt = 0;
+    bool reads = true; ///< the worker reads from the connections that it accepts
 
     fixture()
     {
@@ -87,6 +88,7 @@
         };
         handlers.closed = [f](const core::error*) { f->closed += 1; };
         stream->start(std::move(handlers));
+        stream->pause_reading(!f->reads);
     }
     void run(core::microseconds duration = run_time)
     {
@@ -95,19 +97,28 @@
         loop->run();
     }
     /// Sends a request with this id and waits until the worker has it.
-    core::attempt_number ask(const std::string& id)
+    core::attempt_number ask(const std::string& id, std::string body = "",
+                             core::microseconds duration = run_time)
     {
         core::start_attempt a;
         last_attempt += 1;
         a.attempt = last_attempt;
         a.address = "127.0.0.1:" + std::to_string(port);
-        a.request.method = "GET";
+        a.request.method = body.empty() ? "GET" : "POST";
         a.request.target = "/a";
         a.request.id = core::request_id::from_trusted(id);
+        a.request.body = core::bytes::from(std::move(body));
         client->run(a);
-        run();
+        run(duration);
         return a.attempt;
     }
+    /// Sends a request whose body the worker doesn't read.
+    core::attempt_number ask_with_unread_body(const std::string& id)
+    {
+        constexpr std::size_t more_than_buffers_hold = std::size_t{32} * 1024 * 1024;
+        reads = false;
+        return ask(id, std::string(more_than_buffers_hold, 'b'));
+    }
     /// The worker sends these bytes on its newest connection.
     void send(const std::string& text, core::microseconds duration = run_time)
     {
@@ -138,9 +149,6 @@
         }
         return found;
     }
-    /// Resets the newest connection, as the kernel does for a process that is killed with unread
-    /// bytes.
-    void reset_newest() { accepted.back()->reset(); }
     /// Returns the body that was reported for the attempt.
     std::string body_of(core::attempt_number attempt) const
     {
@@ -409,4 +417,85 @@
     BOOST_TEST(events.size() == 3U); // the head and the end of the first answer
 }
 
+BOOST_FIXTURE_TEST_CASE(what_marked_the_end_of_an_answer_is_reported, fixture)
+{
+    ask("q1");
+    send(make_answer("q1", "one"));
+    BOOST_TEST((reported<core::attempt_completed>().back().end == core::answer_ending::framing));
+    const auto second = ask("q2");
+    send("HTTP/1.1 200 OK\r\nId: q2\r\nConnection: close\r\n\r\ntwo");
+    BOOST_TEST(!is_completed(second));
+    accepted.back()->close();
+    run();
+    BOOST_TEST(body_of(second) == "two");
+    BOOST_REQUIRE(is_completed(second));
+    BOOST_TEST((reported<core::attempt_completed>().back().end == core::answer_ending::connection));
+}
+
+// Guards against a part of an answer that reaches its caller as the whole: the system reports a
+// reset once, and a write of the request's body may be told before the read of the answer.
+BOOST_FIXTURE_TEST_CASE(a_reset_during_the_sending_of_a_body_breaks_the_answer, fixture)
+{
+    for (const std::string id : {"q1", "q2", "q3", "q4"}) {
+        const auto attempt = ask_with_unread_body(id);
+        send("HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\npart");
+        BOOST_TEST(body_of(attempt) == "part");
+        accepted.back()->reset();
+        run();
+        BOOST_TEST(is_broken(attempt));
+        BOOST_TEST(!is_completed(attempt));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(an_early_answer_with_a_length_is_whole_though_its_connection_is_reset,
+                        fixture)
+{
+    const auto attempt = ask_with_unread_body("q1");
+    send(make_answer("q1", "too large"));
+    accepted.back()->reset();
+    run();
+    BOOST_TEST(body_of(attempt) == "too large");
+    BOOST_TEST(is_completed(attempt));
+    BOOST_TEST(!is_broken(attempt));
+}
+
+// Guards against a success without its body: a worker stopped in the middle of its answer's head.
+BOOST_FIXTURE_TEST_CASE(a_head_that_is_cut_short_is_no_answer, fixture)
+{
+    constexpr core::microseconds short_time{10'000};
+    const std::string whole = "HTTP/1.1 200 OK\r\nId: q2\r\nStamp: s\r\n\r\n";
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::string late = make_answer("q1", "late copy");
+    for (const std::string before : {std::string(), interim, late, late + interim}) {
+        for (const std::size_t cut : {3U, 12U, 17U, 22U, 25U, 28U, 33U, 35U, 36U}) {
+            for (const bool resets : {false, true}) {
+                events.clear();
+                ask("q1", "", short_time);
+                send(make_answer("q1", "one"), short_time);
+                const auto second = ask("q2", "", short_time);
+                send(before + whole.substr(0, cut), short_time);
+                if (resets)
+                    accepted.back()->reset();
+                else
+                    accepted.back()->close();
+                run(short_time);
+                BOOST_TEST(is_broken(second), "cut at " << cut << " behind " << before.size());
+                BOOST_TEST(!is_completed(second));
+                BOOST_TEST(body_of(second).empty());
+            }
+        }
+    }
+}
+
+// A head that ends with bare line feeds could hide which lines are its own.
+BOOST_FIXTURE_TEST_CASE(a_head_with_bare_line_feeds_is_no_answer, fixture)
+{
+    const auto attempt = ask("q1");
+    send("HTTP/1.1 200 OK\nId: q1\nStamp: s\n\npart");
+    accepted.back()->close();
+    run();
+    BOOST_TEST(is_broken(attempt));
+    BOOST_TEST(body_of(attempt).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
