Report a reset that a write has met as the failure of its connection

Callers got 200 with a part of the answer, framed as whole: an answer without a length or chunks, whose connection was reset while the router was still writing a long request body.

Cause: the system reports a reset once. byte_stream::flush met it, dropped its output and left the report to the read side, which then saw an ordinary end. on_closed(nullptr) takes that for the end of an answer that lasts until the close.

The stream keeps the error of its first failed write and reports it in place of an ordinary end. Bytes that came before are still read, so an early answer with a length stays whole.

--- a/src/include/bluebell/runtime/byte_stream.h
+++ b/src/include/bluebell/runtime/byte_stream.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,7 +25,8 @@
         /// together with the bytes that follow.
         std::function<std::size_t(std::string_view data)> data;
         /// The peer closed the connection (null), or it failed: with deadline_exceeded if nothing
-        /// came from the peer's machine any more. Called once.
+        /// came from the peer's machine any more. A connection on which a write has failed never
+        /// counts as closed by the peer. Called once.
         std::function<void(const core::error* failure)> closed;
         /// The connection started by connect() is established.
         std::function<void()> connected;
@@ -103,6 +105,9 @@
     ::event* writable_ = nullptr;
     evbuffer* output_ = nullptr;
     std::string unread_; ///< bytes read but not consumed
+    /// Error of the first write that failed. The system reports a reset only once, so a read that
+    /// follows sees an ordinary end of the connection.
+    std::optional<core::error> write_failure_;
     bool connecting_ = false;
     bool reading_paused_ = false;
     bool flush_scheduled_ = false;
--- a/src/libruntime/byte_stream.cpp
+++ b/src/libruntime/byte_stream.cpp
@@ -160,7 +160,8 @@
         return;
     }
     if (n == 0) {
-        fail(nullptr);
+        const auto failure = write_failure_;
+        fail(failure ? &*failure : nullptr);
         return;
     }
     if (!closing_)
@@ -250,6 +251,8 @@
         if (n < 0) {
             // Bytes that the peer sent before it closed are still to be read; the read side then
             // reports the end of the connection.
+            if (!write_failure_)
+                write_failure_ = make_error("send", peer_, errno);
             evbuffer_drain(output_, evbuffer_get_length(output_));
             if (closing_)
                 fail(nullptr);
