Take a stream that ends inside an event for broken off

Cause: the end of a stream was taken from the transport alone. A stream without a length or chunks ended with an ordinary end of its connection, and finish_answer sent what there was of an event, then the end. Complete chunks with half an event in them had the same effect.

The reducer now weighs the end of a completed attempt: an unfinished event breaks it off, which resumes the stream behind its last whole event or aborts it. Only the end of a connection counts as a sign that the worker ended. Events are split at blank lines of any line ending; before, a stream with CR LF was held to its end, and would now always have counted as cut.

--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -170,4 +171,8 @@
 };
 [[nodiscard]] split_events split_at_events(std::string data);
 
+/// Returns whether the text behind the last complete event begins another one. Line ends and
+/// comments don't.
+[[nodiscard]] bool begins_event(std::string_view incomplete_event);
+
 } // namespace bluebell::core
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -8,19 +8,32 @@
 
 namespace bluebell::core {
 
+namespace {
+
+/// Returns the position behind the blank line that ends the last complete event, or 0. Lines end
+/// with a line feed, a carriage return, or both.
+std::size_t end_of_last_event(std::string_view data)
+{
+    std::size_t end = 0;
+    for (const std::string_view blank_line : {"\n\n", "\n\r\n", "\r\r"}) {
+        const auto at = data.rfind(blank_line);
+        if (at != std::string_view::npos)
+            end = std::max(end, at + blank_line.size());
+    }
+    return end;
+}
+
+} // namespace
+
 split_events split_at_events(std::string data)
 {
     split_events s;
-    const auto end = data.rfind("\n\n");
-    if (end == std::string::npos) {
-        s.incomplete_event = std::move(data);
-        return s;
-    }
-    s.incomplete_event = data.substr(end + 2);
-    data.resize(end + 2);
+    const auto end = end_of_last_event(data);
+    s.incomplete_event = data.substr(end);
+    data.resize(end);
     constexpr std::string_view field = "id:";
     for (auto at = data.find(field); at != std::string::npos; at = data.find(field, at + 1)) {
-        if (at != 0 && data[at - 1] != '\n')
+        if (at != 0 && data[at - 1] != '\n' && data[at - 1] != '\r')
             continue;
         const char* first = data.data() + at + field.size();
         first += *first == ' ' ? 1 : 0;
@@ -33,6 +46,20 @@
     return s;
 }
 
+bool begins_event(std::string_view incomplete_event)
+{
+    constexpr std::string_view line_ends = "\r\n";
+    std::string_view rest = incomplete_event;
+    while (!rest.empty()) {
+        const auto end = rest.find_first_of(line_ends);
+        const bool is_comment = rest.front() == ':' && end != std::string_view::npos;
+        if (end != 0 && !is_comment)
+            return true;
+        rest.remove_prefix(end + 1);
+    }
+    return false;
+}
+
 event_sequence with_events(event_sequence s, const std::vector<std::uint64_t>& ids)
 {
     for (const auto id : ids) {
@@ -189,6 +216,31 @@
     remove_exchange(t, id);
 }
 
+/// Handles an attempt that failed before its answer was complete.
+void break_off(turn& t, exchange_id id, exchange& ex, const attempt_broken& ev)
+{
+    const std::string worker = ex.tried_instances.back();
+    end_attempt(t, ex, false);
+    t.st.workers = with_failure(std::move(t.st.workers), worker, t.ctx.now);
+    if (ev.stage == attempt_stage::unsent) {
+        ex.sent_attempts -= 1;
+        ex.unsent_attempts += 1;
+    } else {
+        ex.may_have_run = true;
+    }
+    record_broken_run(t, ex, worker, ev);
+    retry_or_fail(t, id, ev.failure);
+}
+
+/// Returns whether the answer is a stream that has ended inside an event.
+bool ends_inside_event(const exchange& ex)
+{
+    if (ex.is_event_stream)
+        return begins_event(ex.pending_data);
+    const bool is_held_stream = ex.held_head && ex.held_head->event_stream;
+    return is_held_stream && begins_event(split_at_events(ex.pending_data).incomplete_event);
+}
+
 /// Handles a held answer that is complete: retries the request if the answer is a server error and
 /// the policy and the budget allow it, else sends the answer to the caller. An answer whose status
 /// would wrongly promise that the request did not run is replaced by a 502.
@@ -295,6 +347,17 @@
     exchange* ex = find_exchange(t, ev.attempt, id);
     if (ex == nullptr)
         return;
+    if (ends_inside_event(*ex)) {
+        // Only a connection that ended is a sign that its worker did.
+        const auto code =
+            ev.end == answer_ending::connection ? error_code::unavailable : error_code::corrupt;
+        break_off(t, id, *ex,
+                  {ev.attempt,
+                   attempt_stage::answer_started,
+                   {code, "read answer", ex->tried_instances.back(),
+                    "the stream ended inside an event"}});
+        return;
+    }
     end_attempt(t, *ex, false);
     record_complete_answer(t, *ex);
     if (ex->answer_started)
@@ -309,17 +372,7 @@
     exchange* ex = find_exchange(t, ev.attempt, id);
     if (ex == nullptr)
         return;
-    const std::string worker = ex->tried_instances.back();
-    end_attempt(t, *ex, false);
-    t.st.workers = with_failure(std::move(t.st.workers), worker, t.ctx.now);
-    if (ev.stage == attempt_stage::unsent) {
-        ex->sent_attempts -= 1;
-        ex->unsent_attempts += 1;
-    } else {
-        ex->may_have_run = true;
-    }
-    record_broken_run(t, *ex, worker, ev);
-    retry_or_fail(t, id, ev.failure);
+    break_off(t, id, *ex, ev);
 }
 
 } // namespace gateway
