Ask the worker before the end of its connection counts as the end of its answer

An answer without a length or chunks ends with its connection. The kernel closes the connections of a process that crashed as the process itself would, so an answer that a crash ended between two events, or at any byte of a document, reached its caller as whole, and so did an empty success.

Such an answer now waits for a probe that starts after its end: whole if the worker accepts a connection, broken off if it refuses or nothing comes for 0.3 s. A success without a byte of its body is broken off at once; a resumed stream, which may have nothing left to send, is probed. Events are still passed on as they come. A probe that began before the end settles nothing.

--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -63,6 +63,7 @@
     std::uint32_t sent_attempts = 0;          ///< attempts, without those that failed unsent
     std::uint32_t unsent_attempts = 0;        ///< attempts that failed before reaching a worker
     std::vector<std::string> tried_instances; ///< workers tried so far, in order
+    std::string worker_address;               ///< IP:PORT of the last of them
     attempt_number attempt = 0;               ///< attempt in progress; 0: none
     instant attempt_started_at{};
     bool suspected = false;                 ///< workers may have ended under it, see crash_watch
@@ -74,6 +75,10 @@
     instant answer_started_at{};            ///< when that head was sent
     instant progressed_at{};                ///< when a stream last brought a whole event
     bool caller_lags = false;               ///< the answer must not be read at present
+    bool body_begun = false;                ///< the attempt's answer has brought a byte of its body
+    /// Probe that the end of the answer waits for, because only the connection's end marked it; 0:
+    /// none. No attempt is in progress then.
+    std::uint64_t awaited_probe = 0;
     std::optional<worker_answer> held_head; ///< head of an answer that is not sent yet
     std::string pending_data;               ///< body of the held answer, or an incomplete event
     event_sequence events;                  ///< that the caller has received
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -216,7 +216,8 @@
     remove_exchange(t, id);
 }
 
-/// Handles an attempt that failed before its answer was complete.
+/// Handles an attempt that failed before its answer was complete, or whose answer turned out to be
+/// broken off after its end.
 void break_off(turn& t, exchange_id id, exchange& ex, const attempt_broken& ev)
 {
     const std::string worker = ex.tried_instances.back();
@@ -272,6 +273,41 @@
     finish_answer(t, id, ex, end);
 }
 
+/// Handles an answer whose end is certain.
+void complete_answer(turn& t, exchange_id id, exchange& ex, answer_ending end)
+{
+    record_complete_answer(t, ex);
+    if (ex.answer_started)
+        finish_answer(t, id, ex, end);
+    else
+        handle_held_answer(t, id, ex, end);
+}
+
+/// Returns why the answer can't be whole, or an empty text.
+std::string_view find_break(const exchange& ex, answer_ending end)
+{
+    if (ends_inside_event(ex))
+        return "the stream ended inside an event";
+    const std::uint16_t status = ex.answer_started ? ex.answer_status : ex.held_head->status;
+    // A stream that was asked to go on may have nothing left to send.
+    const bool must_have_body = is_success(status) && !ex.must_continue;
+    if (end == answer_ending::connection && must_have_body && !ex.body_begun)
+        return "the connection ended before a byte of the body";
+    return {};
+}
+
+/// Breaks off an answer after its end.
+void break_off_ended(turn& t, exchange_id id, exchange& ex, answer_ending end, std::string_view reason)
+{
+    // Only a connection that ended is a sign that its worker did.
+    const auto code =
+        end == answer_ending::connection ? error_code::unavailable : error_code::corrupt;
+    break_off(t, id, ex,
+              {0,
+               attempt_stage::answer_started,
+               {code, "read answer", ex.tried_instances.back(), std::string(reason)}});
+}
+
 } // namespace
 
 void on(turn& t, const attempt_head& ev)
@@ -322,6 +358,7 @@
     exchange* ex = find_exchange(t, ev.attempt, id);
     if (ex == nullptr)
         return;
+    ex->body_begun = true;
     if (ex->is_event_stream) {
         forward_events(t, id, *ex, ev.data);
         return;
@@ -347,23 +384,36 @@
     exchange* ex = find_exchange(t, ev.attempt, id);
     if (ex == nullptr)
         return;
-    if (ends_inside_event(*ex)) {
-        // Only a connection that ended is a sign that its worker did.
-        const auto code =
-            ev.end == answer_ending::connection ? error_code::unavailable : error_code::corrupt;
-        break_off(t, id, *ex,
-                  {ev.attempt,
-                   attempt_stage::answer_started,
-                   {code, "read answer", ex->tried_instances.back(),
-                    "the stream ended inside an event"}});
-        return;
-    }
     end_attempt(t, *ex, false);
-    record_complete_answer(t, *ex);
-    if (ex->answer_started)
-        finish_answer(t, id, *ex, ev.end);
+    const std::string_view reason = find_break(*ex, ev.end);
+    if (!reason.empty()) {
+        break_off_ended(t, id, *ex, ev.end, reason);
+    } else if (ev.end == answer_ending::framing) {
+        complete_answer(t, id, *ex, ev.end);
+    } else {
+        // The kernel closes the connections of a process that crashed as the process itself would.
+        ex->may_have_run = true;
+        ex->awaited_probe = start_probe(t, ex->tried_instances.back(), ex->worker_address);
+        reschedule_timer(t, id, *ex);
+    }
+}
+
+void settle_ended_answers(turn& t, const worker_probed& ev)
+{
+    const auto it = std::find_if(
+        t.st.exchanges.begin(), t.st.exchanges.end(), [&](const auto& entry) {
+            return entry.second.awaited_probe != 0 && entry.second.awaited_probe == ev.number;
+        });
+    if (it == t.st.exchanges.end())
+        return;
+    const exchange_id id = it->first;
+    exchange& ex = it->second;
+    ex.awaited_probe = 0;
+    if (ev.outcome == probe_outcome::connected)
+        complete_answer(t, id, ex, answer_ending::connection);
     else
-        handle_held_answer(t, id, *ex, ev.end);
+        break_off_ended(t, id, ex, answer_ending::connection,
+                        "the worker accepts no connection after the end of the answer's");
 }
 
 void on(turn& t, const attempt_broken& ev)
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -30,6 +30,9 @@
 /// An answer that was started is aborted this long after its deadline. The worker should end a
 /// stream by the deadline itself.
 constexpr microseconds stream_grace{100'000};
+/// Time beyond the deadline for which an answer may wait for the probe of its worker. Longer than a
+/// probe takes.
+constexpr microseconds probe_grace{400'000};
 /// Bounds of the retry-after time in a 503.
 constexpr microseconds min_retry_after{50'000};
 constexpr microseconds max_retry_after{400'000};
@@ -76,6 +79,8 @@
 /// be replaced because it is slow or has stalled.
 instant next_timer_at(const exchange& ex)
 {
+    if (ex.awaited_probe != 0)
+        return ex.deadline + probe_grace;
     if (ex.answer_started)
         return std::min(ex.deadline + stream_grace, stalls_at(ex));
     const bool has_attempts_left = ex.policy.repeatable && ex.sent_attempts < ex.policy.max_workers;
@@ -171,7 +176,9 @@
     t.st.attempts.emplace(ex.attempt, id);
     start_attempt effect;
     effect.attempt = ex.attempt;
-    effect.address = t.st.workers.workers.at(instance).entry.address;
+    ex.worker_address = t.st.workers.workers.at(instance).entry.address;
+    ex.body_begun = false;
+    effect.address = ex.worker_address;
     effect.instance = instance;
     effect.request = ex.request;
     effect.workspace = ex.workspace;
@@ -483,6 +490,7 @@
     if (it == t.st.exchanges.end())
         return;
     exchange& ex = it->second;
+    ex.awaited_probe = 0;
     if (ex.answer_started && t.ctx.now < ex.deadline) {
         handle_stall(t, id, ex);
         return;
--- a/src/libcore/gateway_crashes.cpp
+++ b/src/libcore/gateway_crashes.cpp
@@ -156,6 +156,7 @@
 
 void on(turn& t, const worker_probed& ev)
 {
+    settle_ended_answers(t, ev);
     if (ev.outcome == probe_outcome::refused)
         record_ended_worker(t, ev.instance, crash_proof::connection_refused);
     else if (ev.outcome == probe_outcome::connected)
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -92,5 +92,8 @@
 void on(turn& t, const attempt_data& ev);
 void on(turn& t, const attempt_completed& ev);
 void on(turn& t, const attempt_broken& ev);
+/// Ends the answers that wait for this probe: as whole if the worker accepted a connection, else as
+/// broken off.
+void settle_ended_answers(turn& t, const worker_probed& ev);
 
 } // namespace bluebell::core::gateway
