Reset the connection of an HTTP/1.0 caller whose answer is cut

Found while looking for the same class at the callers' end: pass-through answers without a length were sent in chunks to HTTP/1.0 callers, who don't know those, and an abort closed with an ordinary end, which is all that such a caller can go by.

--- a/src/include/bluebell/runtime/http_server.h
+++ b/src/include/bluebell/runtime/http_server.h
@@ -29,14 +29,16 @@
     void reply(std::uint16_t status, const std::vector<core::header_field>& fields,
                std::string_view body);
     /// Starts a response; send() sends its body. Without a length, the body uses the chunked
-    /// transfer coding, which clients of HTTP/1.0 do not support.
+    /// transfer coding; for clients of HTTP/1.0, which don't know that, it lasts until the connection
+    /// ends.
     void start_response(std::uint16_t status, const std::vector<core::header_field>& fields,
                         std::optional<std::uint64_t> length);
     /// Sends a part of the response body.
     void send(std::string_view data);
     /// Completes the response; the connection then waits for the next request or closes.
     void finish_response();
-    /// Aborts the response by closing the connection at once.
+    /// Aborts the response by closing the connection at once, in a way that the client can't take
+    /// for the end of the response.
     void abort();
     /// Closes the connection after the queued bytes have been written, without completing the
     /// response.
@@ -72,7 +74,9 @@
     std::string body_;                  ///< body of the request that is being read
     core::instant phase_started_at_{};  ///< when the wait for a request or the request itself began
     bool request_started_ = false;      ///< at least one byte of the request was read
+    bool is_http_1_0_ = false;          ///< version of the current request
     bool chunked_ = false;              ///< the current response uses chunked coding
+    bool until_close_ = false;          ///< the current response ends with the connection
     bool close_after_response_ = false; ///< close the connection after the current response
     bool head_only_ = false;            ///< the request was HEAD: no response body is sent
     bool continue_sent_ = false;        ///< "100 Continue" was sent for this request
--- a/src/libruntime/http_server.cpp
+++ b/src/libruntime/http_server.cpp
@@ -158,6 +158,8 @@
     phase_ = phase::answering;
     close_after_response_ = !reader_.head().keep_alive || server->keep_alive_disabled_;
     head_only_ = reader_.head().method == "HEAD";
+    is_http_1_0_ = reader_.head().is_http_1_0;
+    until_close_ = false;
     const auto self = shared_from_this();
     server->handlers_.request(self, reader_.head(), std::exchange(body_, {}));
     return *consumed;
@@ -236,11 +238,14 @@
         return;
     if (const auto server = server_.lock(); server == nullptr || server->keep_alive_disabled_)
         close_after_response_ = true;
-    chunked_ = !length.has_value();
+    until_close_ = !length && is_http_1_0_;
+    chunked_ = !length && !is_http_1_0_;
+    if (until_close_)
+        close_after_response_ = true;
     std::vector<core::header_field> headers = fields;
     if (length)
         headers.push_back({"Content-Length", std::to_string(*length)});
-    else
+    else if (chunked_)
         headers.push_back({"Transfer-Encoding", "chunked"});
     write_head(status, headers);
     stream_->write("\r\n");
@@ -294,7 +299,10 @@
 {
     const auto self = shared_from_this();
     phase_ = phase::closed;
-    stream_->close();
+    if (until_close_)
+        stream_->reset();
+    else
+        stream_->close();
     if (const auto server = server_.lock())
         server->remove_session(self);
 }
--- a/src/libruntime/http_server_test.cpp
+++ b/src/libruntime/http_server_test.cpp
@@ -30,6 +30,7 @@
     std::shared_ptr<byte_stream> client;
     std::string received;
     bool closed = false;
+    bool reset = false; ///< not closed by an ordinary end
     int disconnects = 0;
     std::uint16_t port = static_cast<std::uint16_t>(20'000 + ::getpid() % 10'000);
 
@@ -50,7 +51,10 @@
             received += data;
             return data.size();
         };
-        client_handlers.closed = [this](const core::error*) { closed = true; };
+        client_handlers.closed = [this](const core::error* failure) {
+            closed = true;
+            reset = failure != nullptr;
+        };
         client->start(std::move(client_handlers));
     }
     void run()
@@ -124,6 +128,32 @@
     BOOST_TEST(closed);
 }
 
+// Guards against a part of a response that an HTTP/1.0 client takes for the whole: without a length
+// or chunks, only a reset tells it from a response that ended.
+BOOST_AUTO_TEST_CASE(an_aborted_response_without_framing_is_reset)
+{
+    for (const bool aborts : {true, false}) {
+        fixture f;
+        f.client->write("GET /1 HTTP/1.0\r\nHost: h\r\n\r\n");
+        f.run();
+        BOOST_REQUIRE(f.requests.size() == 1U);
+        f.requests[0]->start_response(200, {}, std::nullopt);
+        f.requests[0]->send("part");
+        f.run();
+        BOOST_TEST(f.received.ends_with("\r\n\r\npart"));
+        BOOST_TEST(f.received.find("chunked") == std::string::npos);
+        BOOST_TEST(!f.closed);
+        if (aborts)
+            f.requests[0]->abort();
+        else
+            f.requests[0]->finish_response();
+        f.run();
+        BOOST_TEST(f.closed);
+        BOOST_TEST(f.reset == aborts);
+        BOOST_TEST(f.received.ends_with("\r\n\r\npart"));
+    }
+}
+
 // Guards against a loop that wakes up without end: the listening socket stays readable while a
 // connection waits that can't be accepted.
 BOOST_FIXTURE_TEST_CASE(without_free_descriptors_the_loop_rests_and_accepts_again_later, fixture)
