Send what is queued before an answer is aborted

Callers lost whole events: what the loop had queued in the same turn as the abort was dropped with the connection, at times the whole head (curl: empty reply). Found by testsuite/endings.

The queue is written once more, as far as the socket takes it, before the connection closes. what_was_sent_before_an_abort_reaches_the_client failed before, passes now.

--- a/src/include/bluebell/runtime/byte_stream.h
+++ b/src/include/bluebell/runtime/byte_stream.h
@@ -68,6 +68,8 @@
 
     /// Queues bytes, which are sent before the event loop waits.
     void write(std::string_view data);
+    /// Sends queued bytes now, as far as the socket takes them.
+    void flush();
     /// Returns the number of queued bytes not written to the socket yet; 0 after close().
     [[nodiscard]] std::size_t unsent_bytes() const;
     /// Returns whether there are bytes that the data callback has not consumed.
@@ -90,7 +92,6 @@
     static void on_ready(int descriptor, short events, void* self);
     void read();
     void deliver(std::string_view data);
-    void flush();
     void schedule_flush();
     void watch_writable(bool enabled);
     void finish_connect();
--- a/src/libruntime/http_server.cpp
+++ b/src/libruntime/http_server.cpp
@@ -299,6 +299,7 @@
 {
     const auto self = shared_from_this();
     phase_ = phase::closed;
+    stream_->flush(); // the client can use what it gets, for instance to resume a stream
     if (until_close_)
         stream_->reset();
     else
--- a/src/libruntime/http_server_test.cpp
+++ b/src/libruntime/http_server_test.cpp
@@ -128,6 +128,20 @@
     BOOST_TEST(closed);
 }
 
+// Guards against events that a client has to ask for again: they were queued when their stream was cut.
+BOOST_FIXTURE_TEST_CASE(what_was_sent_before_an_abort_reaches_the_client, fixture)
+{
+    send_get("/1");
+    run();
+    BOOST_REQUIRE(requests.size() == 1U);
+    requests[0]->start_response(200, {}, std::nullopt);
+    requests[0]->send("id: 1\ndata: x\n\n");
+    requests[0]->abort();
+    run();
+    BOOST_TEST(received.ends_with("id: 1\ndata: x\n\n\r\n"));
+    BOOST_TEST(closed);
+}
+
 // Guards against a part of a response that an HTTP/1.0 client takes for the whole: without a length
 // or chunks, only a reset tells it from a response that ended.
 BOOST_AUTO_TEST_CASE(an_aborted_response_without_framing_is_reset)
