Take into account how long a draining process has

In a planned stop, in calm, requests that came 3.0 to 3.2 s after SIGTERM were passed on and cut at the end of the grace, unsafe ones among them, as were earlier ones whose work outlasted it, all without an answer. Cause: bounds.grace-s was not read, so nothing asked whether a request can end before the process does, and nothing told callers at its end what is known.

--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -135,6 +135,7 @@
     bool enabled = false;  ///< this process serves pass-through requests
     bool draining = false; ///< the process finishes its requests and then exits
     instant drain_started_at{};
+    microseconds drain_grace{}; ///< time from the drain's start until the process ends; 0: not known
     instant next_list_read_at{};        ///< when to read the platform's list of workers again
     bool list_read_in_progress = false; ///< the platform's list is being read
     std::uint32_t list_failures = 0;    ///< readings of the platform's list that failed in a row
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -23,6 +23,12 @@
 /// Minimum time from the start of a drain to the exit of the process. The load balancer needs it to
 /// notice that the process isn't ready and to stop sending requests.
 constexpr microseconds min_drain_time{3'200'000};
+/// A drain ends this long before the process is killed, so that its last answers reach their
+/// callers.
+constexpr microseconds drain_margin{600'000};
+/// After this time of a drain, the load balancer sends no new connections. Requests on kept ones are
+/// taken only if they end before the drain does.
+constexpr microseconds balancer_notice_time{2'800'000};
 /// Timeout of a request whose caller states none, so that no request waits forever.
 constexpr microseconds default_caller_timeout{30'000'000};
 
@@ -89,6 +95,23 @@
 /// Requests that may wait for that; further ones are refused at once.
 constexpr std::size_t max_waiting_requests = 256;
 
+/// Returns when the drain ends whether or not requests are in progress.
+instant drain_ends_at(const gateway_state& st)
+{
+    if (!st.draining || st.drain_grace.count() == 0)
+        return instant::max();
+    return st.drain_started_at + std::max(microseconds{0}, st.drain_grace - drain_margin);
+}
+
+/// Returns whether a draining process should take the request: if its answer is due before the drain
+/// ends, or if it may be sent again and has good chances to end in time.
+bool fits_into_drain(const turn& t, const exchange& ex)
+{
+    const microseconds elapsed = t.ctx.now - t.st.drain_started_at;
+    return ex.deadline <= drain_ends_at(t.st) ||
+           (ex.policy.repeatable && elapsed < balancer_notice_time);
+}
+
 /// Finds the request's route, checks its key and id, and starts its first attempt.
 void admit(turn& t, exchange_id id, const pass_request& request, instant arrived_at)
 {
@@ -107,6 +130,10 @@
         return;
     }
     exchange ex = make_exchange(t, *r, *holder, request, arrived_at);
+    if (t.st.draining && !fits_into_drain(t, ex)) {
+        refuse_unadmitted(t, id, 503, "draining", request, draining_retry_after);
+        return;
+    }
     auto& budget = t.st.retry_budgets[ex.policy.service];
     budget = add_retry_credit(budget, t.ctx.now, t.st.retry_config);
     if (ex.request.demand)
@@ -132,8 +159,10 @@
 
 void on(turn& t, const pass_request_received& ev)
 {
-    // The process may be terminated before an answer that starts this late is complete.
-    if (t.st.draining && t.ctx.now - t.st.drain_started_at >= min_drain_time) {
+    // The process may end at any time from then on.
+    const bool is_late = t.ctx.now - t.st.drain_started_at >= min_drain_time ||
+                         t.ctx.now >= drain_ends_at(t.st);
+    if (t.st.draining && is_late) {
         refuse_unadmitted(t, ev.exchange, 503, "draining", ev.request, draining_retry_after);
         return;
     }
@@ -263,6 +292,23 @@
                                      {{"why", to_string(ev.failure)}}));
 }
 
+/// Ends all requests when the drain ends: a caller whose answer has not begun is told what is known,
+/// the others' connections are closed before the ends of their answers.
+void end_drain_if_due(turn& t)
+{
+    if (t.ctx.now < drain_ends_at(t.st) || t.st.exchanges.empty())
+        return;
+    std::vector<exchange_id> open;
+    for (const auto& [id, ex] : t.st.exchanges)
+        open.push_back(id);
+    std::sort(open.begin(), open.end());
+    t.out.emplace_back(make_log_line(log_level::warning, component,
+                                     "Drain ends with requests in progress.", request_id(),
+                                     {{"open", std::to_string(open.size())}}));
+    for (const exchange_id id : open)
+        end_unfinished(t, id, "the process ends");
+}
+
 void read_list_if_due(turn& t)
 {
     if (t.ctx.now < t.st.next_list_read_at)
@@ -278,9 +324,10 @@
     next_at = std::min(next_at, next_watch_at(st.crashes));
     if (!st.timers.empty())
         next_at = std::min(next_at, st.timers.begin()->first);
-    const instant drain_ends_at = st.drain_started_at + min_drain_time;
-    if (st.draining && drain_ends_at > now)
-        next_at = std::min(next_at, drain_ends_at);
+    for (const instant due_at : {st.drain_started_at + min_drain_time, drain_ends_at(st)}) {
+        if (st.draining && due_at > now)
+            next_at = std::min(next_at, due_at);
+    }
     return next_at;
 }
 
@@ -292,6 +339,7 @@
         if (!remove_waiting(t, id, true))
             handle_timeout(t, id);
     }
+    end_drain_if_due(t);
     watch_due_workers(t);
     read_list_if_due(t);
     query_table_if_due(t);
@@ -348,7 +396,7 @@
 bool is_drained(const gateway_state& st, instant now)
 {
     return st.draining && st.exchanges.empty() && st.waiting_requests.empty() &&
-           now - st.drain_started_at >= min_drain_time;
+           (now - st.drain_started_at >= min_drain_time || now >= drain_ends_at(st));
 }
 
 gateway_step start_drain(gateway_state current, const context& ctx)
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -505,13 +505,20 @@
                             "no answer began in time"});
         return;
     }
+    end_unfinished(t, id, "time is over");
+}
+
+void end_unfinished(turn& t, exchange_id id, std::string_view reason)
+{
+    exchange& ex = t.st.exchanges.at(id);
     const bool may_have_run = ex.attempt != 0 || ex.may_have_run;
     end_attempt(t, ex, true);
     if (ex.answer_started)
-        fail_exchange(t, id, ex,
-                      error{error_code::deadline_exceeded, "await answer", "", "time is over"});
+        fail_exchange(
+            t, id, ex,
+            error{error_code::deadline_exceeded, "await answer", "", std::string(reason)});
     else
-        refuse(t, id, may_have_run ? 504 : 503, "time is over");
+        refuse(t, id, may_have_run ? 504 : 503, reason);
 }
 
 } // namespace bluebell::core::gateway
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -58,6 +58,9 @@
 void remove_exchange(turn& t, exchange_id id);
 /// Computes the exchange's next timeout and updates its timer.
 void reschedule_timer(turn& t, exchange_id id, exchange& ex);
+/// Ends an exchange whose time is over: cancels its attempt, and aborts the answer or refuses the
+/// request with what is known.
+void end_unfinished(turn& t, exchange_id id, std::string_view reason);
 /// Handles an exchange whose timer expired: either its deadline has passed, or its attempt has
 /// brought no answer for too long.
 void handle_timeout(turn& t, exchange_id id);
