Keep a connection that a response has promised to keep during a drain

A stream's head that was sent before SIGTERM promises to keep the connection, and the server closed it right after the stream's end: the caller's next request was lost.

--- a/src/include/bluebell/runtime/http_server.h
+++ b/src/include/bluebell/runtime/http_server.h
@@ -126,7 +126,8 @@
 
     /// Sets the limits of requests that start from now on.
     void set_limits(const core::caller_limits& limits) { options_.limits = limits; }
-    /// From now on, each connection is closed after its current or next response.
+    /// From now on, each connection is closed after its next response that says so. A response whose
+    /// head has already promised to keep the connection keeps it for one more request.
     void disable_keep_alive() { keep_alive_disabled_ = true; }
     /// Closes the connections on which no request is in progress.
     void close_idle();
--- a/src/libruntime/http_server.cpp
+++ b/src/libruntime/http_server.cpp
@@ -274,7 +274,7 @@
 void http_session::finish_request()
 {
     const auto server = server_.lock();
-    if (close_after_response_ || server == nullptr || server->keep_alive_disabled_) {
+    if (close_after_response_ || server == nullptr) {
         close_after_flush();
         return;
     }
--- a/src/libruntime/http_server_test.cpp
+++ b/src/libruntime/http_server_test.cpp
@@ -128,6 +128,28 @@
     BOOST_TEST(closed);
 }
 
+// Guards against a request that is lost because its connection was closed right after a response
+// that had promised to keep it.
+BOOST_FIXTURE_TEST_CASE(a_promise_to_keep_a_connection_holds_during_a_drain, fixture)
+{
+    send_get("/1");
+    run();
+    BOOST_REQUIRE(requests.size() == 1U);
+    requests[0]->start_response(200, {}, std::nullopt);
+    server->disable_keep_alive();
+    requests[0]->finish_response();
+    run();
+    BOOST_TEST(!closed);
+    send_get("/2");
+    run();
+    BOOST_REQUIRE(requests.size() == 2U);
+    requests[1]->reply(200, {}, "two");
+    run();
+    BOOST_TEST(received.find("Connection: close") > received.find("0\r\n\r\n"));
+    BOOST_TEST(received.ends_with("two"));
+    BOOST_TEST(closed);
+}
+
 // Guards against events that a client has to ask for again: they were queued when their stream was cut.
 BOOST_FIXTURE_TEST_CASE(what_was_sent_before_an_abort_reaches_the_client, fixture)
 {
