Let a slow or stalled attempt go on where no retry can be had

A safe request with 15 s of time, at a sound worker that takes 3 to 7 s, got 502 after 2.4 s: its attempt was ended at three times the target, and only then the retry budget was asked, which was used up. Streams did that only without a budget, not without another worker.

An attempt is replaced only if there is time, a retry to spend and another worker; else it goes on, and is looked at again later. Bytes of a held answer count as progress.

--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -350,6 +350,7 @@
         return;
     }
     ex->held_head = ev.head;
+    ex->progressed_at = t.ctx.now;
 }
 
 void on(turn& t, const attempt_data& ev)
@@ -359,6 +360,8 @@
     if (ex == nullptr)
         return;
     ex->body_begun = true;
+    if (!ex->answer_started)
+        ex->progressed_at = t.ctx.now;
     if (ex->is_event_stream) {
         forward_events(t, id, *ex, ev.data);
         return;
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -75,6 +75,17 @@
                                          : instant::max();
 }
 
+/// Returns when an attempt whose answer isn't passed on yet may be replaced, unless a byte of it
+/// arrives until then. Never, if the request may not be sent to another worker.
+instant replaceable_at(const exchange& ex)
+{
+    const bool has_attempts_left = ex.policy.repeatable && ex.sent_attempts < ex.policy.max_workers;
+    if (!has_attempts_left || ex.attempt == 0)
+        return instant::max();
+    return ex.progressed_at + std::max<microseconds>(min_slow_attempt_time,
+                                                     ex.policy.target_latency * slow_attempt_factor);
+}
+
 /// Returns when the exchange must be checked next: at its deadline, or earlier if its attempt may
 /// be replaced because it is slow or has stalled.
 instant next_timer_at(const exchange& ex)
@@ -83,12 +94,7 @@
         return ex.deadline + probe_grace;
     if (ex.answer_started)
         return std::min(ex.deadline + stream_grace, stalls_at(ex));
-    const bool has_attempts_left = ex.policy.repeatable && ex.sent_attempts < ex.policy.max_workers;
-    if (!has_attempts_left || ex.attempt == 0)
-        return ex.deadline;
-    const auto slow_after = std::max<microseconds>(min_slow_attempt_time,
-                                                   ex.policy.target_latency * slow_attempt_factor);
-    return std::min(ex.deadline, ex.attempt_started_at + slow_after);
+    return std::min(ex.deadline, replaceable_at(ex));
 }
 
 std::uint8_t engine_priority(const exchange& ex)
@@ -237,15 +243,33 @@
     }
 }
 
-/// Resumes a stalled stream at another worker. Without a retry to spend, it goes on as it is.
-void handle_stall(turn& t, exchange_id id, exchange& ex)
+/// Chooses a worker that has not been tried and isn't one of `avoided`.
+worker_choice choose_for(turn& t, exchange_id id, const std::vector<std::string>& avoided)
 {
-    if (t.ctx.now < stalls_at(ex)) {
-        reschedule_timer(t, id, ex);
-        return;
-    }
-    const bool has_time = ex.deadline - t.ctx.now > min_retry_time;
-    if (!has_time || !has_retry(t.st.retry_budgets[ex.policy.service])) {
+    const exchange& ex = t.st.exchanges.at(id);
+    std::vector<std::string> excluded = ex.tried_instances;
+    excluded.insert(excluded.end(), avoided.begin(), avoided.end());
+    const worker_criteria criteria{ex.policy.service, find_demand(ex), find_engine(t, ex), excluded,
+                                   t.ctx.self.zone};
+    return choose_worker(t.st.workers, criteria, t.ctx.now, t.ctx.random ^ id);
+}
+
+/// Returns whether the attempt could be replaced by one at another worker. One under which workers
+/// may have ended is not risked at a further one.
+bool can_replace_attempt(turn& t, exchange_id id, const exchange& ex)
+{
+    return ex.deadline - t.ctx.now > min_retry_time &&
+           std::holds_alternative<crash_unsuspected>(standing_of(t, ex)) &&
+           has_retry(t.st.retry_budgets[ex.policy.service]) &&
+           !choose_for(t, id, {}).instance.empty();
+}
+
+/// Replaces the attempt by one at another worker. Where that can't be had, it goes on: its answer is
+/// what the caller waits for.
+void replace_attempt(turn& t, exchange_id id, exchange& ex, std::string_view step,
+                     std::string_view reason)
+{
+    if (!can_replace_attempt(t, id, ex)) {
         ex.progressed_at = t.ctx.now; // checked again after the same time
         reschedule_timer(t, id, ex);
         return;
@@ -254,9 +278,9 @@
     ex.may_have_run = true;
     end_attempt(t, ex, true);
     t.st.workers = with_failure(std::move(t.st.workers), worker, t.ctx.now);
-    retry_or_fail(
-        t, id,
-        error{error_code::deadline_exceeded, "read answer", worker, "no event came for too long"});
+    retry_or_fail(t, id,
+                  error{error_code::deadline_exceeded, std::string(step), worker,
+                        std::string(reason)});
 }
 
 } // namespace
@@ -345,17 +369,6 @@
 
 namespace {
 
-/// Chooses a worker that has not been tried and isn't one of `avoided`.
-worker_choice choose_for(turn& t, exchange_id id, const std::vector<std::string>& avoided)
-{
-    const exchange& ex = t.st.exchanges.at(id);
-    std::vector<std::string> excluded = ex.tried_instances;
-    excluded.insert(excluded.end(), avoided.begin(), avoided.end());
-    const worker_criteria criteria{ex.policy.service, find_demand(ex), find_engine(t, ex), excluded,
-                                   t.ctx.self.zone};
-    return choose_worker(t.st.workers, criteria, t.ctx.now, t.ctx.random ^ id);
-}
-
 void start_or_fail(turn& t, exchange_id id, const worker_choice& choice)
 {
     exchange& ex = t.st.exchanges.at(id);
@@ -492,17 +505,17 @@
     exchange& ex = it->second;
     ex.awaited_probe = 0;
     if (ex.answer_started && t.ctx.now < ex.deadline) {
-        handle_stall(t, id, ex);
+        if (t.ctx.now < stalls_at(ex))
+            reschedule_timer(t, id, ex);
+        else
+            replace_attempt(t, id, ex, "read answer", "no event came for too long");
         return;
     }
     if (t.ctx.now < ex.deadline) {
-        const std::string worker = ex.tried_instances.back();
-        ex.may_have_run = true;
-        end_attempt(t, ex, true);
-        t.st.workers = with_failure(std::move(t.st.workers), worker, t.ctx.now);
-        retry_or_fail(t, id,
-                      error{error_code::deadline_exceeded, "await answer", worker,
-                            "no answer began in time"});
+        if (t.ctx.now < replaceable_at(ex))
+            reschedule_timer(t, id, ex);
+        else
+            replace_attempt(t, id, ex, "await answer", "no answer came in time");
         return;
     }
     end_unfinished(t, id, "time is over");
--- a/src/libcore/gateway_stream_test.cpp
+++ b/src/libcore/gateway_stream_test.cpp
@@ -86,6 +86,17 @@
     BOOST_TEST(find_effect<pass_data>() != nullptr);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_stalled_stream_goes_on_when_no_other_worker_is_left, streaming_gateway)
+{
+    std::erase_if(st.workers.workers, [&](const auto& w) { return w.first != first.instance; });
+    send_event(first.attempt, 1);
+    advance_time(milliseconds(2'500));
+    BOOST_TEST(find_effect<cancel_attempt>() == nullptr);
+    BOOST_TEST(find_effect<pass_abort>() == nullptr);
+    send_event(first.attempt, 2);
+    BOOST_TEST(find_effect<pass_data>() != nullptr);
+}
+
 // Without a pause, what a fast worker sends to a slow caller would fill the memory.
 BOOST_FIXTURE_TEST_CASE(the_answer_of_a_lagging_caller_is_not_read, streaming_gateway)
 {
--- a/src/libcore/gateway_test.cpp
+++ b/src/libcore/gateway_test.cpp
@@ -183,6 +183,46 @@
     BOOST_TEST(started_attempt().time_left.count() == 2'100'000);
 }
 
+// Guards against a request that fails although its worker would have answered it in time: its attempt
+// was ended for a retry that could not be had.
+BOOST_AUTO_TEST_CASE(a_slow_attempt_goes_on_where_no_retry_can_be_had)
+{
+    for (const bool has_budget : {true, false}) {
+        ready_gateway g;
+        if (has_budget) {
+            std::erase_if(g.st.workers.workers,
+                          [](const auto& w) { return w.first != worker_name(0) + "plain"; });
+        } else {
+            for (auto& [service, budget] : g.st.retry_budgets)
+                budget.balance_permille = 0;
+        }
+        g.handle(pass_request_received{1, request("/safe/x")});
+        const auto first = g.started_attempt();
+        for (int n = 0; n < 3; ++n) {
+            g.advance_time(milliseconds(900));
+            BOOST_TEST(g.find_effect<cancel_attempt>() == nullptr);
+            BOOST_TEST(g.refused_status() == 0);
+        }
+        g.handle(attempt_head{first.attempt, answer(200)});
+        g.handle(attempt_completed{first.attempt});
+        BOOST_TEST(g.find_effect<pass_end>() != nullptr);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(an_attempt_whose_answer_arrives_slowly_is_not_replaced, ready_gateway)
+{
+    handle(pass_request_received{1, request("/safe/x")});
+    const auto first = started_attempt();
+    handle(attempt_head{first.attempt, answer(200)});
+    for (int n = 0; n < 4; ++n) {
+        advance_time(milliseconds(700));
+        BOOST_TEST(find_effect<cancel_attempt>() == nullptr);
+        handle(attempt_data{first.attempt, "x"});
+    }
+    handle(attempt_completed{first.attempt});
+    BOOST_TEST(find_effect<pass_end>() != nullptr);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_draining_worker_gets_no_new_requests, ready_gateway)
 {
     worker_list_received list;
