Keep durable entries when a log that is written anew is cut short

After a failed write the log is written anew to a new file, and the old ones are removed. If the disk takes only a part of that (ENOSPC in the middle of a write), or the process ends meanwhile, the next reading found entries 1 to k in the new file and dropped all entries of the old file from 1 on, the durable ones behind k with them. A replica that has confirmed entries and lost them votes, and a leader doesn't send them again.

All log files are synced at the start, not only the newest: an older one may hold what was written before a failed sync. That part is by reading; no test shows it.

--- a/src/include/bluebell/store/file_system.h
+++ b/src/include/bluebell/store/file_system.h
@@ -87,6 +87,10 @@
     /// Returns the folder as the next process finds it if this process is killed now: with all
     /// writes, synced or not.
     [[nodiscard]] memory_folder after_kill() const;
+    /// Returns a copy in which the fault happens at the given change from now on.
+    [[nodiscard]] memory_folder
+    with_fault(disk_fault fault, std::uint64_t changes,
+               std::uint64_t failures = std::numeric_limits<std::uint64_t>::max()) const;
     /// Returns a copy of the folder with one bit of a file flipped.
     [[nodiscard]] memory_folder with_flipped_bit(const std::string& name, std::size_t bit) const;
     [[nodiscard]] std::uint64_t steps() const { return steps_; }
--- a/src/include/bluebell/store/log_store.h
+++ b/src/include/bluebell/store/log_store.h
@@ -92,6 +92,7 @@
     [[nodiscard]] core::result<void> load();
     [[nodiscard]] core::result<void> sync_loaded();
     [[nodiscard]] core::result<void> rewrite_all();
+    [[nodiscard]] bool is_loaded(const log_record& record) const;
     [[nodiscard]] core::result<void> load_segment(const std::string& name, bool newest);
     [[nodiscard]] core::result<void> replace_file(const std::string& name, const std::string& data);
     [[nodiscard]] core::result<void> write_snapshot(const snapshot_record& snapshot);
--- a/src/libstore/log_store.cpp
+++ b/src/libstore/log_store.cpp
@@ -118,15 +118,14 @@
 }
 
 /// Syncs the data that was read. A killed process leaves writes that this process can read although
-/// they were never synced and a power failure would still lose them. Older segments were synced
-/// while they were the newest.
+/// they were never synced and a power failure would still lose them. Segments before the newest may
+/// be among them, if it was killed while it wrote the log anew after a failed sync.
 result<void> log_store::sync_loaded()
 {
     if (loaded_.was_empty)
         return {};
-    if (!segments_.empty()) {
-        const auto& newest = segments_.back().name;
-        if (auto done = with_folder(files_, [&](auto& f) { return f.sync(newest); }); !done)
+    for (const auto& s : segments_) {
+        if (auto done = with_folder(files_, [&](auto& f) { return f.sync(s.name); }); !done)
             return done;
     }
     return with_folder(files_, [](auto& f) { return f.sync_names(); });
@@ -163,6 +162,17 @@
     return remove_segments(1);
 }
 
+/// Returns whether the same entry was read from an older file. rewrite_all() has then begun to write
+/// the log anew, perhaps not to its end: the older file still has the entries behind this one. An
+/// entry of another term replaces them instead.
+bool log_store::is_loaded(const log_record& record) const
+{
+    const auto& records = loaded_.records;
+    return !records.empty() && record.index >= records.front().index &&
+           record.index <= records.back().index &&
+           records[record.index - records.front().index].term == record.term;
+}
+
 result<void> log_store::load_segment(const std::string& name, bool newest)
 {
     auto data = std::visit([&](const auto& f) { return f.read(name); }, files_);
@@ -188,6 +198,8 @@
         offset = decoded->next_offset;
         last_index = std::max(last_index, decoded->record.index);
         auto& loaded_records = loaded_.records;
+        if (is_loaded(decoded->record))
+            continue;
         while (!loaded_records.empty() && loaded_records.back().index >= decoded->record.index)
             loaded_records.pop_back();
         const std::uint64_t expected =
--- a/src/libstore/log_store_test.cpp
+++ b/src/libstore/log_store_test.cpp
@@ -185,6 +185,45 @@
     }
 }
 
+// Guards against the loss of entries that were durable: the data folder is written anew after a
+// failed write, and the disk takes only a part of that, or the process ends meanwhile.
+BOOST_AUTO_TEST_CASE(a_fault_while_a_folder_is_written_anew_loses_no_durable_data)
+{
+    const durable_data all{true, 15, 8};
+    const memory_folder filled = memory_of(make_filled_store()).after_kill();
+    for (const auto fault : {disk_fault::torn_write, disk_fault::disk_full, disk_fault::failed_sync,
+                             disk_fault::crash}) {
+        const std::uint64_t failures = fault == disk_fault::crash ? 1'000 : 3;
+        for (std::uint64_t change = 1; change <= 30; ++change) {
+            auto store = log_store::make(filled.with_fault(fault, change, failures));
+            if (!store)
+                continue; // the fault has come before that
+            (void)store->reopen();
+            BOOST_TEST_CONTEXT("fault " << static_cast<int>(fault) << " at change " << change)
+            {
+                for (const auto& left :
+                     {memory_of(*store).after_kill(), memory_of(*store).after_crash()}) {
+                    auto restarted = log_store::make(left);
+                    BOOST_REQUIRE(restarted.has_value());
+                    check_durable_data(all, restarted->loaded_contents());
+                    const auto next = last_index(restarted->loaded_contents()) + 1;
+                    BOOST_REQUIRE(restarted->append({entry(next)}).has_value());
+                    const auto last = log_store::make(memory_of(*restarted).after_crash());
+                    BOOST_REQUIRE(last.has_value());
+                    BOOST_TEST(last_index(last->loaded_contents()) == next);
+                }
+                if (fault == disk_fault::crash)
+                    continue;
+                int tries = 0;
+                while (tries < 5 && !store->reopen())
+                    tries += 1;
+                BOOST_TEST(tries < 5);
+                check_durable_data(all, store->loaded_contents());
+            }
+        }
+    }
+}
+
 // Guards against data loss by a power failure after a process was killed: the process leaves writes
 // that were not synced, and the next process reads them and appends to them.
 BOOST_AUTO_TEST_CASE(unsynced_writes_of_a_killed_process_are_synced_before_they_are_used)
--- a/src/libstore/memory_folder.cpp
+++ b/src/libstore/memory_folder.cpp
@@ -131,6 +131,17 @@
     return copy;
 }
 
+memory_folder memory_folder::with_fault(disk_fault fault, std::uint64_t changes,
+                                        std::uint64_t failures) const
+{
+    memory_folder copy = *this;
+    copy.fault_ = fault;
+    copy.fault_step_ = steps_ + changes;
+    copy.remaining_failures_ = failures;
+    copy.failed_ = false;
+    return copy;
+}
+
 memory_folder memory_folder::with_flipped_bit(const std::string& name, std::size_t bit) const
 {
     memory_folder copy = *this;
