--- a/src/libcore/table_fleet_test.cpp
+++ b/src/libcore/table_fleet_test.cpp
@@ -22,6 +22,8 @@
 constexpr std::int64_t max_reconnect_ms = 800;
 /// Stands for the operators in run_on_arrival; other sources are numbers of machines.
 constexpr hash64 operator_source = 1'000;
+/// Number of times that a disk is full.
+constexpr std::size_t max_full_disks = 12;
 /// Longest time, in microseconds, that a process takes to read what arrived during its freeze.
 constexpr std::uint64_t max_wake_up_us = 2'000;
 
@@ -110,7 +112,10 @@
     const instant end_at = now_ + warm_up + plan_.length;
     schedule(microseconds{0}, [this] { observe(); });
     schedule(warm_up / 2, [this] { change(); });
-    schedule(warm_up, [this] { inject_faults(); });
+    if (plan_.full_disks)
+        schedule(warm_up, [this] { fill_disks(max_full_disks); });
+    else
+        schedule(warm_up, [this] { inject_faults(); });
     schedule(warm_up, [this] { read(); });
     while (!violation_ && !queue_.empty() && queue_.begin()->first.first <= end_at) {
         auto next = queue_.extract(queue_.begin());
@@ -153,21 +158,27 @@
         m.replica.peers.bootstrapping = now_ < start_time + warm_up;
         m.replica.peers.tolerated_failures = (plan_.voters - 1) / 2;
         if (is_core(n)) {
-            disk_loaded loaded;
-            loaded.was_empty = m.stored.was_empty;
-            loaded.incarnation = m.stored.incarnation;
-            loaded.current_term = m.stored.current_term;
-            loaded.voted_for = m.stored.voted_for;
-            for (const auto& [index, entry] : m.stored.entries)
-                loaded.entries.push_back(entry);
-            loaded.commit_index = m.stored.commit_index;
-            to_control(n, disk_event(std::move(loaded)));
+            m.stored.has_failed = false;
+            to_control(n, disk_event(load(m.stored)));
         }
         schedule_on(n, milliseconds(1), [this, n] { to_control(n, clock_event(tick{})); });
     }
     schedule_on(n, milliseconds(20), [this, n] { tick_gateway(n); });
 }
 
+disk_loaded table_fleet::load(const disk& d)
+{
+    disk_loaded loaded;
+    loaded.was_empty = d.was_empty;
+    loaded.incarnation = d.incarnation;
+    loaded.current_term = d.current_term;
+    loaded.voted_for = d.voted_for;
+    for (const auto& [index, entry] : d.entries)
+        loaded.entries.push_back(entry);
+    loaded.commit_index = d.commit_index;
+    return loaded;
+}
+
 template <class Event>
 void table_fleet::to_control(std::size_t n, const Event& ev)
 {
@@ -183,7 +194,7 @@
         match(
             e, [&](const send_message& s) { send(n, machines_[n].control.id, s); },
             [&](const disk_vote&) { write(n, e); }, [&](const disk_append&) { write(n, e); },
-            [&](const disk_commit&) { write(n, e); },
+            [&](const disk_commit&) { write(n, e); }, [&](const disk_reopen&) { reopen(n); },
             [&](const table_reply& r) {
                 schedule(link_delay, [this, n, r] { handle_reply(n, r); });
             },
@@ -231,6 +242,20 @@
 {
     schedule_on(n, sync_time, [this, n, e] {
         disk& d = machines_[n].stored;
+        d.has_failed = d.has_failed || d.full_until > now_;
+        if (d.has_failed) {
+            const error failure{error_code::io_failure, "write file", "log", "no space left"};
+            match(
+                e,
+                [&](const disk_vote& w) {
+                    to_control(n, disk_event(disk_failed{w.ticket, failure}));
+                },
+                [&](const disk_append& w) {
+                    to_control(n, disk_event(disk_failed{w.ticket, failure}));
+                },
+                [](const auto&) {});
+            return;
+        }
         match(
             e,
             [&](const disk_vote& w) {
@@ -250,6 +275,20 @@
     });
 }
 
+/// Reads the data folder again, which fails while the disk is full because it is written anew.
+void table_fleet::reopen(std::size_t n)
+{
+    schedule_on(n, sync_time, [this, n] {
+        disk& d = machines_[n].stored;
+        d.has_failed = d.full_until > now_;
+        if (d.has_failed)
+            to_control(n, disk_event(disk_failed{
+                              0, {error_code::io_failure, "write file", "log", "no space left"}}));
+        else
+            to_control(n, disk_event(load(d)));
+    });
+}
+
 void table_fleet::tick_gateway(std::size_t n)
 {
     machine& m = machines_[n];
@@ -442,6 +481,20 @@
     schedule(random_time(200, 2'000), [this] { inject_faults(); });
 }
 
+void table_fleet::fill_disks(std::size_t spells)
+{
+    if (spells == 0) {
+        faults_ended_at_ = now_;
+        return;
+    }
+    counts_.faults += 1;
+    const std::size_t n = spells % 2 == 0 ? leader().value_or(0) : spells / 2 % plan_.voters;
+    const microseconds time = random_time(500, 4'000);
+    machines_[n].stored.full_until = now_ + time;
+    core_disturbed_at_ = now_ + time;
+    schedule(time + random_time(0, 500), [this, spells] { fill_disks(spells - 1); });
+}
+
 // Operators.
 
 void table_fleet::change()
@@ -452,6 +505,7 @@
         const std::uint64_t number = submissions_.size() + 1;
         std::string text = std::to_string(last_version_);
         text += copy == 0 ? " first" : " second";
+        submissions_[number].made_at = now_;
         submissions_[number].document = {last_version_, bytes::from(text)};
         submissions_[number].target = random_below(plan_.voters + plan_.diskless);
         submit(number);
@@ -463,7 +517,8 @@
 {
     submission& s = submissions_[number];
     const bool superseded = s.document.version + 10 < last_version_;
-    if (s.done || superseded)
+    s.done = s.done || superseded;
+    if (s.done)
         return;
     s.attempt += 1;
     const std::string operation = std::to_string(number) + "/" + std::to_string(s.attempt);
@@ -561,6 +616,7 @@
             machines_[n].path_lost_at = now_;
         check(n);
     }
+    check_acknowledgements();
     schedule(observe_interval, [this] { observe(); });
 }
 
@@ -589,6 +645,20 @@
     }
 }
 
+void table_fleet::check_acknowledgements()
+{
+    if (faults_ended_at_ == instant::max())
+        return;
+    const instant calm_since = faults_ended_at_ + plan_.bounds.contact_window;
+    for (const auto& [number, s] : submissions_) {
+        const microseconds waited = now_ - std::max(s.made_at, calm_since);
+        if (!s.done && waited > plan_.ack_time)
+            record_violation("version " + std::to_string(s.document.version) +
+                             " is not acknowledged " + std::to_string(waited.count() / 1'000) +
+                             " ms after all disks had room");
+    }
+}
+
 void table_fleet::record_violation(std::string text)
 {
     if (!violation_)
--- a/src/libcore/table_fleet_test.h
+++ b/src/libcore/table_fleet_test.h
@@ -39,6 +39,10 @@
     /// A frozen machine's clock doesn't count the time of the freeze, as while a VM is suspended.
     bool clocks_stop = false;
     replication_guards guards;
+    /// In place of all other faults, the core's disks are full, one after another.
+    bool full_disks = false;
+    /// After the last fault, an operator must have the answer to a change after this time.
+    microseconds ack_time{4'000'000};
     microseconds length{60'000'000};
 };
 
@@ -69,6 +73,8 @@
         node_id voted_for;
         std::map<log_index, log_entry> entries;
         log_index commit_index = 0;
+        instant full_until{};
+        bool has_failed = false; ///< takes no writes until it is read again
     };
     struct machine {
         node_info control;
@@ -92,7 +98,8 @@
         routing_document document;
         std::size_t target = 0; ///< machine of the control process that is asked next
         int attempt = 0;        ///< replies to earlier attempts are ignored
-        bool done = false;
+        instant made_at{};
+        bool done = false; ///< acknowledged, or given up for newer ones
     };
 
     // Simulation.
@@ -110,11 +117,15 @@
     void isolate(std::size_t n, std::size_t from_first, std::size_t from_end, microseconds time);
     void inject_fault(bool core);
     void inject_faults();
+    /// Fills the disks of the core one after another, a leader's every other time.
+    void fill_disks(std::size_t spells);
 
     template <class Event>
     void to_control(std::size_t n, const Event& ev);
     void carry_out_control(std::size_t n, const effects& out);
     void write(std::size_t n, const effect& e);
+    void reopen(std::size_t n);
+    [[nodiscard]] static disk_loaded load(const disk& d);
     void to_gateway(std::size_t n, const node_id& from, const table_update& update);
     void tick_gateway(std::size_t n);
     void schedule_control_tick(std::size_t n, instant due_at);
@@ -146,6 +157,8 @@
     [[nodiscard]] bool runs(std::size_t n) const;
     void observe();
     void check(std::size_t n);
+    /// Checks that operators have the answers to the changes that they made after the last fault.
+    void check_acknowledgements();
     void record_violation(std::string text);
 
     std::uint64_t random_below(std::uint64_t bound) { return random_() % bound; }
@@ -163,6 +176,7 @@
     std::map<std::pair<std::size_t, std::size_t>, instant> cuts_;
     incarnation_number last_incarnation_ = 0;
     instant core_disturbed_at_{}; ///< last event of a core machine
+    instant faults_ended_at_ = instant::max(); ///< with full_disks: end of the last fault
     instant core_lost_at_{};      ///< last time without a connected majority of the core
 
     std::map<std::uint64_t, submission> submissions_; ///< by number
--- a/src/libcore/table_propagation_test.cpp
+++ b/src/libcore/table_propagation_test.cpp
@@ -101,4 +101,15 @@
     BOOST_TEST(found);
 }
 
+// Guards against changes that are refused or never answered long after the last disk had room again.
+BOOST_AUTO_TEST_CASE(changes_are_acknowledged_again_after_disks_were_full_one_after_another)
+{
+    for (const std::size_t voters : {3U, 4U, 5U, 7U}) {
+        table_fleet_plan plan;
+        plan.voters = voters;
+        plan.full_disks = true;
+        play(plan);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
