Don't shorten a worker's pause by the rounding of a later refusal

The later answer still counts, but an end that lies less than a second before the one already stated is the same end.

a_later_refusal_does_not_shorten_a_pause_by_its_rounding failed before, passes now.

--- a/src/libcore/gateway_notice_test.cpp
+++ b/src/libcore/gateway_notice_test.cpp
@@ -218,6 +218,21 @@
     BOOST_TEST(used_workers().contains("w1plain"));
 }
 
+// Guards against requests that come up to a second too early: two refusals within some milliseconds
+// state the rest of one pause in whole seconds, the later one with a smaller number.
+BOOST_AUTO_TEST_CASE(a_later_refusal_does_not_shorten_a_pause_by_its_rounding)
+{
+    const auto first = ask_until_sent_to("w1plain");
+    const auto second = ask_until_sent_to("w1plain");
+    handle(attempt_head{first, pause(seconds(2))});
+    now += milliseconds(9);
+    handle(attempt_head{second, pause(seconds(1))});
+    now += milliseconds(1'900);
+    BOOST_TEST(!used_workers().contains("w1plain"));
+    now += milliseconds(200);
+    BOOST_TEST(used_workers().contains("w1plain"));
+}
+
 // Guards against a burst of requests that were chosen before the refusal arrived: those that have
 // not left yet are recalled and go elsewhere, and none comes back to the paused worker.
 BOOST_AUTO_TEST_CASE(eight_requests_on_their_way_to_a_worker_that_pauses_go_elsewhere)
--- a/src/libcore/worker_notice.cpp
+++ b/src/libcore/worker_notice.cpp
@@ -10,6 +10,17 @@
 /// How long an instance is remembered as leaving after its last notice. A list of workers that lags
 /// may name it again for some seconds.
 constexpr microseconds leaving_memory{600'000'000};
+/// Resolution of the time that a worker states. Two answers that state the same end of a pause differ
+/// by less.
+constexpr microseconds retry_after_resolution{1'000'000};
+
+/// Returns when a pause ends after a newer answer. That answer counts, but whole seconds must not
+/// shorten the pause that an earlier one has stated.
+instant end_of_pause(instant earlier, instant newer)
+{
+    const bool is_same = earlier > newer && earlier - newer < retry_after_resolution;
+    return is_same ? earlier : newer;
+}
 
 } // namespace
 
@@ -37,7 +48,7 @@
         done.began_leaving = true;
     }
     if (notice.retry_after && status == service_unavailable) {
-        s.paused_until = now + *notice.retry_after;
+        s.paused_until = end_of_pause(s.paused_until, now + *notice.retry_after);
         done.began_pause = s.paused_until > now;
     }
     if (!notice.malformed.empty() && !s.malformed_reported) {
