Take an engine's document for whole only if something but its connection's end shows it

The chat API's side of the same fault: evhttp completes an answer without a length or chunks at the ordinary end of its connection, which a crash brings as well. Streams have an end mark and were safe.

Heads that are cut short complete nothing, before and after.

--- a/src/include/bluebell/wire/engine_http.h
+++ b/src/include/bluebell/wire/engine_http.h
@@ -47,6 +47,9 @@
     friend bool operator==(const token_usage&, const token_usage&) = default;
 };
 
+/// Returns whether the text is one JSON object or array from its first byte to its last.
+[[nodiscard]] bool is_whole_document(std::string_view text);
+
 /// Parses `usage` from the payload of an event or from a whole answer. Returns nothing if there is
 /// none.
 [[nodiscard]] std::optional<token_usage> parse_token_usage(std::string_view payload);
--- /dev/null
+++ b/src/libruntime/engine_client_test.cpp
@@ -0,0 +1,135 @@
+// Answers of a backend server that end in all the ways in which a connection can.
+
+#include <bluebell/core/event.h>
+#include <bluebell/runtime/byte_stream.h>
+#include <bluebell/runtime/engine_client.h>
+
+#include <boost/test/unit_test.hpp>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+using namespace bluebell;
+using runtime::byte_stream;
+
+namespace {
+
+constexpr core::microseconds run_time{20'000};
+
+/// A backend server that sends each call the same bytes and then closes, and a client that has sent
+/// it one call.
+struct answered_call {
+    std::shared_ptr<runtime::event_loop> loop = *runtime::event_loop::make();
+    evconnlistener* listener = nullptr;
+    std::vector<std::shared_ptr<byte_stream>> accepted;
+    std::string answer;
+    bool resets = false;
+    std::shared_ptr<runtime::engine_client> client;
+    std::vector<core::engine_event> events;
+
+    answered_call(std::string text, bool by_reset) : answer(std::move(text)), resets(by_reset)
+    {
+        sockaddr_in any{};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        listener = evconnlistener_new_bind(loop->base(), &answered_call::on_accept, this,
+                                           LEV_OPT_CLOSE_ON_FREE, 16,
+                                           reinterpret_cast<const sockaddr*>(&any), sizeof any);
+        BOOST_REQUIRE(listener != nullptr);
+        socklen_t size = sizeof any;
+        ::getsockname(evconnlistener_get_fd(listener), reinterpret_cast<sockaddr*>(&any), &size);
+        runtime::engine_client_options options;
+        options.port = ntohs(any.sin_port);
+        client = *runtime::engine_client::make(loop, options, [this](core::event_body ev) {
+            events.push_back(std::get<core::engine_event>(std::move(ev)));
+        });
+        core::engine_run call;
+        call.attempt = {core::request_id::from_trusted("q1"), 1};
+        call.call_spec.target = core::chat_target{};
+        client->run(call);
+        const auto stop = runtime::watcher::timer(*loop, [&] { loop->stop(); });
+        stop->arm(run_time);
+        loop->run();
+    }
+    ~answered_call()
+    {
+        evconnlistener_free(listener);
+        accepted.clear();
+        client.reset();
+        loop->settle();
+    }
+    static void on_accept(evconnlistener*, int descriptor, sockaddr*, int, void* self)
+    {
+        auto* f = static_cast<answered_call*>(self);
+        auto stream = byte_stream::adopt(f->loop, descriptor);
+        f->accepted.push_back(stream);
+        byte_stream::callbacks handlers;
+        handlers.data = [f, stream = stream.get()](std::string_view data) {
+            if (data.find("/v1/load") == std::string_view::npos)
+                stream->write(f->answer);
+            return data.size();
+        };
+        handlers.written = [f, stream = stream.get()] {
+            if (f->resets)
+                stream->reset();
+            else
+                stream->close();
+        };
+        handlers.closed = [](const core::error*) {};
+        stream->start(std::move(handlers));
+    }
+    template <class Event>
+    [[nodiscard]] bool has() const
+    {
+        return std::any_of(events.begin(), events.end(), [](const core::engine_event& e) {
+            return std::holds_alternative<Event>(e);
+        });
+    }
+};
+
+const std::string json_head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(engine_clients)
+
+// Guards against a part of an answer that counts as the whole: without a length or chunks, a crash
+// ends it as a whole one ends.
+BOOST_AUTO_TEST_CASE(an_answer_whose_end_nothing_shows_is_not_complete)
+{
+    struct sample {
+        std::string answer;
+        bool is_whole;
+    };
+    const std::string stream_head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    for (const auto& s :
+         {sample{json_head + "Content-Length: 7\r\n\r\n{\"a\":1}", true},
+          sample{json_head + "Content-Length: 9\r\n\r\n{\"a\":1}", false},
+          sample{json_head + "\r\n{\"a\":1}", true}, sample{json_head + "\r\n{\"a\":", false},
+          sample{json_head + "\r\n", false}, sample{json_head + "\r\n12", false},
+          sample{json_head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", true},
+          sample{json_head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", false},
+          sample{"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\ntext", false},
+          sample{stream_head + "data: {}\n\ndata: [DONE]\n\n", true},
+          sample{stream_head + "data: {}\n\n", false},
+          sample{stream_head + "data: {}\n\ndata: [DO", false}}) {
+        const answered_call call(s.answer, false);
+        BOOST_TEST(call.has<core::engine_end>() == s.is_whole, s.answer);
+    }
+}
+
+// Guards against a success without its body: a backend server stopped in the middle of its head.
+BOOST_AUTO_TEST_CASE(a_head_that_is_cut_short_completes_nothing)
+{
+    const std::string head = json_head + "Content-Length: 2\r\n\r\n{}";
+    for (const bool by_reset : {false, true}) {
+        for (std::size_t cut = 0; cut < head.size(); cut += 3) {
+            const answered_call call(head.substr(0, cut), by_reset);
+            BOOST_TEST(!call.has<core::engine_end>(), "cut at " << cut);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libruntime/engine_session.cpp
+++ b/src/libruntime/engine_session.cpp
@@ -62,6 +62,18 @@
            std::all_of(path.begin(), path.end(), [](char c) { return c > ' ' && c < '\x7f'; });
 }
 
+/// Returns whether something else than the end of the connection marks the end of the answer.
+bool marks_its_end(evhttp_request* request)
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    const auto* headers = evhttp_request_get_input_headers(request);
+    const int status = evhttp_request_get_response_code(request);
+    return evhttp_find_header(headers, "Content-Length") != nullptr ||
+           evhttp_find_header(headers, "Transfer-Encoding") != nullptr || status == no_content ||
+           status == not_modified || evhttp_request_get_command(request) == EVHTTP_REQ_HEAD;
+}
+
 std::string read_all(evbuffer* buf)
 {
     std::string text(evbuffer_get_length(buf), '\0');
@@ -175,6 +187,11 @@
                 stream_failure_.empty() ? "the stream ended without its mark" : stream_failure_});
         return;
     }
+    // A backend server that crashes ends its connections as it ends a whole answer.
+    if (!streamed_ && !marks_its_end(request) && !wire::is_whole_document(unstreamed_body_)) {
+        finish({false, true, {}, "only the end of the connection marks the answer's"});
+        return;
+    }
     if (!streamed_)
         usage_ = wire::parse_token_usage(unstreamed_body_).value_or(wire::token_usage{});
     finish({true, true, usage_, ""});
--- a/src/libwire/engine_http.cpp
+++ b/src/libwire/engine_http.cpp
@@ -122,6 +122,13 @@
     return doc.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+bool is_whole_document(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t\r\n");
+    return first != std::string_view::npos && (text[first] == '{' || text[first] == '[') &&
+           json::accept(text);
+}
+
 std::optional<token_usage> parse_token_usage(std::string_view payload)
 {
     if (payload.find("\"usage\"") == std::string_view::npos)
