--- a/testsuite/endless/run.sh
+++ b/testsuite/endless/run.sh
@@ -3,40 +3,11 @@
 # router's memory stays under its bound, every request ends by its deadline, and other callers get
 # their answers within theirs meanwhile; how soon is printed, because it depends on the machine.
 . "$(dirname "$0")/../lib.sh"
-reserve_ports
-list=$((port + 20))
-front=$((port + 30))
-tables=$((port + 32))
 callers=50
 max_resident_kb=65536  # 64 MB
-deadline_ms=3000
 max_end_s=4.5 # deadline, grace of 100 ms and the start of all callers
 
-platform_settings() { # ROLE EXTRA...
-    printf 'role=%s\nip=127.0.0.1\nzone=a\nregion=r\ninternal-port-range=%s,%s\n' "$1" "$port" $((port + 15))
-    printf 'seeds=127.0.0.1:%s\nbootstrap=true\nbounds.retry-budget-ratio=0.2\n' "$tables"
-    shift
-    printf '%s\n' "$@"
-}
-platform_settings control "listen.control=127.0.0.1:$tables" "data-dir=$work/data" \
-    "cloud.address=127.0.0.1:$list" >"$work/control.conf"
-platform_settings router "listen.front=127.0.0.1:$front" "listen.ready=127.0.0.1:$((port + 31))" \
-    "cloud.address=127.0.0.1:$list" >"$work/router.conf"
-mkdir "$work/data"
-table='{"version":1,"routes":[
- {"name":"plain","host":"h","path-prefix":"/plain/","kind":"unsafe","timeout-ms":9000,"service":"plain","attempts":1},
- {"name":"stream","host":"h","path-prefix":"/stream/","kind":"streaming","timeout-ms":9000,"service":"engine","attempts":2}],
- "services":[{"name":"plain"},{"name":"engine","engine":{"slots":64,"kv-capacity-tokens":1000}}],
- "limits":{"max-header-bytes":8192,"max-body-bytes":100000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
- "tenants":[{"name":"lenas","api-keys":["key1"]}]}'
-put_table() { curl -sSf -m 5 -o /dev/null -H 'Content-Type: application/json' -d "$table" "http://127.0.0.1:$tables/Config.Put"; }
-ready() { curl -sSf -m 2 "http://127.0.0.1:$((port + 31))/readiness"; }
-ask() { # PATH ID CURL_OPTIONS...
-    local path=$1 id=$2
-    shift 2
-    curl -sS -N -m 6 -o /dev/null -H 'Host: h' -H "Bluebellproxy-Request-Id: $id" -H 'Bluebellproxy-Credential: key1' \
-        -H "Bluebellproxy-Request-Timeout-Ms: $deadline_ms" "$@" "http://127.0.0.1:$front$path" 2>/dev/null
-}
+reserve_platform_ports
 peak_kb() { sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$pid_router/status"; }
 # ended NAME: how many requests of this kind have ended, by the router's log. A caller that has a large
 # segment size and reads slowly may be cut off by the system before the deadline.
@@ -44,11 +15,7 @@
 milliseconds() { awk '{printf "%d", $1 * 1000}'; }
 
 start endless "$STANDINS_BIN/standin_endless" --port "$list" --seconds 110
-start router "$BLUEBELL_BIN/bluebell" --platform --settings "$work/router.conf"
-start control "$BLUEBELL_BIN/bluebell" --platform --settings "$work/control.conf"
-
-wait_for put_table
-wait_for ready
+start_platform
 
 slowest_other=0
 for path in /plain/body /plain/extension /stream/event /stream/events /plain/interim /plain/other \
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -64,3 +64,53 @@
         printf '%b' "$*"
     } >"$work/$id.ini"
 }
+
+# reserve_platform_ports: sets the ports of a small fleet on the platform's settings: $list of the list of
+# workers, $front of callers, $tables of operators.
+reserve_platform_ports() {
+    reserve_ports
+    list=$((port + 20))
+    front=$((port + 30))
+    tables=$((port + 32))
+}
+
+platform_settings() { # ROLE EXTRA...
+    printf 'role=%s\nip=127.0.0.1\nzone=a\nregion=r\ninternal-port-range=%s,%s\n' "$1" "$port" $((port + 15))
+    printf 'seeds=127.0.0.1:%s\nbootstrap=true\nbounds.retry-budget-ratio=0.2\n' "$tables"
+    shift
+    printf '%s\n' "$@"
+}
+
+put_platform_table() {
+    local table='{"version":1,"routes":[
+ {"name":"plain","host":"h","path-prefix":"/plain/","kind":"unsafe","timeout-ms":9000,"service":"plain","attempts":1},
+ {"name":"stream","host":"h","path-prefix":"/stream/","kind":"streaming","timeout-ms":9000,"service":"engine","attempts":2}],
+ "services":[{"name":"plain"},{"name":"engine","engine":{"slots":64,"kv-capacity-tokens":1000}}],
+ "limits":{"max-header-bytes":8192,"max-body-bytes":100000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
+ "tenants":[{"name":"lenas","api-keys":["key1"]}]}'
+    curl -sSf -m 5 -o /dev/null -H 'Content-Type: application/json' -d "$table" "http://127.0.0.1:$tables/Config.Put"
+}
+platform_ready() { curl -sSf -m 2 "http://127.0.0.1:$((port + 31))/readiness"; }
+
+# start_platform: starts a router and a control process, and waits until the router has a routing table
+# with an unsafe route /plain/ and a route of streams /stream/.
+start_platform() {
+    platform_settings control "listen.control=127.0.0.1:$tables" "data-dir=$work/data" \
+        "cloud.address=127.0.0.1:$list" >"$work/control.conf"
+    platform_settings router "listen.front=127.0.0.1:$front" "listen.ready=127.0.0.1:$((port + 31))" \
+        "cloud.address=127.0.0.1:$list" >"$work/router.conf"
+    mkdir "$work/data"
+    start router "$BLUEBELL_BIN/bluebell" --platform --settings "$work/router.conf"
+    start control "$BLUEBELL_BIN/bluebell" --platform --settings "$work/control.conf"
+    wait_for put_platform_table
+    wait_for platform_ready
+}
+
+deadline_ms=3000
+# ask PATH ID CURL_OPTIONS...: sends a request to the router with a deadline of $deadline_ms.
+ask() {
+    local path=$1 id=$2
+    shift 2
+    curl -sS -N -m 6 -o /dev/null -H 'Host: h' -H "Bluebellproxy-Request-Id: $id" -H 'Bluebellproxy-Credential: key1' \
+        -H "Bluebellproxy-Request-Timeout-Ms: $deadline_ms" "$@" "http://127.0.0.1:$front$path" 2>/dev/null
+}
--- a/testsuite/standins/endless.cpp
+++ b/testsuite/standins/endless.cpp
@@ -1,5 +1,6 @@
 // Stand-in for the platform with one worker in trouble: it serves the list of workers on PORT, and
-// a worker on the next port that sends bytes without end, as the request's path says.
+// a worker on the next port that sends bytes without end, or answers that end in odd ways, as the
+// request's path says.
 
 #include <bluebell/runtime/http_server.h>
 
@@ -10,6 +11,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <optional>
 
 using namespace bluebell;
 using runtime::byte_stream;
@@ -20,12 +22,16 @@
 constexpr std::size_t max_queued_bytes = std::size_t{128} * 1024;
 constexpr core::microseconds drip_interval{500'000};
 
+/// How a connection ends behind the start.
+enum class ending : std::uint8_t { none, close, reset };
+
 /// What a connection sends: first the start, then the rest again and again. A dripping connection
-/// sends one byte of the rest at a time.
+/// sends the rest twice a second.
 struct behaviour {
     std::string start;
     std::string rest;
     bool drips = false;
+    ending end = ending::none;
 };
 
 std::string make_head(const std::string& id, const std::string& framing)
@@ -34,8 +40,43 @@
            "\r\nBluebellproxy-Server-Stamp: stamp\r\n" + framing + "\r\n\r\n";
 }
 
+std::string make_unframed_head(const std::string& id, bool streamed)
+{
+    return make_head(id, streamed ? "Content-Type: text/event-stream" : "Connection: close");
+}
+
+/// Answers that end with their connection, unless said otherwise, or are cut.
+std::optional<behaviour> choose_ending(const std::string& target, const std::string& id)
+{
+    const std::string document = make_unframed_head(id, false);
+    const std::string events =
+        make_unframed_head(id, true) + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    const std::string cut_chunk =
+        make_head(id, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked") +
+        "8\r\nid: 1\nda\r\n0\r\n\r\n";
+    if (target.ends_with("/document"))
+        return behaviour{document + "{}", "", false, ending::close};
+    if (target.ends_with("/document-reset"))
+        return behaviour{document + "{}", "", false, ending::reset};
+    if (target.ends_with("/document-empty"))
+        return behaviour{document, "", false, ending::close};
+    if (target.ends_with("/head-cut"))
+        return behaviour{document.substr(0, document.size() - 3), "", false, ending::close};
+    if (target.ends_with("/events-whole"))
+        return behaviour{events, "", false, ending::close};
+    if (target.ends_with("/events-cut"))
+        return behaviour{events + "id: 3\nda", "", false, ending::close};
+    if (target.ends_with("/events-cut-chunk"))
+        return behaviour{cut_chunk, "", false, ending::none};
+    if (target.ends_with("/events-slow"))
+        return behaviour{events, "data: c\n\n", true, ending::none};
+    return std::nullopt;
+}
+
 behaviour choose_behaviour(const std::string& target, const std::string& id)
 {
+    if (const auto ends = choose_ending(target, id))
+        return *ends;
     const std::string chunked = "Transfer-Encoding: chunked";
     const std::string chunk = "1000\r\n" + std::string(4'096, 'x') + "\r\n";
     const std::string events = "Content-Type: text/event-stream\r\n" + chunked;
@@ -97,6 +138,13 @@
     }
     void send_more()
     {
+        if (behaviour_.end != ending::none && !is_closed_ && stream_->unsent_bytes() == 0) {
+            is_closed_ = true;
+            if (behaviour_.end == ending::reset)
+                stream_->reset();
+            else
+                stream_->close();
+        }
         if (behaviour_.rest.empty() || behaviour_.drips || is_closed_)
             return;
         while (stream_->unsent_bytes() < max_queued_bytes)
