--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -66,16 +66,16 @@
     std::string worker_address;               ///< IP:PORT of the last of them
     attempt_number attempt = 0;               ///< attempt in progress; 0: none
     instant attempt_started_at{};
-    bool suspected = false;                 ///< workers may have ended under it, see crash_watch
-    bool may_have_run = false;              ///< an earlier attempt was sent and not refused
-    bool answer_started = false;            ///< the head of an answer was sent to the caller
-    std::uint16_t answer_status = 0;        ///< status in that head
-    bool is_event_stream = false;           ///< that answer is a stream of events
-    bool must_continue = false;             ///< the next event is the first one of a resumed stream
-    instant answer_started_at{};            ///< when that head was sent
-    instant progressed_at{};                ///< when a stream last brought a whole event
-    bool caller_lags = false;               ///< the answer must not be read at present
-    bool body_begun = false;                ///< the attempt's answer has brought a byte of its body
+    bool suspected = false;          ///< workers may have ended under it, see crash_watch
+    bool may_have_run = false;       ///< an earlier attempt was sent and not refused
+    bool answer_started = false;     ///< the head of an answer was sent to the caller
+    std::uint16_t answer_status = 0; ///< status in that head
+    bool is_event_stream = false;    ///< that answer is a stream of events
+    bool must_continue = false;      ///< the next event is the first one of a resumed stream
+    instant answer_started_at{};     ///< when that head was sent
+    instant progressed_at{};         ///< when a stream last brought a whole event
+    bool caller_lags = false;        ///< the answer must not be read at present
+    bool body_begun = false;         ///< the attempt's answer has brought a byte of its body
     /// Probe that the end of the answer waits for, because only the connection's end marked it; 0:
     /// none. No attempt is in progress then.
     std::uint64_t awaited_probe = 0;
@@ -132,10 +132,11 @@
     retry_budget_config retry_config{0, 0, 0};
     attempt_number last_attempt = 0;
     std::uint64_t last_probe = 0; ///< number of the last probe of a worker
-    bool enabled = false;  ///< this process serves pass-through requests
-    bool draining = false; ///< the process finishes its requests and then exits
+    bool enabled = false;         ///< this process serves pass-through requests
+    bool draining = false;        ///< the process finishes its requests and then exits
     instant drain_started_at{};
-    microseconds drain_grace{}; ///< time from the drain's start until the process ends; 0: not known
+    microseconds
+        drain_grace{}; ///< time from the drain's start until the process ends; 0: not known
     instant next_list_read_at{};        ///< when to read the platform's list of workers again
     bool list_read_in_progress = false; ///< the platform's list is being read
     std::uint32_t list_failures = 0;    ///< readings of the platform's list that failed in a row
--- a/src/include/bluebell/runtime/http_server.h
+++ b/src/include/bluebell/runtime/http_server.h
@@ -29,8 +29,8 @@
     void reply(std::uint16_t status, const std::vector<core::header_field>& fields,
                std::string_view body);
     /// Starts a response; send() sends its body. Without a length, the body uses the chunked
-    /// transfer coding; for clients of HTTP/1.0, which don't know that, it lasts until the connection
-    /// ends.
+    /// transfer coding; for clients of HTTP/1.0, which don't know that, it lasts until the
+    /// connection ends.
     void start_response(std::uint16_t status, const std::vector<core::header_field>& fields,
                         std::optional<std::uint64_t> length);
     /// Sends a part of the response body.
@@ -126,8 +126,8 @@
 
     /// Sets the limits of requests that start from now on.
     void set_limits(const core::caller_limits& limits) { options_.limits = limits; }
-    /// From now on, each connection is closed after its next response that says so. A response whose
-    /// head has already promised to keep the connection keeps it for one more request.
+    /// From now on, each connection is closed after its next response that says so. A response
+    /// whose head has already promised to keep the connection keeps it for one more request.
     void disable_keep_alive() { keep_alive_disabled_ = true; }
     /// Closes the connections on which no request is in progress.
     void close_idle();
--- a/src/include/bluebell/settings/settings.h
+++ b/src/include/bluebell/settings/settings.h
@@ -70,7 +70,7 @@
     bool is_bootstrap = false;            ///< the fleet starts for the first time
     std::uint32_t tolerated_failures = 1; ///< VMs of control processes that may fail at once
     std::uint32_t fleet_retry_budget_permille =
-        0;                                ///< retries per 1000 requests, for the whole fleet
+        0; ///< retries per 1000 requests, for the whole fleet
     /// Time from SIGTERM until the platform kills the process; 0: not stated.
     core::microseconds drain_grace{};
     std::uint32_t max_descriptors = 1024; ///< file descriptors that the process may open
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -26,8 +26,8 @@
 /// A drain ends this long before the process is killed, so that its last answers reach their
 /// callers.
 constexpr microseconds drain_margin{600'000};
-/// After this time of a drain, the load balancer sends no new connections. Requests on kept ones are
-/// taken only if they end before the drain does.
+/// After this time of a drain, the load balancer sends no new connections. Requests on kept ones
+/// are taken only if they end before the drain does.
 constexpr microseconds balancer_notice_time{2'800'000};
 /// Timeout of a request whose caller states none, so that no request waits forever.
 constexpr microseconds default_caller_timeout{30'000'000};
@@ -103,8 +103,8 @@
     return st.drain_started_at + std::max(microseconds{0}, st.drain_grace - drain_margin);
 }
 
-/// Returns whether a draining process should take the request: if its answer is due before the drain
-/// ends, or if it may be sent again and has good chances to end in time.
+/// Returns whether a draining process should take the request: if its answer is due before the
+/// drain ends, or if it may be sent again and has good chances to end in time.
 bool fits_into_drain(const turn& t, const exchange& ex)
 {
     const microseconds elapsed = t.ctx.now - t.st.drain_started_at;
@@ -160,8 +160,8 @@
 void on(turn& t, const pass_request_received& ev)
 {
     // The process may end at any time from then on.
-    const bool is_late = t.ctx.now - t.st.drain_started_at >= min_drain_time ||
-                         t.ctx.now >= drain_ends_at(t.st);
+    const bool is_late =
+        t.ctx.now - t.st.drain_started_at >= min_drain_time || t.ctx.now >= drain_ends_at(t.st);
     if (t.st.draining && is_late) {
         refuse_unadmitted(t, ev.exchange, 503, "draining", ev.request, draining_retry_after);
         return;
@@ -292,8 +292,8 @@
                                      {{"why", to_string(ev.failure)}}));
 }
 
-/// Ends all requests when the drain ends: a caller whose answer has not begun is told what is known,
-/// the others' connections are closed before the ends of their answers.
+/// Ends all requests when the drain ends: a caller whose answer has not begun is told what is
+/// known, the others' connections are closed before the ends of their answers.
 void end_drain_if_due(turn& t)
 {
     if (t.ctx.now < drain_ends_at(t.st) || t.st.exchanges.empty())
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -297,7 +297,8 @@
 }
 
 /// Breaks off an answer after its end.
-void break_off_ended(turn& t, exchange_id id, exchange& ex, answer_ending end, std::string_view reason)
+void break_off_ended(turn& t, exchange_id id, exchange& ex, answer_ending end,
+                     std::string_view reason)
 {
     // Only a connection that ended is a sign that its worker did.
     const auto code =
@@ -403,8 +404,8 @@
 
 void settle_ended_answers(turn& t, const worker_probed& ev)
 {
-    const auto it = std::find_if(
-        t.st.exchanges.begin(), t.st.exchanges.end(), [&](const auto& entry) {
+    const auto it =
+        std::find_if(t.st.exchanges.begin(), t.st.exchanges.end(), [&](const auto& entry) {
             return entry.second.awaited_probe != 0 && entry.second.awaited_probe == ev.number;
         });
     if (it == t.st.exchanges.end())
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -82,8 +82,9 @@
     const bool has_attempts_left = ex.policy.repeatable && ex.sent_attempts < ex.policy.max_workers;
     if (!has_attempts_left || ex.attempt == 0)
         return instant::max();
-    return ex.progressed_at + std::max<microseconds>(min_slow_attempt_time,
-                                                     ex.policy.target_latency * slow_attempt_factor);
+    return ex.progressed_at +
+           std::max<microseconds>(min_slow_attempt_time,
+                                  ex.policy.target_latency * slow_attempt_factor);
 }
 
 /// Returns when the exchange must be checked next: at its deadline, or earlier if its attempt may
@@ -264,8 +265,8 @@
            !choose_for(t, id, {}).instance.empty();
 }
 
-/// Replaces the attempt by one at another worker. Where that can't be had, it goes on: its answer is
-/// what the caller waits for.
+/// Replaces the attempt by one at another worker. Where that can't be had, it goes on: its answer
+/// is what the caller waits for.
 void replace_attempt(turn& t, exchange_id id, exchange& ex, std::string_view step,
                      std::string_view reason)
 {
@@ -278,9 +279,9 @@
     ex.may_have_run = true;
     end_attempt(t, ex, true);
     t.st.workers = with_failure(std::move(t.st.workers), worker, t.ctx.now);
-    retry_or_fail(t, id,
-                  error{error_code::deadline_exceeded, std::string(step), worker,
-                        std::string(reason)});
+    retry_or_fail(
+        t, id,
+        error{error_code::deadline_exceeded, std::string(step), worker, std::string(reason)});
 }
 
 } // namespace
--- a/src/libcore/gateway_end_test.cpp
+++ b/src/libcore/gateway_end_test.cpp
@@ -28,10 +28,7 @@
             handle(attempt_data{first.attempt, text});
         return first;
     }
-    void end(const start_attempt& a, answer_ending by)
-    {
-        handle(attempt_completed{a.attempt, by});
-    }
+    void end(const start_attempt& a, answer_ending by) { handle(attempt_completed{a.attempt, by}); }
     /// Answers the last probe.
     void probe(const start_attempt& a, probe_outcome outcome)
     {
@@ -52,7 +49,8 @@
 constexpr const char* two_events = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n";
 
 /// Beginnings of a third event: cut in a field, between two fields, and before the blank line.
-constexpr const char* cuts[] = {"id: 3\nda", "id: 3\n", "id: 3\ndata: z\n", "id: 3\ndata: z\n\r", "d"};
+constexpr const char* cuts[] = {"id: 3\nda", "id: 3\n", "id: 3\ndata: z\n", "id: 3\ndata: z\n\r",
+                                "d"};
 
 } // namespace
 
--- a/src/libcore/gateway_test.cpp
+++ b/src/libcore/gateway_test.cpp
@@ -183,8 +183,8 @@
     BOOST_TEST(started_attempt().time_left.count() == 2'100'000);
 }
 
-// Guards against a request that fails although its worker would have answered it in time: its attempt
-// was ended for a retry that could not be had.
+// Guards against a request that fails although its worker would have answered it in time: its
+// attempt was ended for a retry that could not be had.
 BOOST_AUTO_TEST_CASE(a_slow_attempt_goes_on_where_no_retry_can_be_had)
 {
     for (const bool has_budget : {true, false}) {
--- a/src/libcore/table_fleet_test.h
+++ b/src/libcore/table_fleet_test.h
@@ -175,9 +175,9 @@
     /// Pairs of machines without a connection until the given time.
     std::map<std::pair<std::size_t, std::size_t>, instant> cuts_;
     incarnation_number last_incarnation_ = 0;
-    instant core_disturbed_at_{}; ///< last event of a core machine
+    instant core_disturbed_at_{};              ///< last event of a core machine
     instant faults_ended_at_ = instant::max(); ///< with full_disks: end of the last fault
-    instant core_lost_at_{};      ///< last time without a connected majority of the core
+    instant core_lost_at_{}; ///< last time without a connected majority of the core
 
     std::map<std::uint64_t, submission> submissions_; ///< by number
     std::uint64_t last_version_ = 0;
--- a/src/libcore/table_propagation_test.cpp
+++ b/src/libcore/table_propagation_test.cpp
@@ -101,7 +101,8 @@
     BOOST_TEST(found);
 }
 
-// Guards against changes that are refused or never answered long after the last disk had room again.
+// Guards against changes that are refused or never answered long after the last disk had room
+// again.
 BOOST_AUTO_TEST_CASE(changes_are_acknowledged_again_after_disks_were_full_one_after_another)
 {
     for (const std::size_t voters : {3U, 4U, 5U, 7U}) {
--- a/src/libcore/worker_notice.cpp
+++ b/src/libcore/worker_notice.cpp
@@ -10,8 +10,8 @@
 /// How long an instance is remembered as leaving after its last notice. A list of workers that lags
 /// may name it again for some seconds.
 constexpr microseconds leaving_memory{600'000'000};
-/// Resolution of the time that a worker states. Two answers that state the same end of a pause differ
-/// by less.
+/// Resolution of the time that a worker states. Two answers that state the same end of a pause
+/// differ by less.
 constexpr microseconds retry_after_resolution{1'000'000};
 
 /// Returns when a pause ends after a newer answer. That answer counts, but whole seconds must not
--- a/src/libruntime/http_server_test.cpp
+++ b/src/libruntime/http_server_test.cpp
@@ -150,7 +150,8 @@
     BOOST_TEST(closed);
 }
 
-// Guards against events that a client has to ask for again: they were queued when their stream was cut.
+// Guards against events that a client has to ask for again: they were queued when their stream was
+// cut.
 BOOST_FIXTURE_TEST_CASE(what_was_sent_before_an_abort_reaches_the_client, fixture)
 {
     send_get("/1");
--- a/src/libstore/log_store.cpp
+++ b/src/libstore/log_store.cpp
@@ -162,9 +162,9 @@
     return remove_segments(1);
 }
 
-/// Returns whether the same entry was read from an older file. rewrite_all() has then begun to write
-/// the log anew, perhaps not to its end: the older file still has the entries behind this one. An
-/// entry of another term replaces them instead.
+/// Returns whether the same entry was read from an older file. rewrite_all() has then begun to
+/// write the log anew, perhaps not to its end: the older file still has the entries behind this
+/// one. An entry of another term replaces them instead.
 bool log_store::is_loaded(const log_record& record) const
 {
     const auto& records = loaded_.records;
