--- a/src/libcore/gateway_end_test.cpp
+++ b/src/libcore/gateway_end_test.cpp
@@ -22,7 +22,7 @@
     /// Sends the request, whose answer begins as a stream with this text.
     start_attempt ask_for_stream(const std::string& target, const std::string& text)
     {
-        const start_attempt first = ask(target);
+        start_attempt first = ask(target);
         handle(attempt_head{first.attempt, stream_answer()});
         if (!text.empty())
             handle(attempt_data{first.attempt, text});
--- a/src/libruntime/peer_connection_test.cpp
+++ b/src/libruntime/peer_connection_test.cpp
@@ -318,7 +318,8 @@
     });
     constexpr std::size_t messages = 5'000;
     for (std::size_t n = 0; n < messages; ++n) {
-        BOOST_REQUIRE(b.bus->send(make_node_id("a"), hello()).has_value());
+        const auto sent = b.bus->send(make_node_id("a"), hello());
+        BOOST_REQUIRE_MESSAGE(sent.has_value(), "message " << n << ": " << to_string(sent.error()));
         if (n % 50 == 0)
             run_for(milliseconds(1));
     }
--- a/src/libruntime/worker_client_test.cpp
+++ b/src/libruntime/worker_client_test.cpp
@@ -466,7 +466,7 @@
     const std::string whole = "HTTP/1.1 200 OK\r\nId: q2\r\nStamp: s\r\n\r\n";
     const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
     const std::string late = make_answer("q1", "late copy");
-    for (const std::string before : {std::string(), interim, late, late + interim}) {
+    for (const std::string& before : {std::string(), interim, late, late + interim}) {
         for (const std::size_t cut : {3U, 12U, 17U, 22U, 25U, 28U, 33U, 35U, 36U}) {
             for (const bool resets : {false, true}) {
                 events.clear();
