--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -92,13 +92,13 @@
 }
 platform_ready() { curl -sSf -m 2 "http://127.0.0.1:$((port + 31))/readiness"; }
 
-# start_platform: starts a router and a control process, and waits until the router has a routing table
+# start_platform EXTRA...: starts a router, with these settings besides, and a control process, and waits until the router has a routing table
 # with an unsafe route /plain/ and a route of streams /stream/.
 start_platform() {
     platform_settings control "listen.control=127.0.0.1:$tables" "data-dir=$work/data" \
         "cloud.address=127.0.0.1:$list" >"$work/control.conf"
     platform_settings router "listen.front=127.0.0.1:$front" "listen.ready=127.0.0.1:$((port + 31))" \
-        "cloud.address=127.0.0.1:$list" >"$work/router.conf"
+        "cloud.address=127.0.0.1:$list" "$@" >"$work/router.conf"
     mkdir "$work/data"
     start router "$BLUEBELL_BIN/bluebell" --platform --settings "$work/router.conf"
     start control "$BLUEBELL_BIN/bluebell" --platform --settings "$work/control.conf"
--- a/testsuite/standins/endless.cpp
+++ b/testsuite/standins/endless.cpp
@@ -68,6 +68,8 @@
         return behaviour{events + "id: 3\nda", "", false, ending::close};
     if (target.ends_with("/events-cut-chunk"))
         return behaviour{cut_chunk, "", false, ending::none};
+    if (target.ends_with("/silent"))
+        return behaviour{};
     if (target.ends_with("/events-slow"))
         return behaviour{events, "data: c\n\n", true, ending::none};
     return std::nullopt;
