Don't take another answer for a call's on a kept connection to an engine

Cause: evhttp parses what is left in a connection's buffer as the answer to the request that it sends next, and nothing compares whose answer it is.

A connection with unread bytes is not used again, and an answer whose X-Request-Id names another call fails the call.

--- a/src/libruntime/engine_client.cpp
+++ b/src/libruntime/engine_client.cpp
@@ -6,6 +6,8 @@
 #include <bluebell/runtime/engine_client.h>
 #include <bluebell/wire/engine_http.h>
 
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 
@@ -85,11 +87,16 @@
 
 evhttp_connection* engine_client::take_connection()
 {
-    if (idle_.empty())
-        return new_connection(options_.stall_timeout_seconds);
-    auto* conn = idle_.back();
-    idle_.pop_back();
-    return conn;
+    while (!idle_.empty()) {
+        auto* conn = idle_.back();
+        idle_.pop_back();
+        // evhttp would take bytes that came behind the last answer for the next one.
+        bufferevent* bev = evhttp_connection_get_bufferevent(conn);
+        if (evbuffer_get_length(bufferevent_get_input(bev)) == 0)
+            return conn;
+        free_later(conn);
+    }
+    return new_connection(options_.stall_timeout_seconds);
 }
 
 void engine_client::keep_connection(evhttp_connection* conn)
--- a/src/libruntime/engine_client_test.cpp
+++ b/src/libruntime/engine_client_test.cpp
@@ -18,18 +18,20 @@
 
 constexpr core::microseconds run_time{20'000};
 
-/// A backend server that sends each call the same bytes and then closes, and a client that has sent
-/// it one call.
+/// What a backend server does behind its answer.
+enum class ending : std::uint8_t { close, reset, keep };
+
+/// A backend server that sends each call the same bytes, and a client that has sent it one call.
 struct answered_call {
     std::shared_ptr<runtime::event_loop> loop = *runtime::event_loop::make();
     evconnlistener* listener = nullptr;
     std::vector<std::shared_ptr<byte_stream>> accepted;
     std::string answer;
-    bool resets = false;
+    ending end = ending::close;
     std::shared_ptr<runtime::engine_client> client;
     std::vector<core::engine_event> events;
 
-    answered_call(std::string text, bool by_reset) : answer(std::move(text)), resets(by_reset)
+    answered_call(std::string text, ending by) : answer(std::move(text)), end(by)
     {
         sockaddr_in any{};
         any.sin_family = AF_INET;
@@ -45,8 +47,14 @@
         client = *runtime::engine_client::make(loop, options, [this](core::event_body ev) {
             events.push_back(std::get<core::engine_event>(std::move(ev)));
         });
+        ask("q1");
+    }
+    void ask(const std::string& id)
+    {
+        events.clear();
         core::engine_run call;
-        call.attempt = {core::request_id::from_trusted("q1"), 1};
+        call.attempt = {core::request_id::from_trusted(id), 1};
+        call.call_spec.id = call.attempt.request;
         call.call_spec.target = core::chat_target{};
         client->run(call);
         const auto stop = runtime::watcher::timer(*loop, [&] { loop->stop(); });
@@ -72,14 +80,23 @@
             return data.size();
         };
         handlers.written = [f, stream = stream.get()] {
-            if (f->resets)
+            if (f->end == ending::reset)
                 stream->reset();
-            else
+            else if (f->end == ending::close)
                 stream->close();
         };
         handlers.closed = [](const core::error*) {};
         stream->start(std::move(handlers));
     }
+    [[nodiscard]] std::string body() const
+    {
+        std::string text;
+        for (const auto& e : events) {
+            if (const auto* chunk = std::get_if<core::engine_chunk>(&e))
+                text += chunk->data.view();
+        }
+        return text;
+    }
     template <class Event>
     [[nodiscard]] bool has() const
     {
@@ -115,7 +132,7 @@
           sample{stream_head + "data: {}\n\ndata: [DONE]\n\n", true},
           sample{stream_head + "data: {}\n\n", false},
           sample{stream_head + "data: {}\n\ndata: [DO", false}}) {
-        const answered_call call(s.answer, false);
+        const answered_call call(s.answer, ending::close);
         BOOST_TEST(call.has<core::engine_end>() == s.is_whole, s.answer);
     }
 }
@@ -124,12 +141,35 @@
 BOOST_AUTO_TEST_CASE(a_head_that_is_cut_short_completes_nothing)
 {
     const std::string head = json_head + "Content-Length: 2\r\n\r\n{}";
-    for (const bool by_reset : {false, true}) {
+    for (const ending end : {ending::close, ending::reset}) {
         for (std::size_t cut = 0; cut < head.size(); cut += 3) {
-            const answered_call call(head.substr(0, cut), by_reset);
+            const answered_call call(head.substr(0, cut), end);
             BOOST_TEST(!call.has<core::engine_end>(), "cut at " << cut);
         }
     }
 }
 
+// Guards against a caller that gets another's answer: a second copy of an answer arrived together
+// with the first one, and waits on the kept connection.
+BOOST_AUTO_TEST_CASE(a_second_copy_of_an_answer_is_not_the_next_calls)
+{
+    const std::string first = json_head + "Content-Length: 6\r\n\r\n[\"q1\"]";
+    answered_call call(first + first, ending::keep);
+    BOOST_TEST(call.body() == "[\"q1\"]");
+    call.answer = json_head + "Content-Length: 6\r\n\r\n[\"q2\"]";
+    call.ask("q2");
+    BOOST_TEST(call.body() == "[\"q2\"]");
+    BOOST_TEST(call.has<core::engine_end>());
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_names_another_call_is_no_answer)
+{
+    for (const std::string id : {"q1", "q0"}) {
+        const answered_call call(
+            json_head + "X-Request-Id: " + id + "\r\nContent-Length: 2\r\n\r\n{}", ending::keep);
+        BOOST_TEST(call.has<core::engine_end>() == (id == "q1"));
+        BOOST_TEST(call.has<core::engine_head>() == (id == "q1"));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libruntime/engine_session.cpp
+++ b/src/libruntime/engine_session.cpp
@@ -92,6 +92,7 @@
 void engine_session::start(evhttp_connection* conn, const std::string& host, const engine_run& run)
 {
     conn_ = conn;
+    call_ = run.call_spec.id;
     const request_parts parts = make_request_parts(run.call_spec.target);
     if (!is_safe_path(parts.path)) {
         finish({false, false, {}, "the path is malformed"});
@@ -128,8 +129,12 @@
 
 void engine_session::handle_head(evhttp_request* request)
 {
-    const char* type =
-        evhttp_find_header(evhttp_request_get_input_headers(request), "Content-Type");
+    const auto* headers = evhttp_request_get_input_headers(request);
+    const char* named_call = evhttp_find_header(headers, "X-Request-Id");
+    is_other_answer_ = named_call != nullptr && named_call != call_.str();
+    if (is_other_answer_)
+        return;
+    const char* type = evhttp_find_header(headers, "Content-Type");
     const std::string content_type = type == nullptr ? "" : type;
     streamed_ = content_type.starts_with("text/event-stream");
     const auto status = static_cast<std::uint16_t>(evhttp_request_get_response_code(request));
@@ -139,6 +144,8 @@
 void engine_session::handle_body_part(evhttp_request* request)
 {
     std::string data = read_all(evhttp_request_get_input_buffer(request));
+    if (is_other_answer_)
+        return;
     if (streamed_) {
         handle_stream(data);
         return;
@@ -180,6 +187,10 @@
         finish({false, false, {}, "no connection"});
         return;
     }
+    if (is_other_answer_) {
+        finish({false, true, {}, "the answer names another call"});
+        return;
+    }
     if (!stream_failure_.empty() || (streamed_ && !end_marker_seen_)) {
         finish({false,
                 true,
--- a/src/libruntime/engine_session_pvt.h
+++ b/src/libruntime/engine_session_pvt.h
@@ -63,6 +63,8 @@
     core::attempt_id attempt_;
     callbacks handlers_;
     evhttp_connection* conn_ = nullptr;
+    core::request_id call_;        ///< an answer that names another call is not this one's
+    bool is_other_answer_ = false; ///< the answer names another call
     wire::sse_parser parser_;
     wire::token_usage usage_;
     /// Body of a short answer that isn't streamed, stored to read its token counts.
