Probe a worker some time after its connection has ended

By the log the connection's end, the probe and "Answer is complete. end=connection" fall within one millisecond: a process that ends closes its sockets one after another, and its listening socket still accepted the probe.

The probe starts 50 ms after the end. Events are still passed on as they come; only the mark of the end waits longer. a_worker_is_not_probed_at_once shows the order; it can't pass without the change, which sent the probe in the same step.

--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -76,9 +76,10 @@
     instant progressed_at{};         ///< when a stream last brought a whole event
     bool caller_lags = false;        ///< the answer must not be read at present
     bool body_begun = false;         ///< the attempt's answer has brought a byte of its body
-    /// Probe that the end of the answer waits for, because only the connection's end marked it; 0:
-    /// none. No attempt is in progress then.
-    std::uint64_t awaited_probe = 0;
+    /// Only its connection's end marked the answer's, so that waits for a probe of the worker. No
+    /// attempt is in progress then.
+    bool awaits_worker = false;
+    std::uint64_t awaited_probe = 0;        ///< number of that probe; 0: it is not sent yet
     std::optional<worker_answer> held_head; ///< head of an answer that is not sent yet
     std::string pending_data;               ///< body of the held answer, or an incomplete event
     event_sequence events;                  ///< that the caller has received
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -397,7 +397,8 @@
     } else {
         // The kernel closes the connections of a process that crashed as the process itself would.
         ex->may_have_run = true;
-        ex->awaited_probe = start_probe(t, ex->tried_instances.back(), ex->worker_address);
+        ex->awaits_worker = true;
+        ex->progressed_at = t.ctx.now;
         reschedule_timer(t, id, *ex);
     }
 }
@@ -406,12 +407,14 @@
 {
     const auto it =
         std::find_if(t.st.exchanges.begin(), t.st.exchanges.end(), [&](const auto& entry) {
-            return entry.second.awaited_probe != 0 && entry.second.awaited_probe == ev.number;
+            return entry.second.awaits_worker && entry.second.awaited_probe != 0 &&
+                   entry.second.awaited_probe == ev.number;
         });
     if (it == t.st.exchanges.end())
         return;
     const exchange_id id = it->first;
     exchange& ex = it->second;
+    ex.awaits_worker = false;
     ex.awaited_probe = 0;
     if (ev.outcome == probe_outcome::connected)
         complete_answer(t, id, ex, answer_ending::connection);
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -30,8 +30,11 @@
 /// An answer that was started is aborted this long after its deadline. The worker should end a
 /// stream by the deadline itself.
 constexpr microseconds stream_grace{100'000};
-/// Time beyond the deadline for which an answer may wait for the probe of its worker. Longer than a
-/// probe takes.
+/// A worker is probed this long after its connection has ended: a process that ends closes its
+/// connections and its listening socket one after another.
+constexpr microseconds probe_delay{50'000};
+/// Time beyond the deadline for which an answer may wait for the probe of its worker. Longer than
+/// probe_delay and a probe take.
 constexpr microseconds probe_grace{400'000};
 /// Bounds of the retry-after time in a 503.
 constexpr microseconds min_retry_after{50'000};
@@ -91,8 +94,8 @@
 /// be replaced because it is slow or has stalled.
 instant next_timer_at(const exchange& ex)
 {
-    if (ex.awaited_probe != 0)
-        return ex.deadline + probe_grace;
+    if (ex.awaits_worker)
+        return ex.awaited_probe == 0 ? ex.progressed_at + probe_delay : ex.deadline + probe_grace;
     if (ex.answer_started)
         return std::min(ex.deadline + stream_grace, stalls_at(ex));
     return std::min(ex.deadline, replaceable_at(ex));
@@ -504,7 +507,11 @@
     if (it == t.st.exchanges.end())
         return;
     exchange& ex = it->second;
-    ex.awaited_probe = 0;
+    if (ex.awaits_worker && ex.awaited_probe == 0) {
+        ex.awaited_probe = start_probe(t, ex.tried_instances.back(), ex.worker_address);
+        reschedule_timer(t, id, ex);
+        return;
+    }
     if (ex.answer_started && t.ctx.now < ex.deadline) {
         if (t.ctx.now < stalls_at(ex))
             reschedule_timer(t, id, ex);
--- a/src/libcore/gateway_end_test.cpp
+++ b/src/libcore/gateway_end_test.cpp
@@ -29,6 +29,12 @@
         return first;
     }
     void end(const start_attempt& a, answer_ending by) { handle(attempt_completed{a.attempt, by}); }
+    /// As end, by the connection, and waits until the worker is probed.
+    void end_with_connection(const start_attempt& a)
+    {
+        end(a, answer_ending::connection);
+        advance_time(milliseconds(50));
+    }
     /// Answers the last probe.
     void probe(const start_attempt& a, probe_outcome outcome)
     {
@@ -117,7 +123,7 @@
         asking_gateway g;
         const auto first = g.ask_for_stream("/stream/a", two_events);
         BOOST_TEST(g.find_effect<pass_data>() != nullptr); // events never wait for the end
-        g.end(first, answer_ending::connection);
+        g.end_with_connection(first);
         BOOST_TEST(!g.ends());
         BOOST_REQUIRE(g.find_effect<probe_worker>() != nullptr);
         BOOST_TEST(g.find_effect<probe_worker>()->address == first.address);
@@ -125,7 +131,7 @@
         g.check_resumed_behind(first, 2);
     }
     const auto first = ask_for_stream("/once/a", two_events);
-    end(first, answer_ending::connection);
+    end_with_connection(first);
     probe(first, probe_outcome::refused);
     BOOST_TEST(!ends());
     BOOST_TEST(aborts());
@@ -134,7 +140,7 @@
 BOOST_AUTO_TEST_CASE(a_stream_that_ended_with_its_connection_is_whole_if_its_worker_runs)
 {
     const auto first = ask_for_stream("/stream/a", two_events);
-    end(first, answer_ending::connection);
+    end_with_connection(first);
     probe(first, probe_outcome::connected);
     BOOST_TEST(ends());
     BOOST_TEST(st.exchanges.empty());
@@ -165,7 +171,7 @@
         const auto first = g.ask(s.target);
         g.handle(attempt_head{first.attempt, answer(200)});
         g.handle(attempt_data{first.attempt, "{\"a\":1}"});
-        g.end(first, answer_ending::connection);
+        g.end_with_connection(first);
         BOOST_TEST(g.find_effect<pass_head>() == nullptr);
         g.probe(first, s.outcome);
         const bool is_whole = s.outcome == probe_outcome::connected;
@@ -192,7 +198,7 @@
     handle(attempt_head{first.attempt, answer(200)});
     handle(attempt_data{first.attempt, std::string(1'000'000, 'x')});
     BOOST_TEST(find_effect<pass_data>() != nullptr);
-    end(first, answer_ending::connection);
+    end_with_connection(first);
     BOOST_TEST(!ends());
     probe(first, probe_outcome::refused);
     BOOST_TEST(!ends());
@@ -205,7 +211,7 @@
     for (const bool caller_leaves : {true, false}) {
         asking_gateway g;
         const auto first = g.ask_for_stream("/stream/a", two_events);
-        g.end(first, answer_ending::connection);
+        g.end_with_connection(first);
         if (caller_leaves)
             g.handle(pass_caller_disconnected{1});
         else
@@ -218,11 +224,26 @@
     }
 }
 
+// Guards against the answer of a process that is just ending: its listening socket may be open for
+// some time after its connections are closed.
+BOOST_AUTO_TEST_CASE(a_worker_is_not_probed_at_once)
+{
+    const auto first = ask_for_stream("/stream/a", two_events);
+    end(first, answer_ending::connection);
+    BOOST_TEST(find_effect<probe_worker>() == nullptr);
+    advance_time(milliseconds(49));
+    BOOST_TEST(find_effect<probe_worker>() == nullptr);
+    BOOST_TEST(!ends());
+    advance_time(milliseconds(1));
+    BOOST_TEST(find_effect<probe_worker>() != nullptr);
+    BOOST_TEST(!ends());
+}
+
 // A worker that accepted a connection before the answer ended may have crashed since.
 BOOST_AUTO_TEST_CASE(only_a_probe_that_began_after_the_end_settles_it)
 {
     const auto first = ask_for_stream("/stream/a", two_events);
-    end(first, answer_ending::connection);
+    end_with_connection(first);
     handle(worker_probed{first.instance, probe_outcome::connected, st.last_probe - 1});
     BOOST_TEST(!ends());
     handle(worker_probed{first.instance, probe_outcome::refused, st.last_probe - 1});
