Say what counts as progress of an exchange

The comment named whole events only; the member also dates the start of an attempt, bytes of a held answer, and the begin of the wait for a probe. No code changes.

--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -73,9 +73,12 @@
     bool is_event_stream = false;    ///< that answer is a stream of events
     bool must_continue = false;      ///< the next event is the first one of a resumed stream
     instant answer_started_at{};     ///< when that head was sent
-    instant progressed_at{};         ///< when a stream last brought a whole event
-    bool caller_lags = false;        ///< the answer must not be read at present
-    bool body_begun = false;         ///< the attempt's answer has brought a byte of its body
+    /// Last progress: the start of the attempt, a whole event of a stream, bytes of a held answer,
+    /// the begin of the wait for a probe, or the last look at an attempt that could not be
+    /// replaced.
+    instant progressed_at{};
+    bool caller_lags = false; ///< the answer must not be read at present
+    bool body_begun = false;  ///< the attempt's answer has brought a byte of its body
     /// Only its connection's end marked the answer's, so that waits for a probe of the worker. No
     /// attempt is in progress then.
     bool awaits_worker = false;
