Know a request by its caller's workspace and key, whatever else changes

Cause: the fingerprint by which such a request is counted held the first API key of its workspace, in the order of the texts, as a secret. Any key that was added before it or taken away made another request of it, at each gateway at another moment.

Change: the fingerprint holds nothing but what comes with the request. Its caller is known by the workspace and by the key, each with a digest of its own, so that exchanged keys and renamed workspaces keep what counts. The secret is not needed: the digest is BLAKE2b over the parts and their lengths, so nobody can construct a request with another's digest. A secret in the log was weighed: it would need a rule for routers that don't have it yet, and one more thing that must last.

--- a/bench/load_patterns.cpp
+++ b/bench/load_patterns.cpp
@@ -180,6 +180,7 @@
     std::string kind;
     int gateways = 2;
     bool restarts = false; ///< all routers restart after the request is known
+    caller_change change = caller_change::none;
 };
 
 /// Plays a request that ends each worker that begins to run it.
@@ -188,6 +189,7 @@
     scenario s = make_small_fleet(seed);
     s.pass->crashing =
         crashing_request{p.kind, p.gateways, 0.3, load_from_s + 1, s.duration_s, seconds(1)};
+    s.pass->crashing->change = p.change;
     if (p.restarts)
         add_fault(s, 7, routers_restart{});
     const run_result r = run(s, real_fleet{});
@@ -223,6 +225,10 @@
         {"crash_everywhere", "the same when it comes to all gateways", "question", 9, false},
         {"crash_restart", "is such a request known after all gateways have restarted?", "question",
          2, true},
+        {"crash_keys", "and while the API keys of its workspace change every 2 s?", "question", 2,
+         false, caller_change::other_keys},
+        {"crash_renamed", "and while its key moves to another workspace every 2 s?", "question", 2,
+         false, caller_change::workspace_name},
     };
 }
 
--- a/bench/pass_callers.cpp
+++ b/bench/pass_callers.cpp
@@ -31,6 +31,24 @@
     return at_s >= from_s && at_s < until_s;
 }
 
+/// API key of the crashing request's caller.
+constexpr const char* crashing_key = "m";
+
+/// Adds the API keys of the crashing request's workspace as of a version. Other requests need none.
+void add_keys(routing_table& table, caller_change change, std::uint64_t version)
+{
+    if (change == caller_change::none)
+        return;
+    for (auto& [prefix, r] : table.routes)
+        r.anonymous = true;
+    const std::string number = std::to_string(version);
+    const bool is_renamed = change == caller_change::workspace_name;
+    const auto workspace = workspace_id::from_trusted(is_renamed ? "crasher-" + number : "crasher");
+    table.keys[crashing_key] = {workspace, std::nullopt};
+    if (change == caller_change::other_keys)
+        table.keys["a" + number] = {workspace, std::nullopt};
+}
+
 } // namespace
 
 pass_callers::pass_callers(const pass_scenario& s, virtual_time& clock, std::uint64_t seed,
@@ -66,6 +84,8 @@
         if (group.runs_models)
             service.engine = engine_config{group.slots, 441'000, true};
     }
+    if (s.crashing)
+        add_keys(table, s.crashing->change, version);
     return table;
 }
 
@@ -92,6 +112,8 @@
     pass_request r =
         make_request(static_cast<std::size_t>(kind - scenario_.kinds.begin()), 0, kind->timeout);
     r.body = bytes::from(std::string(crashing_body));
+    if (c.change != caller_change::none)
+        r.credential = crashing_key;
     last_exchange_ += 1;
     on_event_(gateway, pass_request_received{last_exchange_, std::move(r)});
     const instant next_at = clock_.now() + from_seconds(c.interval_s).time_since_epoch();
--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -68,6 +68,13 @@
     friend bool operator==(const hot_session&, const hot_session&) = default;
 };
 
+/// What operators change of the caller of the crashing request, while its own key stays in force.
+enum class caller_change : std::uint8_t {
+    none,
+    other_keys, ///< keys are added to its workspace and taken away, the first one by name as well
+    workspace_name, ///< its key moves to another workspace
+};
+
 /// A request that ends each worker that begins to run it. Its caller sends it again and again.
 struct crashing_request {
     std::string kind;        ///< whose route it takes
@@ -76,6 +83,8 @@
     double from_s = 0;
     double until_s = 0;
     microseconds down_time{1'000'000}; ///< of a worker, which then comes back as a new instance
+    caller_change change = caller_change::none; ///< with each table
+    double table_interval_s = 2;                ///< between two tables, if they change the caller
 
     friend bool operator==(const crashing_request&, const crashing_request&) = default;
 };
--- a/src/include/bluebell/core/crash_watch.h
+++ b/src/include/bluebell/core/crash_watch.h
@@ -26,6 +26,12 @@
 /// first is dropped.
 inline constexpr std::size_t max_crash_suspects = 1'024;
 
+/// Digests by which a request is recognised when it comes again, whatever its id: of its method,
+/// host, target, body and caller. Operators exchange the API keys of a workspace and rename
+/// workspaces, so there is one for each name of the caller: its workspace, and its key if it has
+/// one. What counts against one of them counts against the request.
+using request_fingerprints = std::vector<body_digest>;
+
 /// The workers that broke off one request since its last complete answer, by the hashes of their
 /// instances. A worker is in one of the sets.
 struct crash_suspect_record {
@@ -40,8 +46,8 @@
 struct watched_worker {
     std::string address; ///< IP:PORT
     instant broke_at{};
-    std::uint32_t probes = 0;          ///< sent so far
-    std::vector<body_digest> requests; ///< fingerprints of those that it broke off
+    std::uint32_t probes = 0;                   ///< sent so far
+    std::vector<request_fingerprints> requests; ///< that it broke off
 
     friend bool operator==(const watched_worker&, const watched_worker&) = default;
 };
@@ -77,13 +83,14 @@
 /// Returns whether nothing counts against any request, so that no fingerprint is needed.
 [[nodiscard]] bool has_no_suspects(const crash_watch& w);
 
+/// Returns the worst of what counts against the fingerprints.
 [[nodiscard]] crash_standing standing_of(const crash_watch& w, instant now,
-                                         const body_digest& fingerprint);
+                                         const request_fingerprints& fingerprints);
 
 /// Records that the worker's connection broke while the request ran there.
 [[nodiscard]] crash_watch with_broken_run(crash_watch w, instant now, const std::string& instance,
                                           const std::string& address,
-                                          const body_digest& fingerprint);
+                                          const request_fingerprints& fingerprints);
 
 /// Records that the worker's process has ended. Does nothing unless the worker is watched.
 [[nodiscard]] crash_watch with_ended_worker(crash_watch w, instant now,
@@ -98,7 +105,8 @@
                                              const std::string& instance);
 
 /// Clears the request, which got a complete answer.
-[[nodiscard]] crash_watch with_complete_answer(crash_watch w, const body_digest& fingerprint);
+[[nodiscard]] crash_watch with_complete_answer(crash_watch w,
+                                               const request_fingerprints& fingerprints);
 
 /// Applies the leader's list. A request that it no longer names as quarantined is cleared, and so
 /// is one that it would name after this gateway's reports, had no other gateway seen a complete
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -66,13 +66,14 @@
     std::string worker_address;               ///< IP:PORT of the last of them
     attempt_number attempt = 0;               ///< attempt in progress; 0: none
     instant attempt_started_at{};
-    bool suspected = false;          ///< workers may have ended under it, see crash_watch
-    bool may_have_run = false;       ///< an earlier attempt was sent and not refused
-    bool answer_started = false;     ///< the head of an answer was sent to the caller
-    std::uint16_t answer_status = 0; ///< status in that head
-    bool is_event_stream = false;    ///< that answer is a stream of events
-    bool must_continue = false;      ///< the next event is the first one of a resumed stream
-    instant answer_started_at{};     ///< when that head was sent
+    bool suspected = false;            ///< workers may have ended under it, see crash_watch
+    request_fingerprints fingerprints; ///< empty: not needed yet
+    bool may_have_run = false;         ///< an earlier attempt was sent and not refused
+    bool answer_started = false;       ///< the head of an answer was sent to the caller
+    std::uint16_t answer_status = 0;   ///< status in that head
+    bool is_event_stream = false;      ///< that answer is a stream of events
+    bool must_continue = false;        ///< the next event is the first one of a resumed stream
+    instant answer_started_at{};       ///< when that head was sent
     /// Last progress: the start of the attempt, a whole event of a stream, bytes of a held answer,
     /// the begin of the wait for a probe, or the last look at an attempt that could not be
     /// replaced.
--- a/src/include/bluebell/core/ids.h
+++ b/src/include/bluebell/core/ids.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -116,13 +117,17 @@
 /// Returns the xxh3 hash of text.
 [[nodiscard]] hash64 hash_of(std::string_view text, hash64 seed = 0);
 
-/// A 128-bit digest (xxh3) of a request's body. Equal bodies have the same digest, whatever request
-/// id the caller chose.
+/// A 128-bit digest of a request. Equal requests have the same digest, whatever request id the
+/// caller chose.
 struct body_digest {
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
+    /// Returns the xxh3 digest of a body. A caller may construct another body with the same digest.
     [[nodiscard]] static body_digest of(std::string_view body);
+    /// Returns the BLAKE2b digest of the parts and their lengths. Nobody can construct other parts
+    /// with the same digest.
+    [[nodiscard]] static body_digest of_parts(std::initializer_list<std::string_view> parts);
     friend auto operator<=>(const body_digest&, const body_digest&) = default;
 };
 
--- a/src/libcore/crash_watch.cpp
+++ b/src/libcore/crash_watch.cpp
@@ -37,13 +37,32 @@
                                 max_crash_suspects);
 }
 
+bool broke_off(const watched_worker& watched, const body_digest& fingerprint)
+{
+    return std::any_of(watched.requests.begin(), watched.requests.end(), [&](const auto& request) {
+        return std::find(request.begin(), request.end(), fingerprint) != request.end();
+    });
+}
+
+/// Calls a function with each fingerprint of a request that the worker broke off and against which
+/// something still counts.
+template <class Function>
+void for_each_suspect(const crash_watch& w, instant now, const watched_worker& watched,
+                      Function function)
+{
+    for (const auto& request : watched.requests) {
+        for (const auto& fingerprint : request) {
+            if (find(w.suspects, fingerprint, now) != nullptr)
+                function(fingerprint);
+        }
+    }
+}
+
 bool is_being_probed(const crash_watch& w, const body_digest& fingerprint)
 {
     return std::any_of(w.watched.begin(), w.watched.end(), [&](const auto& entry) {
         const watched_worker& watched = entry.second;
-        return watched.probes < probe_times.size() &&
-               std::find(watched.requests.begin(), watched.requests.end(), fingerprint) !=
-                   watched.requests.end();
+        return watched.probes < probe_times.size() && broke_off(watched, fingerprint);
     });
 }
 
@@ -65,6 +84,8 @@
     return w.suspects.entries.empty() && w.fleet == request_crash_list{};
 }
 
+namespace {
+
 crash_standing standing_of(const crash_watch& w, instant now, const body_digest& fingerprint)
 {
     if (contains(w.fleet.quarantined, fingerprint))
@@ -83,16 +104,40 @@
     return crash_suspected{workers, workers + 1 >= max_ended_workers, awaits_proof};
 }
 
+} // namespace
+
+crash_standing standing_of(const crash_watch& w, instant now,
+                           const request_fingerprints& fingerprints)
+{
+    crash_standing worst = crash_unsuspected{};
+    for (const auto& fingerprint : fingerprints) {
+        const crash_standing standing = standing_of(w, now, fingerprint);
+        if (std::holds_alternative<crash_quarantined>(standing))
+            return standing;
+        const auto* suspected = std::get_if<crash_suspected>(&standing);
+        if (suspected == nullptr)
+            continue;
+        const auto* known = std::get_if<crash_suspected>(&worst);
+        const crash_suspected before = known == nullptr ? crash_suspected{} : *known;
+        worst = crash_suspected{std::max(before.workers, suspected->workers),
+                                before.is_last_trial || suspected->is_last_trial,
+                                before.awaits_proof || suspected->awaits_proof};
+    }
+    return worst;
+}
+
 crash_watch with_broken_run(crash_watch w, instant now, const std::string& instance,
-                            const std::string& address, const body_digest& fingerprint)
+                            const std::string& address, const request_fingerprints& fingerprints)
 {
-    const auto* known = find(w.suspects, fingerprint, now);
-    crash_suspect_record record = known == nullptr ? crash_suspect_record{} : *known;
     const hash64 worker = hash_of(instance);
-    if (!record.ended.contains(worker) && !record.accepting.contains(worker))
-        record.unproven.insert(worker);
-    w.suspects = with_entry(std::move(w.suspects), fingerprint, std::move(record),
-                            now + crash_memory, max_crash_suspects);
+    for (const auto& fingerprint : fingerprints) {
+        const auto* known = find(w.suspects, fingerprint, now);
+        crash_suspect_record record = known == nullptr ? crash_suspect_record{} : *known;
+        if (!record.ended.contains(worker) && !record.accepting.contains(worker))
+            record.unproven.insert(worker);
+        w.suspects = with_entry(std::move(w.suspects), fingerprint, std::move(record),
+                                now + crash_memory, max_crash_suspects);
+    }
     if (!w.watched.contains(instance) && w.watched.size() >= max_watched_workers)
         return w;
     watched_worker& watched = w.watched[instance];
@@ -101,7 +146,7 @@
         watched.broke_at = now;
     }
     if (watched.requests.size() < max_requests_per_worker)
-        watched.requests.push_back(fingerprint);
+        watched.requests.push_back(fingerprints);
     return w;
 }
 
@@ -111,9 +156,7 @@
     if (it == w.watched.end())
         return w;
     const hash64 worker = hash_of(instance);
-    for (const auto& fingerprint : it->second.requests) {
-        if (find(w.suspects, fingerprint, now) == nullptr)
-            continue; // it got a complete answer since
+    for_each_suspect(w, now, it->second, [&](const body_digest& fingerprint) {
         change_record(w, fingerprint, [&](crash_suspect_record& record) {
             record.unproven.erase(worker);
             record.accepting.erase(worker);
@@ -121,7 +164,7 @@
         });
         w.cleared.erase(fingerprint);
         w.unreported.insert(fingerprint);
-    }
+    });
     w.watched.erase(it);
     return w;
 }
@@ -132,13 +175,12 @@
     if (it == w.watched.end())
         return w;
     const hash64 worker = hash_of(instance);
-    for (const auto& fingerprint : it->second.requests) {
-        if (find(w.suspects, fingerprint, now) != nullptr)
-            change_record(w, fingerprint, [&](crash_suspect_record& record) {
-                if (record.unproven.erase(worker) != 0)
-                    record.accepting.insert(worker);
-            });
-    }
+    for_each_suspect(w, now, it->second, [&](const body_digest& fingerprint) {
+        change_record(w, fingerprint, [&](crash_suspect_record& record) {
+            if (record.unproven.erase(worker) != 0)
+                record.accepting.insert(worker);
+        });
+    });
     return w;
 }
 
@@ -148,28 +190,29 @@
     if (it == w.watched.end())
         return w;
     const hash64 worker = hash_of(instance);
-    for (const auto& fingerprint : it->second.requests) {
-        if (find(w.suspects, fingerprint, now) != nullptr)
-            change_record(w, fingerprint, [&](crash_suspect_record& record) {
-                record.unproven.erase(worker);
-                record.accepting.erase(worker);
-            });
-    }
+    for_each_suspect(w, now, it->second, [&](const body_digest& fingerprint) {
+        change_record(w, fingerprint, [&](crash_suspect_record& record) {
+            record.unproven.erase(worker);
+            record.accepting.erase(worker);
+        });
+    });
     w.watched.erase(it);
     return w;
 }
 
-crash_watch with_complete_answer(crash_watch w, const body_digest& fingerprint)
+crash_watch with_complete_answer(crash_watch w, const request_fingerprints& fingerprints)
 {
-    const auto it = w.suspects.entries.find(fingerprint);
-    const bool was_reported = it != w.suspects.entries.end() && !it->second.value.ended.empty();
-    const bool is_known =
-        contains(w.fleet.suspects, fingerprint) || contains(w.fleet.quarantined, fingerprint);
-    if (was_reported || is_known)
-        w.cleared.insert(fingerprint);
-    w.unreported.erase(fingerprint);
-    std::erase(w.fleet.suspects, fingerprint);
-    w.suspects = without_entry(std::move(w.suspects), fingerprint);
+    for (const auto& fingerprint : fingerprints) {
+        const auto it = w.suspects.entries.find(fingerprint);
+        const bool was_reported = it != w.suspects.entries.end() && !it->second.value.ended.empty();
+        const bool is_known =
+            contains(w.fleet.suspects, fingerprint) || contains(w.fleet.quarantined, fingerprint);
+        if (was_reported || is_known)
+            w.cleared.insert(fingerprint);
+        w.unreported.erase(fingerprint);
+        std::erase(w.fleet.suspects, fingerprint);
+        w.suspects = without_entry(std::move(w.suspects), fingerprint);
+    }
     return w;
 }
 
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -260,7 +260,7 @@
 
 /// Returns whether the attempt could be replaced by one at another worker. One under which workers
 /// may have ended is not risked at a further one.
-bool can_replace_attempt(turn& t, exchange_id id, const exchange& ex)
+bool can_replace_attempt(turn& t, exchange_id id, exchange& ex)
 {
     return ex.deadline - t.ctx.now > min_retry_time &&
            std::holds_alternative<crash_unsuspected>(standing_of(t, ex)) &&
--- a/src/libcore/gateway_crashes.cpp
+++ b/src/libcore/gateway_crashes.cpp
@@ -10,23 +10,28 @@
 
 namespace {
 
-/// Returns an API key of the workspace, the same at all gateways, or an empty text. Other callers
-/// don't know it, so they can't choose a request with another workspace's fingerprint.
-std::string_view key_of(const routing_table& table, const workspace_id& workspace)
+/// Returns the request's fingerprints, and keeps them in the exchange.
+const request_fingerprints& fingerprints_of(exchange& ex)
 {
-    const auto it = std::find_if(table.keys.begin(), table.keys.end(), [&](const auto& entry) {
-        return entry.second.workspace == workspace;
-    });
-    return it == table.keys.end() ? std::string_view() : std::string_view(it->first);
+    if (!ex.fingerprints.empty())
+        return ex.fingerprints;
+    const pass_request& r = ex.request;
+    const auto of_caller = [&](std::string_view kind, std::string_view name) {
+        return body_digest::of_parts({kind, name, r.method, r.host, r.target, r.body.view()});
+    };
+    ex.fingerprints.push_back(of_caller("workspace", ex.workspace.str()));
+    if (!r.credential.empty())
+        ex.fingerprints.push_back(of_caller("key", r.credential));
+    return ex.fingerprints;
 }
 
-/// Identifies a request that comes again: by its workspace, path and body, whatever its id.
-body_digest fingerprint_of(const routing_table& table, const exchange& ex)
+/// Returns the fingerprints as a log field.
+std::string format(const request_fingerprints& fingerprints)
 {
-    const pass_request& r = ex.request;
-    const hash64 caller = hash_of(key_of(table, ex.workspace), hash_of(ex.workspace.str()));
-    const hash64 path = hash_of(r.target, hash_of(r.host, hash_of(r.method, caller)));
-    return {hash_of(r.body.view(), path), hash_of(r.body.view(), hash_of("low", path))};
+    std::string text;
+    for (const auto& fingerprint : fingerprints)
+        text += (text.empty() ? "" : ",") + to_string(fingerprint);
+    return text;
 }
 
 std::string_view reason_text(crash_proof proof)
@@ -44,11 +49,11 @@
 
 } // namespace
 
-crash_standing standing_of(const turn& t, const exchange& ex)
+crash_standing standing_of(const turn& t, exchange& ex)
 {
     if (has_no_suspects(t.st.crashes))
         return crash_unsuspected{};
-    return standing_of(t.st.crashes, t.ctx.now, fingerprint_of(t.st.table, ex));
+    return standing_of(t.st.crashes, t.ctx.now, fingerprints_of(ex));
 }
 
 std::vector<std::string> workers_with_suspects(const turn& t, exchange_id except)
@@ -64,10 +69,12 @@
 
 bool is_running_elsewhere(const turn& t, exchange_id id)
 {
-    const body_digest own = fingerprint_of(t.st.table, t.st.exchanges.at(id));
+    const request_fingerprints& own = t.st.exchanges.at(id).fingerprints;
     return std::any_of(t.st.attempts.begin(), t.st.attempts.end(), [&](const auto& entry) {
         const exchange& other = t.st.exchanges.at(entry.second);
-        return entry.second != id && other.suspected && fingerprint_of(t.st.table, other) == own;
+        return entry.second != id && other.suspected &&
+               std::find_first_of(own.begin(), own.end(), other.fingerprints.begin(),
+                                  other.fingerprints.end()) != own.end();
     });
 }
 
@@ -82,22 +89,21 @@
         std::holds_alternative<worker_leaving>(
             availability(t.st.workers.standings, worker, t.ctx.now)))
         return;
-    const body_digest fingerprint = fingerprint_of(t.st.table, ex);
     t.st.crashes = with_broken_run(std::move(t.st.crashes), t.ctx.now, worker,
-                                   it->second.entry.address, fingerprint);
+                                   it->second.entry.address, fingerprints_of(ex));
     ex.suspected = true;
     t.out.emplace_back(make_log_line(log_level::info, component,
                                      "Worker broke off a request; it is watched.", ex.request.id,
                                      {{"worker", worker},
-                                      {"fingerprint", to_string(fingerprint)},
+                                      {"fingerprint", format(ex.fingerprints)},
                                       {"workspace", ex.workspace.str()}}));
 }
 
-void record_complete_answer(turn& t, const exchange& ex)
+void record_complete_answer(turn& t, exchange& ex)
 {
     if (has_no_suspects(t.st.crashes))
         return;
-    t.st.crashes = with_complete_answer(std::move(t.st.crashes), fingerprint_of(t.st.table, ex));
+    t.st.crashes = with_complete_answer(std::move(t.st.crashes), fingerprints_of(ex));
 }
 
 void record_ended_worker(turn& t, const std::string& worker, crash_proof proof)
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -70,15 +70,15 @@
 /// How it was found that a worker's process has ended.
 enum class crash_proof : std::uint8_t { connection_refused, not_listed, other_instance };
 /// Returns what counts against the request.
-[[nodiscard]] crash_standing standing_of(const turn& t, const exchange& ex);
+[[nodiscard]] crash_standing standing_of(const turn& t, exchange& ex);
 /// Returns the workers that run suspects, other than the given one.
 [[nodiscard]] std::vector<std::string> workers_with_suspects(const turn& t, exchange_id except);
-/// Returns whether another exchange with the same fingerprint has an attempt in progress.
+/// Returns whether another exchange with a fingerprint of this one has an attempt in progress.
 [[nodiscard]] bool is_running_elsewhere(const turn& t, exchange_id id);
 /// Watches the worker if its broken connection may be a sign of its end.
 void record_broken_run(turn& t, exchange& ex, const std::string& worker, const attempt_broken& ev);
 /// Clears a request that a worker has answered completely.
-void record_complete_answer(turn& t, const exchange& ex);
+void record_complete_answer(turn& t, exchange& ex);
 /// Counts the end of a watched worker against the requests that it broke off.
 void record_ended_worker(turn& t, const std::string& worker, crash_proof proof);
 /// Compares the watched workers with a new list.
--- a/src/libcore/values.cpp
+++ b/src/libcore/values.cpp
@@ -3,6 +3,7 @@
 #include <bluebell/core/context.h>
 #include <bluebell/core/visit.h>
 
+#include <sodium/crypto_generichash.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -71,6 +72,31 @@
     return {h.high64, h.low64};
 }
 
+body_digest body_digest::of_parts(std::initializer_list<std::string_view> parts)
+{
+    constexpr std::size_t digest_bytes = 16;
+    static_assert(digest_bytes >= crypto_generichash_BYTES_MIN);
+    const auto read = [](const unsigned char* from) {
+        std::uint64_t number = 0;
+        for (std::size_t n = 0; n < sizeof number; ++n)
+            number = number << 8U | from[n];
+        return number;
+    };
+    crypto_generichash_state state;
+    crypto_generichash_init(&state, nullptr, 0, digest_bytes);
+    for (const auto part : parts) {
+        std::array<unsigned char, sizeof(std::uint64_t)> length{};
+        for (std::size_t n = 0; n < length.size(); ++n)
+            length.at(n) = static_cast<unsigned char>(std::uint64_t{part.size()} >> (8 * n));
+        crypto_generichash_update(&state, length.data(), length.size());
+        crypto_generichash_update(&state, reinterpret_cast<const unsigned char*>(part.data()),
+                                  part.size());
+    }
+    std::array<unsigned char, digest_bytes> digest{};
+    crypto_generichash_final(&state, digest.data(), digest.size());
+    return {read(digest.data()), read(digest.data() + sizeof(std::uint64_t))};
+}
+
 std::string to_string(const body_digest& d)
 {
     std::array<char, 33> buf{};
