Clear a request only by a successful answer

Seen by callers: none yet; found beside the incident of requests that end workers, whose record shows the same path answered with 500 between the ends.

Cause: any complete answer cleared a request, also a worker's own 500, its 504 at the time limit, or a 404. None of them shows that a worker can run the request, and a clearing releases the whole fleet.

Change: only a success clears. A worker's own error for a suspect goes to its caller; it isn't tried at a further worker, as no suspect is after a broken run.

Evidence: answers_that_are_no_success_clear_nothing fails at the first 500 without the change.

--- a/src/include/bluebell/core/crash_watch.h
+++ b/src/include/bluebell/core/crash_watch.h
@@ -2,9 +2,9 @@
 /// Detects pass-through requests that end the workers that run them. A gateway only sees that its
 /// connection to a worker broke while a request ran there. It watches that worker until a refused
 /// connection, the list of workers or another instance at its address shows that its process has
-/// ended; then the end counts against each request that it broke off. A complete answer clears a
-/// request. Control adds up what all gateways report, and the whole fleet refuses a request under
-/// which max_ended_workers workers have ended.
+/// ended; then the end counts against each request that it broke off. A complete successful answer
+/// clears a request. Control adds up what all gateways report, and the whole fleet refuses a
+/// request under which max_ended_workers workers have ended.
 #pragma once
 
 #include <bluebell/core/expiring_table.h>
@@ -104,7 +104,7 @@
 [[nodiscard]] crash_watch with_living_worker(crash_watch w, instant now,
                                              const std::string& instance);
 
-/// Clears the request, which got a complete answer.
+/// Clears the request, which got a complete successful answer.
 [[nodiscard]] crash_watch with_complete_answer(crash_watch w,
                                                const request_fingerprints& fingerprints);
 
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -252,7 +252,9 @@
     const std::string worker = ex.tried_instances.back();
     const bool server_error = head.status >= 500;
     t.st.workers = with_answer(std::move(t.st.workers), worker, t.ctx.now, server_error);
-    const bool is_retryable = server_error && ex.policy.repeatable;
+    // A request under which workers may have ended is not risked at a further one.
+    const bool is_retryable = server_error && ex.policy.repeatable &&
+                              std::holds_alternative<crash_unsuspected>(standing_of(t, ex));
     const bool is_false_promise = promises_not_run(head.status);
     ex.may_have_run = true;
     if (is_retryable && ex.sent_attempts < ex.policy.max_workers) {
@@ -276,7 +278,9 @@
 /// Handles an answer whose end is certain.
 void complete_answer(turn& t, exchange_id id, exchange& ex, answer_ending end)
 {
-    record_complete_answer(t, ex);
+    // A worker's refusal or error doesn't show that a worker can run the request to its end.
+    if (is_success(ex.answer_started ? ex.answer_status : ex.held_head->status))
+        record_complete_answer(t, ex);
     if (ex.answer_started)
         finish_answer(t, id, ex, end);
     else
--- a/src/libcore/gateway_crash_test.cpp
+++ b/src/libcore/gateway_crash_test.cpp
@@ -53,10 +53,10 @@
         handle(worker_probed{worker, probe_outcome::refused});
         return next;
     }
-    void answer_fully(attempt_number attempt)
+    void answer_fully(attempt_number attempt, std::uint16_t status = 200)
     {
         const std::string id = st.exchanges.at(st.attempts.at(attempt)).request.id.str();
-        handle(attempt_head{attempt, answer(200, id)});
+        handle(attempt_head{attempt, answer(status, id)});
         handle(attempt_completed{attempt});
     }
     std::vector<request_crash_report> take_crash_reports()
@@ -163,6 +163,25 @@
         BOOST_TEST(report.cleared);
 }
 
+// Guards against a request that the fleet releases each time that a worker answers it with an error
+// of its own, so that it ends three more.
+BOOST_AUTO_TEST_CASE(answers_that_are_no_success_clear_nothing)
+{
+    end_worker(end_worker(ask("poison")));
+    (void)take_crash_reports();
+    for (const std::uint16_t status : {500, 504, 404}) {
+        const auto attempt = ask("poison");
+        BOOST_REQUIRE(attempt != 0U);
+        answer_fully(attempt, status);
+        BOOST_REQUIRE(find_effect<pass_head>() != nullptr);
+        BOOST_TEST(find_effect<pass_head>()->head.status == status);
+        BOOST_TEST(find_effect<start_attempt>() == nullptr);
+    }
+    BOOST_TEST(take_crash_reports().empty());
+    end_worker(ask("poison"));
+    BOOST_TEST(ask("poison") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(connections_that_end_otherwise_are_no_sign)
 {
     break_off(ask("cut"), error_code::deadline_exceeded);
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -77,7 +77,7 @@
 [[nodiscard]] bool is_running_elsewhere(const turn& t, exchange_id id);
 /// Watches the worker if its broken connection may be a sign of its end.
 void record_broken_run(turn& t, exchange& ex, const std::string& worker, const attempt_broken& ev);
-/// Clears a request that a worker has answered completely.
+/// Clears a request that a worker has run to the end of a successful answer.
 void record_complete_answer(turn& t, exchange& ex);
 /// Counts the end of a watched worker against the requests that it broke off.
 void record_ended_worker(turn& t, const std::string& worker, crash_proof proof);
