Take only a kept connection or an answer for a worker's sign of life

Cause: a probe whose connection was accepted counted as a sign of life, and so did silence until the end of the watch. And a request that was sent to a worker after its end counted as one that had ended it, so that sound requests of the same path and body were suspected with the one that ended it.

Change: a probe holds its connection for 100 ms; one that is closed in that time shows nothing. A worker that has given no sign of life when its watch is over has ended. A request that was sent after the break, without a sign of life since, doesn't count. An answer to a request that was sent after the break ends the watch.

Not changed: the probe that settles an answer whose end only its connection marked takes any accepted connection, as holding it would delay each such answer. Waiting for a probe before a retry was weighed: its result changes nothing below two ends, and each retry would be 50 ms later.

--- a/bench/load_patterns.cpp
+++ b/bench/load_patterns.cpp
@@ -181,6 +181,7 @@
     int gateways = 2;
     bool restarts = false; ///< all routers restart after the request is known
     caller_change change = caller_change::none;
+    down_address address = down_address::refuses; ///< of the workers that have ended
 };
 
 /// Plays a request that ends each worker that begins to run it.
@@ -190,6 +191,7 @@
     s.pass->crashing =
         crashing_request{p.kind, p.gateways, 0.3, load_from_s + 1, s.duration_s, seconds(1)};
     s.pass->crashing->change = p.change;
+    s.pass->crashing->address = p.address;
     if (p.restarts)
         add_fault(s, 7, routers_restart{});
     const run_result r = run(s, real_fleet{});
@@ -229,6 +231,10 @@
          false, caller_change::other_keys},
         {"crash_renamed", "and while its key moves to another workspace every 2 s?", "question", 2,
          false, caller_change::workspace_name},
+        {"crash_forwarded", "and if the addresses of ended workers accept and close connections?",
+         "question", 2, false, caller_change::none, down_address::closes},
+        {"crash_silent", "and if the addresses of ended workers don't answer?", "question", 2,
+         false, caller_change::none, down_address::silent},
     };
 }
 
--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -75,6 +75,13 @@
     workspace_name, ///< its key moves to another workspace
 };
 
+/// What the address of a worker does while its process is gone.
+enum class down_address : std::uint8_t {
+    refuses,
+    closes, ///< accepts connections and closes them, as a forwarder does
+    silent,
+};
+
 /// A request that ends each worker that begins to run it. Its caller sends it again and again.
 struct crashing_request {
     std::string kind;        ///< whose route it takes
@@ -85,6 +92,7 @@
     microseconds down_time{1'000'000}; ///< of a worker, which then comes back as a new instance
     caller_change change = caller_change::none; ///< with each table
     double table_interval_s = 2;                ///< between two tables, if they change the caller
+    down_address address = down_address::refuses;
 
     friend bool operator==(const crashing_request&, const crashing_request&) = default;
 };
--- a/bench/worker_pool.cpp
+++ b/bench/worker_pool.cpp
@@ -31,6 +31,8 @@
 /// limit_slack.
 constexpr double limit_factor = 2;
 constexpr double limit_slack = 3;
+/// Time after which a connection to an address that doesn't answer fails.
+constexpr microseconds connect_timeout{1'000'000};
 /// From the begin of the crashing request to the end of its worker.
 constexpr microseconds crash_delay{5'000};
 constexpr std::uint16_t misdirected_request = 421;
@@ -40,6 +42,19 @@
     return microseconds(static_cast<std::int64_t>(ms * 1'000));
 }
 
+probe_outcome probe_outcome_of(down_address address)
+{
+    switch (address) {
+    case down_address::refuses:
+        return probe_outcome::refused;
+    case down_address::closes:
+        return probe_outcome::closed;
+    case down_address::silent:
+        break;
+    }
+    return probe_outcome::unknown;
+}
+
 } // namespace
 
 worker_pool::worker_pool(const pass_scenario& s, virtual_time& clock, std::uint64_t seed,
@@ -47,7 +62,7 @@
     : clock_(clock), random_(seed), on_event_(std::move(on_event)), result_(result)
 {
     if (s.crashing)
-        crash_down_time_ = s.crashing->down_time;
+        crashing_ = *s.crashing;
     int number = 0;
     for (const auto& group : s.groups) {
         for (int i = 0; i < group.count; ++i) {
@@ -87,7 +102,8 @@
     clock_.schedule(clock_.now() + link_delay, [this, gateway, e] {
         const bool up = workers_.at(e.address).up;
         report(gateway,
-               worker_probed{e.instance, up ? probe_outcome::connected : probe_outcome::refused,
+               worker_probed{e.instance,
+                             up ? probe_outcome::connected : probe_outcome_of(crashing_.address),
                              e.number});
     });
 }
@@ -100,9 +116,7 @@
     worker& w = workers_.at(e.address);
     if (!w.up) {
         addresses_.erase(id);
-        report(gateway, attempt_broken{e.attempt,
-                                       attempt_stage::unsent,
-                                       {error_code::unavailable, "connect", e.address, "reset"}});
+        report_failed_connection(gateway, e);
         return;
     }
     if (e.instance != w.entry.instance) {
@@ -125,6 +139,20 @@
         w.waiting.emplace(e.priority.value_or(5), id);
 }
 
+/// The worker's process is gone.
+void worker_pool::report_failed_connection(const node_id& gateway, const start_attempt& e)
+{
+    const bool is_silent = crashing_.address == down_address::silent;
+    const bool is_accepted = crashing_.address == down_address::closes;
+    const attempt_broken broken{
+        e.attempt,
+        is_accepted ? attempt_stage::sent : attempt_stage::unsent,
+        {is_silent ? error_code::deadline_exceeded : error_code::unavailable, "connect", e.address,
+         is_accepted ? "closed" : "no connection"}};
+    clock_.schedule(clock_.now() + (is_silent ? connect_timeout : microseconds{0}),
+                    [this, gateway, broken] { report(gateway, broken); });
+}
+
 /// Compares the worker's load with the limit of its service.
 void worker_pool::record_arrival(const worker& w)
 {
@@ -286,7 +314,7 @@
 {
     result_.worker_ends.push_back(clock_.now());
     stop(workers_.at(address));
-    clock_.schedule(clock_.now() + crash_down_time_, [this, address] {
+    clock_.schedule(clock_.now() + crashing_.down_time, [this, address] {
         worker& w = workers_.at(address);
         w.starts += 1;
         w.entry.instance += "-" + std::to_string(w.starts);
--- a/bench/worker_pool.h
+++ b/bench/worker_pool.h
@@ -68,6 +68,7 @@
     };
 
     void arrive(const node_id& gateway, const start_attempt& e);
+    void report_failed_connection(const node_id& gateway, const start_attempt& e);
     void record_arrival(const worker& w);
     void begin(worker& w, const run_id& id);
     microseconds prefill(worker& w, const start_attempt& e);
@@ -89,7 +90,7 @@
     std::mt19937_64 random_;
     sink on_event_;
     pass_result& result_;
-    microseconds crash_down_time_{};
+    crashing_request crashing_;
     std::map<std::string, worker> workers_; ///< by address
     std::unordered_map<request_id, request_work> works_;
     std::map<run_id, std::string> addresses_; ///< worker of each run
--- a/src/include/bluebell/core/crash_watch.h
+++ b/src/include/bluebell/core/crash_watch.h
@@ -1,10 +1,10 @@
 /// \file
 /// Detects pass-through requests that end the workers that run them. A gateway only sees that its
 /// connection to a worker broke while a request ran there. It watches that worker until a refused
-/// connection, the list of workers or another instance at its address shows that its process has
-/// ended; then the end counts against each request that it broke off. A complete successful answer
-/// clears a request. Control adds up what all gateways report, and the whole fleet refuses a
-/// request under which max_ended_workers workers have ended.
+/// connection, the list of workers, another instance at its address or a lasting silence shows that
+/// its process has ended; then the end counts against each request that it broke off. A complete
+/// successful answer clears a request. Control adds up what all gateways report, and the whole
+/// fleet refuses a request under which max_ended_workers workers have ended.
 #pragma once
 
 #include <bluebell/core/expiring_table.h>
@@ -46,7 +46,8 @@
 struct watched_worker {
     std::string address; ///< IP:PORT
     instant broke_at{};
-    std::uint32_t probes = 0;                   ///< sent so far
+    std::uint32_t probes = 0; ///< sent so far
+    bool accepts = false;     ///< it has accepted a connection of a probe and kept it open
     std::vector<request_fingerprints> requests; ///< that it broke off
 
     friend bool operator==(const watched_worker&, const watched_worker&) = default;
@@ -96,11 +97,13 @@
 [[nodiscard]] crash_watch with_ended_worker(crash_watch w, instant now,
                                             const std::string& instance);
 
-/// Records that the worker accepts connections. It may still have ended and been started again.
+/// Records that the worker accepts and keeps connections. It may still have ended and been started
+/// again.
 [[nodiscard]] crash_watch with_accepting_worker(crash_watch w, instant now,
                                                 const std::string& instance);
 
-/// Records that the worker has not ended by itself: it drains, or was watched for long enough.
+/// Records that the worker has not ended by itself: it drains, or it has answered a later request,
+/// or it has accepted connections until its watch was over.
 [[nodiscard]] crash_watch with_living_worker(crash_watch w, instant now,
                                              const std::string& instance);
 
@@ -113,10 +116,17 @@
 /// answer.
 [[nodiscard]] crash_watch with_fleet_list(crash_watch w, const request_crash_list& list);
 
-/// Returns the workers whose next probe is due, and those that were watched for long enough.
+/// Returns whether the worker's connection had broken before `sent_at` without a sign of life
+/// since: a request that was sent there then hasn't ended it.
+[[nodiscard]] bool had_most_likely_ended(const crash_watch& w, const std::string& instance,
+                                         instant sent_at);
+
+/// Returns the workers whose next probe is due, and those that were watched for long enough, by
+/// whether they have given a sign of life.
 struct due_watches {
     std::vector<std::string> to_probe;
-    std::vector<std::string> over;
+    std::vector<std::string> alive;
+    std::vector<std::string> silent;
 };
 [[nodiscard]] due_watches find_due(const crash_watch& w, instant now);
 
--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -187,6 +187,7 @@
 enum class probe_outcome : std::uint8_t {
     connected,
     refused, ///< the machine answers, but no process listens there
+    closed,  ///< accepted and closed at once, as by a forwarder that reaches no process
     unknown, ///< no answer
 };
 /// Answers probe_worker.
@@ -228,12 +229,13 @@
     attempt_number attempt = 0;
     friend bool operator==(const recall_attempt&, const recall_attempt&) = default;
 };
-/// Tries to connect to a worker and closes the connection at once.
+/// Tries to connect to a worker, and closes the connection after `hold`.
 struct probe_worker {
     std::string instance; ///< named in the answer
     std::string address;  ///< IP:PORT
     /// Named in the answer. Unique within one run of this process.
     std::uint64_t number = 0;
+    microseconds hold{}; ///< connected: if the worker keeps the connection open for this time
     friend bool operator==(const probe_worker&, const probe_worker&) = default;
 };
 /// Stops or resumes reading the answer of an attempt.
--- a/src/include/bluebell/runtime/worker_client.h
+++ b/src/include/bluebell/runtime/worker_client.h
@@ -53,6 +53,7 @@
     struct probe {
         std::shared_ptr<byte_stream> stream;
         std::unique_ptr<watcher> timeout;
+        bool connected = false; ///< the worker must keep the connection open for a time
     };
 
     std::shared_ptr<event_loop> loop_;
--- a/src/libcore/crash_watch.cpp
+++ b/src/libcore/crash_watch.cpp
@@ -174,6 +174,7 @@
     const auto it = w.watched.find(instance);
     if (it == w.watched.end())
         return w;
+    it->second.accepts = true;
     const hash64 worker = hash_of(instance);
     for_each_suspect(w, now, it->second, [&](const body_digest& fingerprint) {
         change_record(w, fingerprint, [&](crash_suspect_record& record) {
@@ -235,13 +236,22 @@
     return w;
 }
 
+bool had_most_likely_ended(const crash_watch& w, const std::string& instance, instant sent_at)
+{
+    const auto it = w.watched.find(instance);
+    return it != w.watched.end() && !it->second.accepts && sent_at > it->second.broke_at;
+}
+
 due_watches find_due(const crash_watch& w, instant now)
 {
     due_watches due;
     for (const auto& [instance, watched] : w.watched) {
         if (next_watch_at(watched) > now)
             continue;
-        (watched.probes < probe_times.size() ? due.to_probe : due.over).push_back(instance);
+        if (watched.probes < probe_times.size())
+            due.to_probe.push_back(instance);
+        else
+            (watched.accepts ? due.alive : due.silent).push_back(instance);
     }
     return due;
 }
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -325,8 +325,10 @@
     if (ev.head.load)
         t.st.workers = with_load(std::move(t.st.workers), worker, t.ctx.now, *ev.head.load);
     const bool is_other_instance = ev.head.status == misdirected_request;
-    if (!is_other_instance)
+    if (!is_other_instance) {
         apply_notice(t, worker, ev);
+        record_sign_of_life(t, *ex);
+    }
     if (ev.head.not_run || is_other_instance) {
         handle_rejection(t, id, *ex, ev.head.status);
         return;
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -508,7 +508,8 @@
         return;
     exchange& ex = it->second;
     if (ex.awaits_worker && ex.awaited_probe == 0) {
-        ex.awaited_probe = start_probe(t, ex.tried_instances.back(), ex.worker_address);
+        ex.awaited_probe =
+            start_probe(t, ex.tried_instances.back(), ex.worker_address, microseconds{0});
         reschedule_timer(t, id, ex);
         return;
     }
--- a/src/libcore/gateway_crash_test.cpp
+++ b/src/libcore/gateway_crash_test.cpp
@@ -232,6 +232,59 @@
     BOOST_TEST(take_crash_reports().size() == fingerprint_count);
 }
 
+// Guards against a request that ends further workers because the addresses of those that have ended
+// accept connections for another process, or are silent.
+BOOST_AUTO_TEST_CASE(a_worker_without_a_sign_of_life_has_ended_when_its_watch_is_over)
+{
+    for (const auto outcome : {probe_outcome::closed, probe_outcome::unknown}) {
+        const auto attempt = ask("poison", "/unsafe/x");
+        const std::string worker = worker_of(attempt);
+        break_off(attempt);
+        for (const auto time : {milliseconds(50), milliseconds(250), milliseconds(700)}) {
+            advance_time(time);
+            BOOST_REQUIRE(find_effect<probe_worker>() != nullptr);
+            handle(worker_probed{worker, outcome});
+        }
+        BOOST_TEST(take_crash_reports().empty());
+        advance_time(milliseconds(9'000));
+        BOOST_TEST(!st.crashes.watched.contains(worker));
+        BOOST_TEST(take_crash_reports().size() == fingerprint_count);
+    }
+}
+
+// Guards against sound requests that are refused because they were sent to a worker after another
+// request had ended it.
+BOOST_AUTO_TEST_CASE(a_request_that_was_sent_to_an_ended_worker_has_not_ended_it)
+{
+    const auto poison = ask("poison", "/unsafe/x");
+    const std::string worker = worker_of(poison);
+    std::erase_if(st.workers.workers, [&](const auto& entry) { return entry.first != worker; });
+    break_off(poison);
+    advance_time(milliseconds(20));
+    const auto sound = ask("sound", "/unsafe/x");
+    BOOST_REQUIRE(sound != 0U);
+    break_off(sound);
+    handle(worker_probed{worker, probe_outcome::refused});
+    BOOST_TEST(take_crash_reports().size() == fingerprint_count);
+    BOOST_TEST(st.crashes.suspects.entries.size() == fingerprint_count);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_a_later_request_shows_that_a_worker_lives)
+{
+    const auto earlier = ask("earlier", "/unsafe/x");
+    const std::string worker = worker_of(earlier);
+    std::erase_if(st.workers.workers, [&](const auto& entry) { return entry.first != worker; });
+    const auto reset = ask("reset", "/unsafe/x");
+    advance_time(milliseconds(10));
+    break_off(reset);
+    answer_fully(earlier); // may have been on its way
+    BOOST_TEST(st.crashes.watched.contains(worker));
+    advance_time(milliseconds(10));
+    answer_fully(ask("later", "/unsafe/x"), 404);
+    BOOST_TEST(!st.crashes.watched.contains(worker));
+    BOOST_TEST(has_no_suspects(st.crashes));
+}
+
 BOOST_AUTO_TEST_CASE(suspects_run_at_different_workers)
 {
     break_off(ask("one"));
--- a/src/libcore/gateway_crashes.cpp
+++ b/src/libcore/gateway_crashes.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// Time for which a worker keeps a probe's connection open if it is alive. A forwarder whose
+/// process is gone closes it at once.
+constexpr microseconds watch_probe_hold{100'000};
+
 /// Returns the request's fingerprints, and keeps them in the exchange.
 const request_fingerprints& fingerprints_of(exchange& ex)
 {
@@ -43,6 +47,8 @@
         return "not listed any more";
     case crash_proof::other_instance:
         return "another instance at its address";
+    case crash_proof::silence:
+        return "neither an answer nor a connection since";
     }
     return "";
 }
@@ -87,7 +93,8 @@
         ev.stage != attempt_stage::unsent && ev.failure.code == error_code::unavailable;
     if (!is_sign || it == t.st.workers.workers.end() || it->second.entry.draining ||
         std::holds_alternative<worker_leaving>(
-            availability(t.st.workers.standings, worker, t.ctx.now)))
+            availability(t.st.workers.standings, worker, t.ctx.now)) ||
+        had_most_likely_ended(t.st.crashes, worker, ex.attempt_started_at))
         return;
     t.st.crashes = with_broken_run(std::move(t.st.crashes), t.ctx.now, worker,
                                    it->second.entry.address, fingerprints_of(ex));
@@ -144,22 +151,32 @@
 void watch_due_workers(turn& t)
 {
     const due_watches due = find_due(t.st.crashes, t.ctx.now);
-    for (const auto& instance : due.over)
+    for (const auto& instance : due.silent)
+        record_ended_worker(t, instance, crash_proof::silence);
+    for (const auto& instance : due.alive)
         t.st.crashes = with_living_worker(std::move(t.st.crashes), t.ctx.now, instance);
     for (const auto& instance : due.to_probe) {
         watched_worker& watched = t.st.crashes.watched.at(instance);
         watched.probes += 1;
-        start_probe(t, instance, watched.address);
+        start_probe(t, instance, watched.address, watch_probe_hold);
     }
 }
 
-std::uint64_t start_probe(turn& t, const std::string& instance, const std::string& address)
+std::uint64_t start_probe(turn& t, const std::string& instance, const std::string& address,
+                          microseconds hold)
 {
     t.st.last_probe += 1;
-    t.out.emplace_back(probe_worker{instance, address, t.st.last_probe});
+    t.out.emplace_back(probe_worker{instance, address, t.st.last_probe, hold});
     return t.st.last_probe;
 }
 
+void record_sign_of_life(turn& t, const exchange& ex)
+{
+    const auto it = t.st.crashes.watched.find(ex.tried_instances.back());
+    if (it != t.st.crashes.watched.end() && ex.attempt_started_at > it->second.broke_at)
+        t.st.crashes = with_living_worker(std::move(t.st.crashes), t.ctx.now, it->first);
+}
+
 void on(turn& t, const worker_probed& ev)
 {
     settle_ended_answers(t, ev);
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -68,7 +68,7 @@
 // gateway_crashes.cpp
 
 /// How it was found that a worker's process has ended.
-enum class crash_proof : std::uint8_t { connection_refused, not_listed, other_instance };
+enum class crash_proof : std::uint8_t { connection_refused, not_listed, other_instance, silence };
 /// Returns what counts against the request.
 [[nodiscard]] crash_standing standing_of(const turn& t, exchange& ex);
 /// Returns the workers that run suspects, other than the given one.
@@ -85,8 +85,11 @@
 void review_watched_workers(turn& t);
 /// Sends the probes that are due, and ends watches that are over.
 void watch_due_workers(turn& t);
-/// Probes a worker's address; returns the number of the probe.
-std::uint64_t start_probe(turn& t, const std::string& instance, const std::string& address);
+/// Probes a worker's address; returns the number of the probe. See probe_worker for `hold`.
+std::uint64_t start_probe(turn& t, const std::string& instance, const std::string& address,
+                          microseconds hold);
+/// Ends the watch of a worker that has answered a request which was sent after the watch began.
+void record_sign_of_life(turn& t, const exchange& ex);
 void on(turn& t, const worker_probed& ev);
 
 // gateway_answers.cpp
--- a/src/libruntime/worker_client.cpp
+++ b/src/libruntime/worker_client.cpp
@@ -96,10 +96,27 @@
     p.timeout->arm(probe_timeout);
     byte_stream::callbacks handlers;
     handlers.data = [](std::string_view data) { return data.size(); };
-    handlers.connected = [finish] { finish(core::probe_outcome::connected); };
-    handlers.closed = [finish](const core::error* failure) {
+    handlers.connected = [self = weak_from_this(), e, finish] {
+        const auto client = self.lock();
+        if (client == nullptr || e.hold.count() == 0) {
+            finish(core::probe_outcome::connected);
+            return;
+        }
+        probe& held = client->probes_.at(e.number);
+        held.connected = true;
+        held.timeout =
+            watcher::timer(*client->loop_, [finish] { finish(core::probe_outcome::connected); });
+        held.timeout->arm(e.hold);
+    };
+    handlers.closed = [self = weak_from_this(), e, finish](const core::error* failure) {
+        const auto client = self.lock();
+        const bool was_connected = client != nullptr && client->probes_.contains(e.number) &&
+                                   client->probes_.at(e.number).connected;
         const bool is_refused = failure != nullptr && byte_stream::is_refusal(*failure);
-        finish(is_refused ? core::probe_outcome::refused : core::probe_outcome::unknown);
+        if (was_connected)
+            finish(core::probe_outcome::closed);
+        else
+            finish(is_refused ? core::probe_outcome::refused : core::probe_outcome::unknown);
     };
     p.stream->start(std::move(handlers));
 }
--- a/src/libruntime/worker_client_test.cpp
+++ b/src/libruntime/worker_client_test.cpp
@@ -498,4 +498,30 @@
     BOOST_TEST(body_of(attempt).empty());
 }
 
+// A forwarder accepts connections for a process that is gone, and closes them.
+BOOST_FIXTURE_TEST_CASE(a_probe_tells_a_kept_connection_from_one_that_is_closed_at_once, fixture)
+{
+    const std::string address = "127.0.0.1:" + std::to_string(port);
+    constexpr core::microseconds hold{50'000};
+    const auto outcome_of = [&](std::uint64_t number) {
+        for (const auto& e : reported<core::worker_probed>()) {
+            if (e.number == number)
+                return e.outcome;
+        }
+        return core::probe_outcome::unknown;
+    };
+    client->run(core::probe_worker{"w", address, 1, hold});
+    run();
+    BOOST_TEST((outcome_of(1) == core::probe_outcome::connected));
+    client->run(core::probe_worker{"w", address, 2, hold});
+    run(hold / 5);
+    BOOST_REQUIRE(accepted.size() == 2U);
+    accepted.back()->close();
+    run();
+    BOOST_TEST((outcome_of(2) == core::probe_outcome::closed));
+    client->run(core::probe_worker{"w", address, 3, core::microseconds{0}});
+    run(hold / 5);
+    BOOST_TEST((outcome_of(3) == core::probe_outcome::connected));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
