--- a/testsuite/standins/platform.cpp
+++ b/testsuite/standins/platform.cpp
@@ -1,7 +1,7 @@
 // Stand-in for the platform: serves its list of workers and runs four workers. Two are engines,
 // which answer with event streams, and two are plain services, which answer with a short text. On
 // demand, workers leave and restart under a new id, or refuse requests for some time, and say so in
-// their answers.
+// their answers. A request whose path contains /crash/ ends each worker that runs it.
 
 #include <bluebell/runtime/http_server.h>
 
@@ -27,6 +27,8 @@
 constexpr core::microseconds listing_delay{4'000'000};
 constexpr core::microseconds restart_delay{6'000'000};
 constexpr int max_pause_s = 3;
+/// A worker that a request has ended comes back after this time.
+constexpr core::microseconds crash_down_time{3'000'000};
 
 /// Milliseconds since the epoch, which the other programs of a test read, too.
 std::int64_t wall_ms()
@@ -46,11 +48,13 @@
     int restarts = 0;
     core::instant leaving_since = core::instant::max();
     core::instant paused_until{};
+    std::unique_ptr<runtime::watcher> restart_timer; ///< set while its process is gone
 };
 
 /// A stream in progress.
 struct stream {
     std::shared_ptr<http_session> session;
+    std::uint16_t port = 0;      ///< of its worker
     std::uint64_t next = 1;      ///< id of the next event
     std::uint64_t last = 0;      ///< id of the last event
     std::uint64_t cut_after = 0; ///< aborts within the next event after this one; 0: never
@@ -77,18 +81,60 @@
             w.service = services[n];
             w.instance = w.service + "-" + std::to_string(n);
             w.port = static_cast<std::uint16_t>(port_ + 1 + n);
-            w.server =
-                listen(w.port, [this, n](const auto& s, const auto& head, const std::string&) {
-                    handle_request(workers_[n], s, head);
-                });
-            if (w.server == nullptr)
-                return false;
             workers_.push_back(std::move(w));
+            if (!start_worker(n))
+                return false;
         }
         return list_server_ != nullptr;
     }
 
 private:
+    /// Returns false if the worker's port can't be opened.
+    bool start_worker(std::size_t n)
+    {
+        worker& w = workers_[n];
+        w.server = listen(w.port, [this, n](const auto& s, const auto& head, const std::string&) {
+            handle_request(workers_[n], s, head);
+        });
+        return w.server != nullptr;
+    }
+
+    /// Ends the worker's process. It comes back as a new instance.
+    void end_worker(std::size_t n)
+    {
+        worker& w = workers_[n];
+        if (w.server == nullptr)
+            return;
+        ends_ += std::to_string(wall_ms()) + " " + w.instance + "\n";
+        for (const auto& st : std::exchange(streams_, {})) {
+            if (st->port == w.port)
+                st->session->abort();
+            else
+                streams_.push_back(st);
+        }
+        w.server->close_idle();
+        w.server.reset();
+        w.restart_timer = runtime::watcher::timer(*loop_, [this, n] { restart_worker(n); });
+        w.restart_timer->arm(crash_down_time);
+    }
+
+    void restart_worker(std::size_t n)
+    {
+        worker& w = workers_[n];
+        if (!start_worker(n)) {
+            w.restart_timer->arm(notice_interval);
+            return;
+        }
+        set_next_instance(w);
+    }
+
+    void set_next_instance(worker& w) const
+    {
+        w.restarts += 1;
+        w.instance =
+            w.service + "-" + std::to_string(w.port - port_ - 1) + "." + std::to_string(w.restarts);
+    }
+
     /// Returns null if the port can't be opened.
     template <class Handler>
     std::shared_ptr<runtime::http_server> listen(std::uint16_t port, Handler handler)
@@ -103,8 +149,9 @@
     }
 
     /// Serves GET /instances, POST /drain/INSTANCE, GET /runs (each request id that ran and how
-    /// often), GET /arrivals (see record_arrival) and POST /notices/SEED, after which workers leave
-    /// and pause until /notices/0. Any other target gets the list of workers, too.
+    /// often), GET /arrivals (see record_arrival), GET /ends (the time in ms since the epoch and
+    /// the instance of each worker that a request has ended) and POST /notices/SEED, after which
+    /// workers leave and pause until /notices/0. Any other target gets the list of workers, too.
     void handle_list_request(const std::shared_ptr<http_session>& s, const message_head& head)
     {
         const std::string drain = "/drain/";
@@ -126,6 +173,8 @@
                 text += id + " " + std::to_string(n) + "\n";
         } else if (head.target == "/arrivals") {
             text = arrivals_;
+        } else if (head.target == "/ends") {
+            text = ends_;
         } else {
             for (auto& w : workers_)
                 update_leaving(w);
@@ -180,9 +229,7 @@
         if (time < restart_delay)
             return;
         w.leaving_since = core::instant::max();
-        w.restarts += 1;
-        w.instance =
-            w.service + "-" + std::to_string(w.port - port_ - 1) + "." + std::to_string(w.restarts);
+        set_next_instance(w);
     }
 
     /// Adds a line to the list of arrivals: the time in ms since the epoch, the request's id, the
@@ -230,21 +277,29 @@
             return;
         }
         runs_[std::string(find_header(head.headers, "Bluebellproxy-Request-Id"))] += 1;
+        if (head.target.find("/crash/") != std::string::npos) {
+            const auto n = static_cast<std::size_t>(w.port - port_ - 1);
+            loop_->defer([this, s, n] {
+                s->abort();
+                end_worker(n);
+            });
+            return;
+        }
         if (w.service == "plain") {
             const std::string tenant(find_header(head.headers, "Bluebellproxy-Tenant-Id"));
             s->reply(200, answer, head.method + " " + head.target + " for " + tenant + "\n");
             return;
         }
         answer.push_back({"Content-Type", "text/event-stream"});
-        start_stream(s, head, answer);
+        start_stream(w, s, head, answer);
     }
 
     /// The path ends with the number of events. With /cut/ in the path a request without
     /// Last-Event-Id is aborted in the middle of the fourth event.
-    void start_stream(const std::shared_ptr<http_session>& s, const message_head& head,
-                      const std::vector<core::header_field>& answer)
+    void start_stream(const worker& w, const std::shared_ptr<http_session>& s,
+                      const message_head& head, const std::vector<core::header_field>& answer)
     {
-        auto made = std::make_unique<stream>();
+        auto made = std::make_shared<stream>();
         const std::string_view last_event_header = find_header(head.headers, "Last-Event-Id");
         std::uint64_t last = 0;
         std::from_chars(last_event_header.data(),
@@ -253,6 +308,7 @@
         std::from_chars(head.target.data() + count_at, head.target.data() + head.target.size(),
                         made->last);
         made->session = s;
+        made->port = w.port;
         made->next = last + 1;
         if (last_event_header.empty() && head.target.find("/cut/") != std::string::npos)
             made->cut_after = 3;
@@ -289,9 +345,10 @@
     std::uint16_t listed_port_; ///< the list shows this in place of port_: a proxy's first port
     std::shared_ptr<runtime::http_server> list_server_;
     std::vector<worker> workers_;
-    std::vector<std::unique_ptr<stream>> streams_;
+    std::vector<std::shared_ptr<stream>> streams_;
     std::map<std::string, int> runs_; ///< by request id
     std::string arrivals_;            ///< one line for each request to a worker
+    std::string ends_;                ///< one line for each end of a worker
     std::mt19937_64 random_;
     std::unique_ptr<runtime::watcher> notice_timer_;
 };
