Count the ends of a worker that comes back under its old id

Seen by callers: none yet; found by reading for the incident of requests that end workers. The platform says that a start of a worker has mostly a new id, so it may have the old one.

Cause: ends were counted by instance, so a service with one or two workers that keep their ids reached a count of one or two, and a request could end them without limit.

Change: a gateway remembers when each end's connection broke. A later end of the same instance, a second or more after, counts once more; it is reported under a hash of the instance and its number, so gateways that see the same ends agree. Two gateways that see different ends of one instance as their first count them once: the bound is then three ends for each gateway.

--- a/src/include/bluebell/core/crash_watch.h
+++ b/src/include/bluebell/core/crash_watch.h
@@ -33,11 +33,12 @@
 using request_fingerprints = std::vector<body_digest>;
 
 /// The workers that broke off one request since its last complete answer, by the hashes of their
-/// instances. A worker is in one of the sets.
+/// instances. A worker is in one of the containers. One that comes back under its old id and ends
+/// once more is in `ended` again, under a hash of its instance and the number of the end.
 struct crash_suspect_record {
     std::set<hash64> unproven;  ///< their connections broke; they may have ended
     std::set<hash64> accepting; ///< as `unproven`, but they accept connections: most likely alive
-    std::set<hash64> ended;
+    std::map<hash64, instant> ended; ///< with the time at which their connections broke
 
     friend bool operator==(const crash_suspect_record&, const crash_suspect_record&) = default;
 };
--- a/src/libcore/crash_watch.cpp
+++ b/src/libcore/crash_watch.cpp
@@ -20,6 +20,22 @@
 constexpr std::size_t max_watched_workers = 256;
 constexpr std::size_t max_requests_per_worker = 256;
 
+/// A worker that has ended is back after this time at the earliest. A connection that breaks sooner
+/// was broken by the same end.
+constexpr microseconds min_restart_time{1'000'000};
+
+/// Adds the end of a worker to those that are known.
+void add_end(std::map<hash64, instant>& ended, hash64 worker, instant broke_at)
+{
+    hash64 end = worker;
+    for (int n = 2; ended.contains(end); ++n) {
+        if (broke_at - ended.at(end) < min_restart_time)
+            return;
+        end = hash_of(std::to_string(n), worker);
+    }
+    ended.emplace(end, broke_at);
+}
+
 /// Changes the record of a suspect by a function, keeping its expiry; removes an empty record.
 template <class Change>
 void change_record(crash_watch& w, const body_digest& fingerprint, Change change)
@@ -133,7 +149,10 @@
     for (const auto& fingerprint : fingerprints) {
         const auto* known = find(w.suspects, fingerprint, now);
         crash_suspect_record record = known == nullptr ? crash_suspect_record{} : *known;
-        if (!record.ended.contains(worker) && !record.accepting.contains(worker))
+        const auto known_end = record.ended.find(worker);
+        const bool is_known_end =
+            known_end != record.ended.end() && now - known_end->second < min_restart_time;
+        if (!is_known_end && !record.accepting.contains(worker))
             record.unproven.insert(worker);
         w.suspects = with_entry(std::move(w.suspects), fingerprint, std::move(record),
                                 now + crash_memory, max_crash_suspects);
@@ -156,11 +175,12 @@
     if (it == w.watched.end())
         return w;
     const hash64 worker = hash_of(instance);
+    const instant broke_at = it->second.broke_at;
     for_each_suspect(w, now, it->second, [&](const body_digest& fingerprint) {
         change_record(w, fingerprint, [&](crash_suspect_record& record) {
             record.unproven.erase(worker);
             record.accepting.erase(worker);
-            record.ended.insert(worker);
+            add_end(record.ended, worker, broke_at);
         });
         w.cleared.erase(fingerprint);
         w.unreported.insert(fingerprint);
@@ -271,8 +291,12 @@
         reports.push_back({fingerprint, {}, true});
     for (const auto& fingerprint : w.unreported) {
         const auto* record = find(w.suspects, fingerprint, now);
-        if (record != nullptr && !record->ended.empty())
-            reports.push_back({fingerprint, {record->ended.begin(), record->ended.end()}, false});
+        if (record != nullptr && !record->ended.empty()) {
+            std::vector<hash64> workers;
+            for (const auto& [worker, broke_at] : record->ended)
+                workers.push_back(worker);
+            reports.push_back({fingerprint, std::move(workers), false});
+        }
     }
     w.cleared.clear();
     w.unreported.clear();
--- a/src/libcore/gateway_crash_test.cpp
+++ b/src/libcore/gateway_crash_test.cpp
@@ -252,6 +252,38 @@
     }
 }
 
+// Guards against a request that ends the workers of a small service without limit, because they
+// come back under their old ids.
+BOOST_AUTO_TEST_CASE(ends_of_a_worker_that_comes_back_under_its_old_id_are_counted)
+{
+    for (int n = 0; n < 3; ++n) {
+        const auto attempt = ask("poison", "/unsafe/x");
+        BOOST_REQUIRE(attempt != 0U);
+        const std::string worker = worker_of(attempt);
+        std::erase_if(st.workers.workers, [&](const auto& entry) { return entry.first != worker; });
+        end_worker(attempt);
+        advance_time(milliseconds(3'000));
+    }
+    BOOST_TEST(ask("poison", "/unsafe/x") == 0U);
+}
+
+// Requests that run beside each other at a worker have ended it once.
+BOOST_AUTO_TEST_CASE(one_end_counts_once_for_equal_requests)
+{
+    const auto first = ask("popular", "/unsafe/x");
+    const std::string worker = worker_of(first);
+    std::erase_if(st.workers.workers, [&](const auto& entry) { return entry.first != worker; });
+    const auto second = ask("popular", "/unsafe/x");
+    const auto third = ask("popular", "/unsafe/x");
+    break_off(first);
+    break_off(second);
+    handle(worker_probed{worker, probe_outcome::refused});
+    advance_time(milliseconds(500));
+    end_worker(third);
+    for (const auto& report : take_crash_reports())
+        BOOST_TEST(report.workers.size() == 1U);
+}
+
 // Guards against sound requests that are refused because they were sent to a worker after another
 // request had ended it.
 BOOST_AUTO_TEST_CASE(a_request_that_was_sent_to_an_ended_worker_has_not_ended_it)
