Cross the soak's faults with keys that change and requests that end workers

The soak's operator adds a key and takes another away with each table; with an odd seed a caller sends a request that ends each worker that runs it, through the same proxy, which accepts connections for workers that are gone. Checked: no more than three workers end for each start of a router, which must hold without control, and such a request never gets a success. An ended worker of the stand-in comes back as a sound one.

--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -3,9 +3,9 @@
 # It runs three control processes with disks, three routers and stand-in workers. Connections to the
 # workers, the routers and the control processes' operator port go through a proxy that delays, holds
 # and resets them. Processes are killed, frozen, terminated and reloaded, and disks are emptied or get
-# a torn write. Workers leave and refuse requests, and say so. The faults overlap and are drawn from
-# the seed. soak_client checks the answers
-# meanwhile; after the faults everything must work again. If a check fails, the working folder is
+# a torn write. Workers leave and refuse requests, and say so; with an odd seed a request ends each
+# worker that runs it. API keys change with each table. The faults overlap and are drawn from the seed.
+# soak_client checks the answers meanwhile; after the faults everything must work again. If a check fails, the working folder is
 # copied to $BLUEBELL_SOAKS, if set.
 . "$(dirname "$0")/../lib.sh"
 seed=${1:-1}
@@ -108,7 +108,9 @@
     case $name in router-*) wait_for ready "$name" ;; esac
 done
 
-"$SOAK_BIN/soak_client" --seed "$seed" --seconds "$seconds" --begun "$work/begun" --healed "$work/healed" \
+crashing=()
+[ $((seed % 2)) = 0 ] || crashing=(--crashing)
+"$SOAK_BIN/soak_client" "${crashing[@]}" --seed "$seed" --seconds "$seconds" --begun "$work/begun" --healed "$work/healed" \
     --fronts "127.0.0.1:$((port + 45)) 127.0.0.1:$((port + 46)) 127.0.0.1:$((port + 47))" \
     --controls "127.0.0.1:$((port + 31)) 127.0.0.1:$((port + 32)) 127.0.0.1:$((port + 33))" \
     --workers "127.0.0.1:$workers" --outages "$work/outages" >"$work/verdict" &
--- a/testsuite/soak/soak_client.cpp
+++ b/testsuite/soak/soak_client.cpp
@@ -30,6 +30,10 @@
 constexpr milliseconds recovery_time{15'000};
 /// How many workers may run one request: the `attempts` of every route.
 constexpr int max_runs = 3;
+/// How many workers may end under one request before a router refuses it, also without control.
+constexpr std::size_t max_ended_workers = 3;
+/// Time between two requests that end their workers.
+constexpr milliseconds crashing_interval{300};
 
 /// Reads one of the lists that the stand-in workers keep.
 std::string read_workers_list(soak_results& results, const address& workers,
@@ -72,6 +76,43 @@
     }
 }
 
+/// Sends the same request, which ends each worker that runs it, again and again.
+void send_crashing_requests(soak_results& results, const std::vector<address>& fronts,
+                            steady_clock::time_point end)
+{
+    for (std::size_t n = 0; steady_clock::now() < end; ++n) {
+        const address& front = fronts[n % fronts.size()];
+        const std::string id = "crash-" + std::to_string(n);
+        results.record_request(id, {request_kind::safe, 0, front.port, wall_ms(), 0});
+        const connection c = connection::open(front);
+        if (c.is_open() &&
+            c.send("GET /safe/crash/1 HTTP/1.1\r\nHost: h\r\nBluebellproxy-Request-Id: " + id +
+                   "\r\nBluebellproxy-Credential: key1\r\n"
+                   "Bluebellproxy-Request-Timeout-Ms: 1000\r\n\r\n") &&
+            read_answer(c, steady_clock::now() + check_timeout).status == 200)
+            results.violate("a request that ends its worker was answered request=" + id);
+        std::this_thread::sleep_for(crashing_interval);
+    }
+}
+
+/// Each start of a router may forget what its process knew; control must not be needed for the
+/// rest.
+void check_ended_workers(soak_results& results, const std::string& ends, const std::string& outages)
+{
+    const auto count_lines = [](const std::string& text, const std::string& prefix) {
+        std::istringstream in(text);
+        std::size_t n = 0;
+        for (std::string line; std::getline(in, line);)
+            n += line.starts_with(prefix) ? 1 : 0;
+        return n;
+    };
+    const std::size_t ended = count_lines(ends, "");
+    const std::size_t starts = count_lines(outages, "router-");
+    if (ended > max_ended_workers * starts)
+        results.violate(std::to_string(ended) + " workers ended under one request, with " +
+                        std::to_string(starts) + " starts of routers");
+}
+
 /// After the faults: a new table is acknowledged, it can be read back, and every router serves it.
 void check_recovery(soak_results& results, table_operator& op, const std::vector<address>& fronts)
 {
@@ -122,7 +163,8 @@
         "outages", "file with the restarts of routers and the faults of links",
         cxxopts::value<std::string>())("begun", "file to create when the faults may begin",
                                        cxxopts::value<std::string>())(
-        "healed", "file that is created when the faults are over", cxxopts::value<std::string>());
+        "healed", "file that is created when the faults are over", cxxopts::value<std::string>())(
+        "crashing", "also send a request that ends the workers that run it");
     const auto args = options.parse(argc, argv);
     const auto fronts = parse_addresses(args["fronts"].as<std::string>());
     const auto seed = args["seed"].as<std::uint64_t>();
@@ -137,11 +179,13 @@
     std::ofstream(args["begun"].as<std::string>()) << "begun\n";
     const auto end = steady_clock::now() + std::chrono::seconds(args["seconds"].as<int>());
     std::vector<std::thread> threads;
-    threads.reserve(caller_count + 1);
+    threads.reserve(caller_count + 2);
     for (int n = 0; n < caller_count; ++n)
         threads.emplace_back(
             [&, n] { caller(results, fronts, "c" + std::to_string(n), seed * 100 + n).run(end); });
     threads.emplace_back([&] { op.run(end); });
+    if (args["crashing"].as<bool>())
+        threads.emplace_back([&] { send_crashing_requests(results, fronts, end); });
     for (auto& t : threads)
         t.join();
     while (::access(args["healed"].as<std::string>().c_str(), F_OK) != 0)
@@ -151,6 +195,7 @@
     check_runs(results, read_workers_list(results, workers, "runs"));
     std::ostringstream outages;
     outages << std::ifstream(args["outages"].as<std::string>()).rdbuf();
+    check_ended_workers(results, read_workers_list(results, workers, "ends"), outages.str());
     check_notices(results, fronts, read_workers_list(results, workers, "arrivals"), outages.str());
     std::cout << "tables=" << op.acknowledged() << " requests=" << results.sent().size();
     for (const auto& [status, n] : results.by_status())
--- a/testsuite/soak/soak_operator.cpp
+++ b/testsuite/soak/soak_operator.cpp
@@ -39,7 +39,8 @@
                  R"("kind":"safe","timeout-ms":2000,"service":"plain")") +
            R"(],"services":[{"name":"plain"},{"name":"engine","engine":)"
            R"({"slots":4,"kv-capacity-tokens":1000}}],"limits":{},)"
-           R"("tenants":[{"name":"lenas","api-keys":["key1"]}]})";
+           R"("tenants":[{"name":"lenas","api-keys":["key1","a)" +
+           std::to_string(version) + R"("]}]})";
 }
 
 void table_operator::run(steady_clock::time_point end)
--- a/testsuite/soak/soak_operator.h
+++ b/testsuite/soak/soak_operator.h
@@ -27,7 +27,8 @@
     [[nodiscard]] int acknowledged() const { return acknowledged_; }
 
 private:
-    /// Returns the document of a table; a route `/vN/` tells which version is in force.
+    /// Returns the document of a table; a route `/vN/` tells which version is in force. The
+    /// callers' key is in all of them, and another one that changes with the version.
     [[nodiscard]] static std::string table_json(int version);
     /// Calls a random control process and follows up to 2 redirects.
     [[nodiscard]] answer send_call(const std::string& method, const std::string& path,
--- a/testsuite/standins/platform.cpp
+++ b/testsuite/standins/platform.cpp
@@ -126,6 +126,9 @@
             return;
         }
         set_next_instance(w);
+        w.draining = false;
+        w.leaving_since = core::instant::max();
+        w.paused_until = {};
     }
 
     void set_next_instance(worker& w) const
