Name the worker by the exchange, not by the entry that is removed

with_living_worker erases the entry whose key it was given by reference. It was not used afterwards; now it isn't relied on.

--- a/src/libcore/gateway_crashes.cpp
+++ b/src/libcore/gateway_crashes.cpp
@@ -172,9 +172,10 @@
 
 void record_sign_of_life(turn& t, const exchange& ex)
 {
-    const auto it = t.st.crashes.watched.find(ex.tried_instances.back());
+    const std::string& worker = ex.tried_instances.back();
+    const auto it = t.st.crashes.watched.find(worker);
     if (it != t.st.crashes.watched.end() && ex.attempt_started_at > it->second.broke_at)
-        t.st.crashes = with_living_worker(std::move(t.st.crashes), t.ctx.now, it->first);
+        t.st.crashes = with_living_worker(std::move(t.st.crashes), t.ctx.now, worker);
 }
 
 void on(turn& t, const worker_probed& ev)
