Play a part of prompts that ends workers, failing

Cause: requests that are alike in one part of their prompts alone are each a new request to the crash watch, so none of them is ever refused. Change: crashing requests of the load patterns vary in what they have in common, the whole request or a part of their prompts; 14 patterns, from 2 to 300 routers, check both late arrivals and the share of sound requests that are served. Requests of a kind may have bodies of their own, since equal ones are suspects for each other.

--- a/bench/load_patterns.cpp
+++ b/bench/load_patterns.cpp
@@ -7,6 +7,7 @@
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <functional>
 #include <iostream>
@@ -195,7 +196,8 @@
     if (p.restarts)
         add_fault(s, 7, routers_restart{});
     const run_result r = run(s, real_fleet{});
-    const std::size_t late = late_crashing_arrivals(r.pass, crash_window);
+    constexpr std::size_t third = 3;
+    const std::size_t late = late_crashing_arrivals(r.pass, third, crash_window);
     // By then the request is known, and the workers that ended under it are back.
     const double sound_from_s = load_from_s + (p.restarts ? 9 : 5);
     std::size_t sound = 0;
@@ -238,6 +240,124 @@
     };
 }
 
+/// A part of prompts that ends each worker that begins to answer a request with it.
+struct part_pattern {
+    std::string name;
+    std::string answers;
+    prompt_part_cause cause;
+    int routers = 2;
+    int workers = 6;
+    std::uint32_t slots = 16;
+    double sound_per_s = 30;  ///< of the requests that share the crashing ones' other parts
+    double interval_s = 0.3;  ///< between two crashing requests at one router
+    int crashing_routers = 2; ///< that get them
+    std::uint32_t max_workers = 2;
+    down_address address = down_address::refuses;
+    bool restarts = false; ///< all routers restart after the part is known
+};
+
+std::vector<part_pattern> part_patterns()
+{
+    std::vector<part_pattern> all;
+    const auto add = [&](const char* name, const char* answers, const auto& change) {
+        part_pattern p;
+        p.name = std::string("part_") + name;
+        p.answers = answers;
+        change(p);
+        all.push_back(std::move(p));
+    };
+    add("second", "how many workers can a part behind a shared first one end?", [](auto&) {});
+    add("first", "and as the first part?", [](auto& p) { p.cause.position = 0; });
+    add("later", "and behind parts that differ?", [](auto& p) { p.cause.position = 2; });
+    add("session", "and if one session alone sends it?", [](auto& p) { p.cause.sessions = 1; });
+    add("two", "and if there are two of them, one in each request?",
+        [](auto& p) { p.cause.count = 2; });
+    add("one_attempt", "and if requests are not retried?", [](auto& p) { p.max_workers = 1; });
+    add("rare_sound", "are sound requests served that come rarely?",
+        [](auto& p) { p.sound_per_s = 2; });
+    add("mixed", "and if nearly a third of the requests have it?",
+        [](auto& p) { p.sound_per_s = 16; });
+    add("one_in_100", "and if one of a hundred requests has it?", [](auto& p) {
+        p.sound_per_s = 100;
+        p.interval_s = 2;
+        p.workers = 12;
+    });
+    add("forwarded", "and if the addresses of ended workers accept and close connections?",
+        [](auto& p) { p.address = down_address::closes; });
+    add("silent", "and if the addresses of ended workers don't answer?",
+        [](auto& p) { p.address = down_address::silent; });
+    add("restart", "is it known after all routers have restarted?",
+        [](auto& p) { p.restarts = true; });
+    add("10_routers", "the same at 10 routers before 24 workers with 64 slots", [](auto& p) {
+        p.routers = p.crashing_routers = 10;
+        p.workers = 24;
+        p.slots = 64;
+        p.sound_per_s = 200;
+        p.interval_s = 1.5;
+    });
+    add("300_routers", "the same at 300 routers, 30 of which get it", [](auto& p) {
+        p.routers = 300;
+        p.crashing_routers = 30;
+        p.workers = 60;
+        p.slots = 64;
+        p.sound_per_s = 400;
+        p.interval_s = 4;
+    });
+    return all;
+}
+
+/// Least share of the sound requests that begin at their first attempt once the part is known.
+constexpr double min_sound_share = 0.95;
+
+/// Plays a part of prompts that ends workers.
+void run_part_pattern(const part_pattern& p, std::uint64_t seed, std::vector<check>& checks)
+{
+    constexpr double crash_from_s = load_from_s + 2;
+    scenario s = make_small_fleet(seed);
+    s.routers = p.routers;
+    s.duration_s = load_from_s + 26;
+    s.pass->groups = {{"engine", p.workers, p.slots, p.slots, true}};
+    request_kind sound = s.pass->kinds[0];
+    sound.per_s = p.sound_per_s;
+    sound.sessions = 40;
+    sound.max_workers = p.max_workers;
+    sound.has_own_body = true;
+    s.pass->kinds = {sound};
+    s.pass->resends = 0; // only the first attempt counts
+    crashing_request crashing{sound.name,   p.crashing_routers, p.interval_s,
+                              crash_from_s, s.duration_s,       seconds(3)};
+    crashing.address = p.address;
+    crashing.cause = p.cause;
+    s.pass->crashing = crashing;
+    if (p.restarts)
+        add_fault(s, 12, routers_restart{});
+    const run_result r = run(s, real_fleet{});
+    // Five ends are allowed for each part.
+    const std::size_t allowed_ends = 5 * static_cast<std::size_t>(p.cause.count);
+    const auto& ends = r.pass.worker_ends;
+    const std::size_t late = late_crashing_arrivals(r.pass, allowed_ends, crash_window);
+    const instant counted_end =
+        ends.empty() ? instant{} : ends[std::min(allowed_ends, ends.size()) - 1];
+    const instant sound_from = counted_end + 2 * crash_window;
+    const instant until{microseconds(static_cast<std::int64_t>((s.duration_s - 2) * 1e6))};
+    double sound_count = 0;
+    double served = 0;
+    for (const auto& q : r.pass.requests) {
+        const bool counts = q.arrived_at >= sound_from && q.arrived_at < until;
+        sound_count += counts ? 1 : 0;
+        served += counts && q.outcome == pass_outcome::served ? 1 : 0;
+    }
+    const double share = sound_count == 0 ? 0 : served / sound_count;
+    std::printf("%s: %s\n  workers ended %zu  arrivals %zu  late arrivals %zu  sound requests "
+                "served later %.4f of %.0f\n",
+                p.name.c_str(), p.answers.c_str(), ends.size(), r.pass.crashing_arrivals.size(),
+                late, share, sound_count);
+    checks.push_back({"load." + p.name + ".late_arrivals", static_cast<double>(late),
+                      relation::at_most, max_late_arrivals});
+    checks.push_back(
+        {"load." + p.name + ".sound_served", share, relation::at_least, min_sound_share});
+}
+
 /// The platform's bound on the time from the acceptance of a table until it is in force, on its
 /// deployment with the most routes.
 constexpr double max_in_force_s = 2.5;
@@ -336,6 +456,10 @@
         if (p.name.starts_with(args["only"].as<std::string>()))
             bench::run_crash_pattern(p, args["seed"].as<std::uint64_t>(), checks);
     }
+    for (const auto& p : bench::part_patterns()) {
+        if (p.name.starts_with(args["only"].as<std::string>()))
+            bench::run_part_pattern(p, args["seed"].as<std::uint64_t>(), checks);
+    }
     if (std::string("table_storm").starts_with(args["only"].as<std::string>()))
         bench::run_table_storm(args["seed"].as<std::uint64_t>(), checks);
     return bench::print_report(checks,
--- a/bench/pass_callers.cpp
+++ b/bench/pass_callers.cpp
@@ -51,6 +51,18 @@
 
 } // namespace
 
+std::vector<prompt_part>
+pass_callers::make_prompt(const std::vector<pass_callers::named_part>& names)
+{
+    std::vector<prompt_part> parts;
+    hash64 previous_id = 0;
+    for (const auto& [name, tokens] : names) {
+        previous_id = hash_of(name, previous_id);
+        parts.push_back({previous_id, tokens});
+    }
+    return parts;
+}
+
 pass_callers::pass_callers(const pass_scenario& s, virtual_time& clock, std::uint64_t seed,
                            std::vector<node_id> gateways, worker_pool& workers, sink on_event,
                            pass_result& result)
@@ -109,9 +121,9 @@
     const crashing_request& c = *scenario_.crashing;
     const auto kind = std::find_if(scenario_.kinds.begin(), scenario_.kinds.end(),
                                    [&](const request_kind& k) { return k.name == c.kind; });
-    pass_request r =
-        make_request(static_cast<std::size_t>(kind - scenario_.kinds.begin()), 0, kind->timeout);
-    r.body = bytes::from(std::string(crashing_body));
+    const auto number = static_cast<std::size_t>(kind - scenario_.kinds.begin());
+    pass_request r = std::visit(
+        [&](const auto& cause) { return make_crashing_request(number, cause); }, c.cause);
     if (c.change != caller_change::none)
         r.credential = crashing_key;
     last_exchange_ += 1;
@@ -121,6 +133,29 @@
         clock_.schedule(next_at, [this, gateway] { send_crashing(gateway); });
 }
 
+pass_request pass_callers::make_crashing_request(std::size_t kind, const same_request&)
+{
+    pass_request r = make_request(kind, 0, scenario_.kinds[kind].timeout);
+    r.body = bytes::from(std::string(crashing_body));
+    return r;
+}
+
+pass_request pass_callers::make_crashing_request(std::size_t kind, const prompt_part_cause& cause)
+{
+    const int sessions = cause.sessions == 0 ? scenario_.kinds[kind].sessions : cause.sessions;
+    const int session = static_cast<int>(random_() % static_cast<std::uint64_t>(sessions));
+    pass_request r = make_request(kind, session, scenario_.kinds[kind].timeout);
+    r.body = bytes::from(std::string(crashing_body) + " " + r.id.str());
+    r.target += "/" + r.id.str();
+    constexpr std::uint32_t tokens = 200;
+    const auto bad = random_() % static_cast<std::uint64_t>(cause.count);
+    auto names = prompt_names(kind, session, r.id);
+    names.insert(names.begin() + cause.position, {"bad " + std::to_string(bad), tokens});
+    r.demand->prompt = make_prompt(names);
+    r.demand->prompt_tokens += tokens;
+    return r;
+}
+
 double pass_callers::rate(std::size_t kind) const
 {
     double per_s = scenario_.kinds[kind].per_s;
@@ -163,6 +198,15 @@
     return static_cast<int>(std::pow(u, 1 / (1 - session_skew)) * k.sessions);
 }
 
+std::vector<pass_callers::named_part> pass_callers::prompt_names(std::size_t kind, int session,
+                                                                 const request_id& id) const
+{
+    const auto& k = scenario_.kinds[kind];
+    return {{k.name + " " + std::to_string(session % k.common_prompts), k.common_tokens},
+            {k.name + " session " + std::to_string(session), k.session_tokens},
+            {id.str(), k.question_tokens}};
+}
+
 pass_request pass_callers::make_request(std::size_t kind, int session, microseconds timeout)
 {
     const auto& k = scenario_.kinds[kind];
@@ -173,6 +217,8 @@
     r.host = "h";
     r.id = request_id::from_trusted("q" + std::to_string(request_count_));
     r.caller_timeout = timeout;
+    if (k.has_own_body)
+        r.body = bytes::from(r.id.str());
     request_work work;
     work.events = static_cast<std::uint32_t>(
         1 + std::lround(std::exponential_distribution(1 / std::max(0.1, k.events - 1))(random_)));
@@ -184,11 +230,7 @@
         return r;
     engine_demand demand;
     demand.model = "m";
-    const hash64 common = hash_of(k.name, static_cast<hash64>(session % k.common_prompts) + 1);
-    const hash64 own = hash_of("session " + std::to_string(session), common);
-    demand.prompt = {{common, k.common_tokens},
-                     {own, k.session_tokens},
-                     {hash_of(r.id.str(), own), k.question_tokens}};
+    demand.prompt = make_prompt(prompt_names(kind, session, r.id));
     demand.prompt_tokens = k.common_tokens + k.session_tokens + k.question_tokens;
     demand.max_output_tokens = work.events * 6;
     r.demand = std::move(demand);
--- a/bench/pass_callers.h
+++ b/bench/pass_callers.h
@@ -39,9 +39,17 @@
         int resends_left = 0;
     };
 
+    using named_part = std::pair<std::string, std::uint32_t>; ///< name and tokens
+
+    [[nodiscard]] static std::vector<prompt_part> make_prompt(const std::vector<named_part>& names);
+    /// Returns the parts of a prompt: one that sessions share, the session's, the request's.
+    [[nodiscard]] std::vector<named_part> prompt_names(std::size_t kind, int session,
+                                                       const request_id& id) const;
     void schedule_next(std::size_t kind, instant after);
-    /// Sends the crashing request to the gateway now and in the scenario's interval.
+    /// Sends a crashing request to the gateway now and in the scenario's interval.
     void send_crashing(const node_id& gateway);
+    pass_request make_crashing_request(std::size_t kind, const same_request& cause);
+    pass_request make_crashing_request(std::size_t kind, const prompt_part_cause& cause);
     double rate(std::size_t kind) const;
     int choose_session(std::size_t kind);
     void send(std::size_t record, int session, int resends_left);
--- a/bench/pass_result.cpp
+++ b/bench/pass_result.cpp
@@ -68,12 +68,11 @@
     return share_of(r, s, [&](const pass_record& q) { return q.outcome == outcome; });
 }
 
-std::size_t late_crashing_arrivals(const pass_result& r, microseconds after)
+std::size_t late_crashing_arrivals(const pass_result& r, std::size_t end_number, microseconds after)
 {
-    constexpr std::size_t ends_counted = 3;
-    if (r.worker_ends.size() < ends_counted)
+    if (r.worker_ends.size() < end_number)
         return 0;
-    const instant late_from = r.worker_ends[ends_counted - 1] + after;
+    const instant late_from = r.worker_ends[end_number - 1] + after;
     return static_cast<std::size_t>(std::count_if(r.crashing_arrivals.begin(),
                                                   r.crashing_arrivals.end(),
                                                   [&](instant at) { return at > late_from; }));
--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace bench {
@@ -33,6 +34,7 @@
     std::uint32_t common_tokens = 0;
     std::uint32_t session_tokens = 0;
     std::uint32_t question_tokens = 0; ///< of the last part, which no other request has
+    bool has_own_body = false; ///< no other request has its body; else all requests have none
 
     friend bool operator==(const request_kind&, const request_kind&) = default;
 };
@@ -82,9 +84,24 @@
     silent,
 };
 
-/// A request that ends each worker that begins to run it. Its caller sends it again and again.
+/// One request, the same each time but for its id.
+struct same_request {
+    friend bool operator==(const same_request&, const same_request&) = default;
+};
+/// A part of their prompts. Otherwise the requests differ, and sound ones share their other parts.
+struct prompt_part_cause {
+    int count = 1;    ///< parts that end workers; each request has one of them
+    int position = 1; ///< in the prompt, which the usual parts fill up; 0 is the first
+    int sessions = 0; ///< the requests come from the first ones; 0: from all sessions
+
+    friend bool operator==(const prompt_part_cause&, const prompt_part_cause&) = default;
+};
+/// What the requests that end workers have in common.
+using crash_cause = std::variant<same_request, prompt_part_cause>;
+
+/// Requests that end each worker that begins to run them. Their caller sends them again and again.
 struct crashing_request {
-    std::string kind;        ///< whose route it takes
+    std::string kind;        ///< whose route they take
     int gateways = 2;        ///< the first ones get it
     double interval_s = 0.3; ///< between two of them at one gateway
     double from_s = 0;
@@ -93,6 +110,7 @@
     caller_change change = caller_change::none; ///< with each table
     double table_interval_s = 2;                ///< between two tables, if they change the caller
     down_address address = down_address::refuses;
+    crash_cause cause = same_request{};
 
     friend bool operator==(const crashing_request&, const crashing_request&) = default;
 };
@@ -149,8 +167,8 @@
     std::uint64_t reread_tokens = 0; ///< of shared parts that some worker had already read
     std::uint64_t fetched_tokens = 0;
     std::uint64_t runs_in_vain = 0;         ///< runs that were broken off before their end
-    std::vector<instant> crashing_arrivals; ///< of the crashing request at workers
-    std::vector<instant> worker_ends;       ///< of workers that ended under it
+    std::vector<instant> crashing_arrivals; ///< of the crashing requests at workers
+    std::vector<instant> worker_ends;       ///< of workers that ended under them
 
     friend bool operator==(const pass_result&, const pass_result&) = default;
 };
@@ -160,12 +178,13 @@
 [[nodiscard]] double worst_over_limit_share(const pass_result& r, const std::string& service,
                                             double from_s, double until_s);
 
-/// Body of the crashing request.
+/// Begin of the bodies of crashing requests.
 inline constexpr std::string_view crashing_body = "crash";
 
-/// Counts the arrivals of the crashing request at workers later than `after` the end of the third
-/// worker.
-[[nodiscard]] std::size_t late_crashing_arrivals(const pass_result& r, microseconds after);
+/// Counts the arrivals of crashing requests at workers later than `after` the end of the worker
+/// with this number, from 1.
+[[nodiscard]] std::size_t late_crashing_arrivals(const pass_result& r, std::size_t end_number,
+                                                 microseconds after);
 
 /// Selects requests by kind and arrival time.
 struct pass_selection {
--- a/bench/worker_pool.cpp
+++ b/bench/worker_pool.cpp
@@ -33,7 +33,7 @@
 constexpr double limit_slack = 3;
 /// Time after which a connection to an address that doesn't answer fails.
 constexpr microseconds connect_timeout{1'000'000};
-/// From the begin of the crashing request to the end of its worker.
+/// From the begin of a crashing request to the end of its worker.
 constexpr microseconds crash_delay{5'000};
 constexpr std::uint16_t misdirected_request = 421;
 
@@ -177,7 +177,7 @@
     r.begun = true;
     w.running += 1;
     const std::string address = w.entry.address;
-    if (r.attempt.request.body.view() == crashing_body) {
+    if (r.attempt.request.body.view().starts_with(crashing_body)) {
         result_.crashing_arrivals.push_back(clock_.now());
         clock_.schedule(clock_.now() + crash_delay, [this, address, id] {
             if (workers_.at(address).runs.contains(id))
