Name the parts of a prompt where a worker broke off a request

Cause: no log line tells which parts requests had that ended workers. Their fingerprints are all different, so hypotheses on what the requests have in common can't be told apart from a log. Change: a prompt's part keeps its own name beside the hash of its prefix, and the line of a watched worker names the parts that other requests may share.

--- a/bench/pass_callers.cpp
+++ b/bench/pass_callers.cpp
@@ -58,7 +58,7 @@
     hash64 previous_id = 0;
     for (const auto& [name, tokens] : names) {
         previous_id = hash_of(name, previous_id);
-        parts.push_back({previous_id, tokens});
+        parts.push_back({previous_id, tokens, name});
     }
     return parts;
 }
--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -38,6 +38,7 @@
 struct prompt_part {
     hash64 id = 0; ///< hash of the names of this part and of all parts before it
     std::uint32_t tokens = 0;
+    std::string name{}; ///< the same wherever the part stands
 
     friend bool operator==(const prompt_part&, const prompt_part&) = default;
 };
--- a/src/libcore/gateway_crashes.cpp
+++ b/src/libcore/gateway_crashes.cpp
@@ -38,6 +38,21 @@
     return text;
 }
 
+/// Parts and bytes of their names in one log field.
+constexpr std::size_t max_logged_parts = 8;
+constexpr std::size_t max_logged_name = 64;
+
+/// Returns the names of the parts of the prompt that other requests may share, as a log field.
+std::string format_parts(const exchange& ex)
+{
+    std::string text;
+    const std::size_t count = ex.request.demand ? ex.request.demand->prompt.size() : 0;
+    for (std::size_t i = 0; i + 1 < count && i < max_logged_parts; ++i)
+        text += (text.empty() ? "" : ",") +
+                ex.request.demand->prompt[i].name.substr(0, max_logged_name);
+    return text;
+}
+
 std::string_view reason_text(crash_proof proof)
 {
     switch (proof) {
@@ -103,7 +118,8 @@
                                      "Worker broke off a request; it is watched.", ex.request.id,
                                      {{"worker", worker},
                                       {"fingerprint", format(ex.fingerprints)},
-                                      {"workspace", ex.workspace.str()}}));
+                                      {"workspace", ex.workspace.str()},
+                                      {"parts", format_parts(ex)}}));
 }
 
 void record_complete_answer(turn& t, exchange& ex)
