Find what requests that end workers have in common

Cause: blame went to whole requests, and these were all different. Nothing knew the part of the prompt that did the harm; its only identity was a hash of the part and all parts before it. Change: gateways report the ends of workers with the features of the requests that they broke off (parts of the prompt, workspace, model) and the answers that speak for a feature. The leader infers the smallest sets that explain the ends, and all gateways refuse requests with all features of a set; its quarantine is in the log. Requests that lack one of the features go on, and their answers rule features out. Why it works: each request with the bad part ends its worker, so the part is never answered, while sound requests that share the others are. Counting by part alone would refuse the shared first part for good. An answer whose end only its connection marked counts once its worker has answered a later request, and a stream counts by its time at one worker.

--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <bluebell/core/context.h>
+#include <bluebell/core/crash_cases.h>
 #include <bluebell/core/crash_watch.h>
 #include <bluebell/core/dissemination.h>
 #include <bluebell/core/replication.h>
@@ -88,6 +89,7 @@
     std::map<node_id, table_subscriber> subscribers;
     std::deque<reported_prompt> reported_prompts; ///< the newest ones, oldest first
     crash_evidence_table crash_evidence;          ///< as gateways reported it
+    crash_cases cases;              ///< what the requests that end workers have in common
     std::uint64_t prompt_count = 0; ///< all prompts reported so far, also those no longer stored
     instant next_voter_review_at{};
     request_sums sums;      ///< over all subscribers
--- a/src/include/bluebell/core/crash_watch.h
+++ b/src/include/bluebell/core/crash_watch.h
@@ -4,9 +4,11 @@
 /// connection, the list of workers, another instance at its address or a lasting silence shows that
 /// its process has ended; then the end counts against each request that it broke off. A complete
 /// successful answer clears a request. Control adds up what all gateways report, and the whole
-/// fleet refuses a request under which max_ended_workers workers have ended.
+/// fleet refuses a request under which max_ended_workers workers have ended. What different
+/// requests that end workers have in common is found by cause_watch.
 #pragma once
 
+#include <bluebell/core/cause_watch.h>
 #include <bluebell/core/expiring_table.h>
 #include <bluebell/core/fleet_message.h>
 
@@ -47,9 +49,11 @@
 struct watched_worker {
     std::string address; ///< IP:PORT
     instant broke_at{};
-    std::uint32_t probes = 0; ///< sent so far
-    bool accepts = false;     ///< it has accepted a connection of a probe and kept it open
+    std::uint32_t probes = 0;        ///< sent so far
+    bool accepts = false;            ///< it has accepted a connection of a probe and kept it open
+    std::uint32_t failed_probes = 0; ///< without a kept connection
     std::vector<request_fingerprints> requests; ///< that it broke off
+    std::vector<broken_request> features;       ///< of these requests
 
     friend bool operator==(const watched_worker&, const watched_worker&) = default;
 };
@@ -61,6 +65,7 @@
     std::set<body_digest> unreported;              ///< suspects that control must be told of
     std::set<body_digest> cleared;                 ///< of which control must be told as well
     request_crash_list fleet;                      ///< as last received from a leader
+    cause_watch causes;
 
     friend bool operator==(const crash_watch&, const crash_watch&) = default;
 };
@@ -76,23 +81,31 @@
     bool awaits_proof = false;  ///< whether the last worker has ended will be known soon
     friend bool operator==(const crash_suspected&, const crash_suspected&) = default;
 };
+/// Workers have ended under requests that this one resembles. It may run, but not twice.
+struct crash_resembling {
+    friend bool operator==(const crash_resembling&, const crash_resembling&) = default;
+};
 /// The request must not run.
 struct crash_quarantined {
     friend bool operator==(const crash_quarantined&, const crash_quarantined&) = default;
 };
-using crash_standing = std::variant<crash_unsuspected, crash_suspected, crash_quarantined>;
+using crash_standing =
+    std::variant<crash_unsuspected, crash_suspected, crash_resembling, crash_quarantined>;
 
 /// Returns whether nothing counts against any request, so that no fingerprint is needed.
 [[nodiscard]] bool has_no_suspects(const crash_watch& w);
 
-/// Returns the worst of what counts against the fingerprints.
-[[nodiscard]] crash_standing standing_of(const crash_watch& w, instant now,
-                                         const request_fingerprints& fingerprints);
+/// Returns the worst of what counts against the fingerprints and the features. `has_leader`: as for
+/// find_refusal.
+[[nodiscard]] crash_standing standing_of(const crash_watch& w, instant now, bool has_leader,
+                                         const request_fingerprints& fingerprints,
+                                         const feature_set& features);
 
 /// Records that the worker's connection broke while the request ran there.
 [[nodiscard]] crash_watch with_broken_run(crash_watch w, instant now, const std::string& instance,
                                           const std::string& address,
-                                          const request_fingerprints& fingerprints);
+                                          const request_fingerprints& fingerprints,
+                                          const broken_request& features);
 
 /// Records that the worker's process has ended. Does nothing unless the worker is watched.
 [[nodiscard]] crash_watch with_ended_worker(crash_watch w, instant now,
@@ -103,6 +116,12 @@
 [[nodiscard]] crash_watch with_accepting_worker(crash_watch w, instant now,
                                                 const std::string& instance);
 
+/// Records that a probe neither was refused nor kept its connection. After two of them what the
+/// requests at the worker have in common counts as if it had ended; the requests themselves wait
+/// for proof.
+[[nodiscard]] crash_watch with_failed_probe(crash_watch w, instant now,
+                                            const std::string& instance);
+
 /// Records that the worker has not ended by itself: it drains, or it has answered a later request,
 /// or it has accepted connections until its watch was over.
 [[nodiscard]] crash_watch with_living_worker(crash_watch w, instant now,
@@ -138,11 +157,12 @@
 struct crash_reports_step {
     crash_watch next;
     std::vector<request_crash_report> reports;
+    crash_cause_report causes;
 };
 [[nodiscard]] crash_reports_step take_reports(crash_watch w, instant now);
 
 /// Marks all suspects as unreported, as a new leader knows none of them.
-[[nodiscard]] crash_watch with_new_leader(crash_watch w);
+[[nodiscard]] crash_watch with_new_leader(crash_watch w, instant now);
 
 /// What the leader knows of one request from the gateways' reports.
 struct crash_evidence {
--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <bluebell/core/control_message.h>
+#include <bluebell/core/crash_causes.h>
 #include <bluebell/core/exchange.h>
 #include <bluebell/core/routing_table.h>
 
@@ -82,10 +83,38 @@
     friend bool operator==(const request_crash_report&, const request_crash_report&) = default;
 };
 
-/// The requests that the whole fleet takes for a danger to workers. Both lists are sorted.
+/// The end of a worker, with the sender's requests that it broke off. Clocks of processes differ,
+/// so reports state ages.
+struct worker_end_report {
+    hash64 worker = 0; ///< hash of its instance
+    microseconds age{0};
+    std::vector<broken_request> requests;
+
+    friend bool operator==(const worker_end_report&, const worker_end_report&) = default;
+};
+
+/// A request with the feature was answered.
+struct feature_answer_report {
+    request_feature feature;
+    microseconds age{0}; ///< since the attempt began
+
+    friend bool operator==(const feature_answer_report&, const feature_answer_report&) = default;
+};
+
+/// What a gateway has seen that tells what the requests that end workers have in common.
+struct crash_cause_report {
+    std::vector<worker_end_report> ends;
+    std::vector<feature_answer_report> answers;
+    std::vector<feature_set> refused; ///< by the leader before; only for a new leader
+
+    friend bool operator==(const crash_cause_report&, const crash_cause_report&) = default;
+};
+
+/// The requests that the whole fleet takes for a danger to workers. The lists are sorted.
 struct request_crash_list {
     std::vector<body_digest> suspects; ///< one more end of a worker quarantines them
     std::vector<body_digest> quarantined;
+    end_causes causes{}; ///< what requests that end workers have in common
 
     friend bool operator==(const request_crash_list&, const request_crash_list&) = default;
 };
@@ -101,7 +130,8 @@
     std::uint64_t worker_list_version = 0;
     bool version_only = false;                       ///< the answer must omit the table's document
     std::vector<request_crash_report> crash_reports; ///< news since the sender's last query
-    hash64 crash_list_hash = 0; ///< of the list that the sender has; 0: an empty one
+    hash64 crash_list_hash = 0;        ///< of the list that the sender has; 0: an empty one
+    crash_cause_report crash_causes{}; ///< news since the sender's last query
 
     friend bool operator==(const table_query&, const table_query&) = default;
 };
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -74,6 +74,8 @@
     bool is_event_stream = false;      ///< that answer is a stream of events
     bool must_continue = false;        ///< the next event is the first one of a resumed stream
     instant answer_started_at{};       ///< when that head was sent
+    instant events_began_at{};         ///< first whole event of the attempt; 0: none came yet
+    bool is_sound = false;             ///< an answer, or a stream that has run for long enough
     /// Last progress: the start of the attempt, a whole event of a stream, bytes of a held answer,
     /// the begin of the wait for a probe, or the last look at an attempt that could not be
     /// replaced.
--- a/src/libcore/control.cpp
+++ b/src/libcore/control.cpp
@@ -164,6 +164,7 @@
     t.st.lead.awaited_operations.erase(ev.operation); // the command itself has no result
     t.st.lead.pending_releases.insert_or_assign(ev.operation, ev.digest);
     t.st.lead.crash_evidence.erase(ev.digest);
+    t.st.lead.cases = without_set(std::move(t.st.lead.cases), t.ctx.now, ev.digest);
     t.out.emplace_back(make_log_line(
         log_level::info, component, "Release from quarantine.", request_id(),
         {{"digest", to_string(ev.digest)}, {"who", ev.issuer.str()}, {"why", ev.reason}}));
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -282,13 +282,52 @@
     log_crash(t, from, report.fingerprint, "Request is quarantined: workers ended under it.");
 }
 
+/// Returns the features as a log field: kind, colon, hash of the name.
+std::string format(const feature_set& set)
+{
+    std::string text;
+    for (const auto& f : set)
+        text += (text.empty() ? "" : ",") + std::string(to_string(f.kind)) + ":" +
+                std::to_string(f.value);
+    return text;
+}
+
+/// Adds what a gateway reported, and quarantines what the requests under which workers ended have
+/// in common.
+bool record_crash_causes(control_turn& t, const node_id& from, const crash_cause_report& report)
+{
+    auto& lead = t.st.lead;
+    const auto is_listed = [&](const body_digest& digest) { return is_quarantined(t, digest); };
+    lead.cases = with_report(std::move(lead.cases), t.ctx.now, report, is_listed);
+    crash_cases_step step = search(std::move(lead.cases), t.ctx.now, is_listed);
+    lead.cases = std::move(step.next);
+    for (const auto& digest : step.to_quarantine) {
+        lead.queue.commands.emplace_back(record_crash{crash_report{digest, true, from, false}});
+        t.out.emplace_back(make_log_line(
+            log_level::warning, component,
+            "Requests are quarantined by what they have in common: workers ended under them.",
+            request_id(),
+            {{"fingerprint", to_string(digest)},
+             {"features", format(lead.cases.refused.at(digest).features)},
+             {"ends", std::to_string(lead.cases.evidence.ends.size())},
+             {"reported_by", from.str()}}));
+    }
+    for (const auto& digest : step.to_release) {
+        lead.queue.commands.emplace_back(record_crash{crash_report{digest, false, from, true}});
+        log_crash(t, from, digest, "Requests are released: others like them were answered.");
+    }
+    return !step.to_quarantine.empty();
+}
+
 /// Adds the requests that gateways must be careful with, if the subscriber has another list.
 void add_crash_list(const control_turn& t, hash64 known_hash, table_update& update)
 {
     request_crash_list list;
     std::set<body_digest> quarantined; // those whose entry is not committed yet included
-    for (const auto& [fingerprint, until] : t.st.machine.quarantine.quarantined_until)
-        quarantined.insert(fingerprint);
+    for (const auto& [fingerprint, until] : t.st.machine.quarantine.quarantined_until) {
+        if (!t.st.lead.cases.refused.contains(fingerprint)) // those are in list.causes
+            quarantined.insert(fingerprint);
+    }
     for (const auto& [fingerprint, evidence] : t.st.lead.crash_evidence) {
         if (evidence.workers.size() >= max_ended_workers)
             quarantined.insert(fingerprint);
@@ -296,10 +335,23 @@
             list.suspects.push_back(fingerprint);
     }
     list.quarantined.assign(quarantined.begin(), quarantined.end());
+    list.causes = causes_for_gateways(t.st.lead.cases);
     if (list_hash(list) != known_hash)
         update.crash_list = std::move(list);
 }
 
+/// Tells all gateways at once what must not run any more.
+void push_crash_list(control_turn& t)
+{
+    for (const auto& [id, s] : t.st.lead.subscribers) {
+        if (t.ctx.now - s.last_contact_at >= subscriber_timeout)
+            continue;
+        table_update update = make_table_update(t, t.st.machine.table.version);
+        add_crash_list(t, 0, update);
+        t.out.emplace_back(send_message{id, fleet_message(std::move(update))});
+    }
+}
+
 /// Returns the subscriber that sent the query. One that has restarted starts anew.
 table_subscriber& find_subscriber(leadership& lead, const node_id& from, const table_query& msg)
 {
@@ -333,6 +385,8 @@
         add_request_counts(t, s, update);
         for (const auto& report : msg.crash_reports)
             record_crash_report(t, from, report);
+        if (record_crash_causes(t, from, msg.crash_causes))
+            push_crash_list(t);
         add_crash_list(t, msg.crash_list_hash, update);
         s.last_contact_at = t.ctx.now;
         s.confirmed_version = msg.table_version;
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -305,6 +305,45 @@
     BOOST_TEST(!last_update().crash_list.has_value());
 }
 
+// Guards against a part of prompts that ends three workers at each gateway, and then at each
+// leader.
+BOOST_FIXTURE_TEST_CASE(a_part_under_which_workers_ended_is_quarantined_in_the_log, leading_replica)
+{
+    const feature_set parts{{feature_kind::prompt_part, 3}, {feature_kind::prompt_part, 4}};
+    const auto query_with_end = [&](hash64 number) {
+        table_query q = query(0);
+        q.crash_causes.ends = {{number, milliseconds(20), {{number, parts}}}};
+        return q;
+    };
+    for (hash64 n = 1; n <= 3; ++n) {
+        receive(query_with_end(n), ("router-" + std::to_string(n)).c_str());
+        advance(milliseconds(500));
+    }
+    receive(query(0), "router-4");
+    BOOST_REQUIRE(last_update().crash_list.has_value());
+    BOOST_TEST((last_update().crash_list->causes.refused == std::vector<feature_set>{parts}));
+    BOOST_TEST(st.machine.quarantine.quarantined_until.contains(digest_of(parts)));
+    table_query informed = query(0);
+    informed.crash_list_hash = list_hash(*last_update().crash_list);
+    receive(informed, "router-4");
+    BOOST_TEST(!last_update().crash_list.has_value());
+
+    st.lead = leadership{}; // the next leader is told by a gateway
+    advance(milliseconds(100));
+    table_query told = query(0);
+    told.crash_causes.refused = {parts};
+    receive(told, "router-4");
+    BOOST_REQUIRE(last_update().crash_list.has_value());
+    BOOST_TEST((last_update().crash_list->causes.refused == std::vector<feature_set>{parts}));
+
+    const quarantine_release release{"op", operator_id(), digest_of(parts), "fixed"};
+    apply_step(reduce(std::move(st), make_context(), operator_event(release)));
+    informed.crash_list_hash = list_hash(*last_update().crash_list);
+    receive(informed, "router-4");
+    BOOST_REQUIRE(last_update().crash_list.has_value());
+    BOOST_TEST(last_update().crash_list->causes.refused.empty());
+}
+
 // The quarantine is in the log: the next leader and a restarted fleet know it.
 BOOST_FIXTURE_TEST_CASE(a_quarantine_outlives_the_leadership_and_ends_with_a_complete_answer,
                         leading_replica)
--- a/src/libcore/crash_watch.cpp
+++ b/src/libcore/crash_watch.cpp
@@ -97,7 +97,8 @@
 
 bool has_no_suspects(const crash_watch& w)
 {
-    return w.suspects.entries.empty() && w.fleet == request_crash_list{};
+    return w.suspects.entries.empty() && w.fleet == request_crash_list{} &&
+           w.causes.own.ends.empty() && w.causes.retained.empty();
 }
 
 namespace {
@@ -122,9 +123,11 @@
 
 } // namespace
 
-crash_standing standing_of(const crash_watch& w, instant now,
-                           const request_fingerprints& fingerprints)
+crash_standing standing_of(const crash_watch& w, instant now, bool has_leader,
+                           const request_fingerprints& fingerprints, const feature_set& features)
 {
+    if (find_refusal(w.causes, now, has_leader, features) != nullptr)
+        return crash_quarantined{};
     crash_standing worst = crash_unsuspected{};
     for (const auto& fingerprint : fingerprints) {
         const crash_standing standing = standing_of(w, now, fingerprint);
@@ -139,11 +142,16 @@
                                 before.is_last_trial || suspected->is_last_trial,
                                 before.awaits_proof || suspected->awaits_proof};
     }
+    const auto* suspected = std::get_if<crash_suspected>(&worst);
+    const bool is_last_trial = suspected != nullptr && suspected->is_last_trial;
+    if (!is_last_trial && is_suspected(w.causes, has_leader, features))
+        return crash_resembling{};
     return worst;
 }
 
 crash_watch with_broken_run(crash_watch w, instant now, const std::string& instance,
-                            const std::string& address, const request_fingerprints& fingerprints)
+                            const std::string& address, const request_fingerprints& fingerprints,
+                            const broken_request& features)
 {
     const hash64 worker = hash_of(instance);
     for (const auto& fingerprint : fingerprints) {
@@ -166,6 +174,8 @@
     }
     if (watched.requests.size() < max_requests_per_worker)
         watched.requests.push_back(fingerprints);
+    if (!features.features.empty() && watched.features.size() < max_requests_per_worker)
+        watched.features.push_back(features);
     return w;
 }
 
@@ -185,10 +195,26 @@
         w.cleared.erase(fingerprint);
         w.unreported.insert(fingerprint);
     });
+    w.causes = with_ended_worker(std::move(w.causes), now, instance,
+                                 {worker, broke_at, std::move(it->second.features)});
     w.watched.erase(it);
     return w;
 }
 
+crash_watch with_failed_probe(crash_watch w, instant now, const std::string& instance)
+{
+    constexpr std::uint32_t presumed_after = 2;
+    const auto it = w.watched.find(instance);
+    if (it == w.watched.end() || it->second.accepts)
+        return w;
+    it->second.failed_probes += 1;
+    if (it->second.failed_probes == presumed_after)
+        w.causes = with_ended_worker(
+            std::move(w.causes), now, instance,
+            {hash_of(instance), it->second.broke_at, std::exchange(it->second.features, {})});
+    return w;
+}
+
 crash_watch with_accepting_worker(crash_watch w, instant now, const std::string& instance)
 {
     const auto it = w.watched.find(instance);
@@ -242,6 +268,7 @@
     const request_crash_list previous = std::exchange(w.fleet, list);
     std::sort(w.fleet.suspects.begin(), w.fleet.suspects.end());
     std::sort(w.fleet.quarantined.begin(), w.fleet.quarantined.end());
+    w.causes = with_fleet_causes(std::move(w.causes), list.causes);
     std::vector<body_digest> cleared;
     for (const auto& [fingerprint, entry] : w.suspects.entries) {
         const bool is_known_to_leader = entry.value.ended.size() + 1 >= max_ended_workers &&
@@ -300,11 +327,14 @@
     }
     w.cleared.clear();
     w.unreported.clear();
-    return {std::move(w), std::move(reports)};
+    cause_report_step taken = take_report(std::move(w.causes), now);
+    w.causes = std::move(taken.next);
+    return {std::move(w), std::move(reports), std::move(taken.report)};
 }
 
-crash_watch with_new_leader(crash_watch w)
+crash_watch with_new_leader(crash_watch w, instant now)
 {
+    w.causes = with_new_leader(std::move(w.causes), now);
     for (const auto& [fingerprint, entry] : w.suspects.entries)
         w.unreported.insert(fingerprint);
     return w;
@@ -343,6 +373,16 @@
         if (hash != 0)
             hash = hash_of("/", hash);
     }
+    if (list.causes == end_causes{})
+        return hash;
+    const auto add = [&](const feature_set& set) {
+        hash = hash_of(to_string(digest_of(set)), hash);
+    };
+    for (const auto* sets : {&list.causes.refused, &list.causes.suspected}) {
+        std::for_each(sets->begin(), sets->end(), add);
+        hash = hash_of("/", hash);
+    }
+    add(list.causes.watched);
     return hash;
 }
 
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace bluebell::core {
 
@@ -186,9 +187,13 @@
         }
         ex.must_continue = false;
     }
-    if (ex.suspected && t.ctx.now - ex.answer_started_at >= sound_run_time) {
-        ex.suspected = false;
-        record_complete_answer(t, ex);
+    if (ex.events_began_at == instant{})
+        ex.events_began_at = t.ctx.now;
+    if (!ex.is_sound && t.ctx.now - ex.events_began_at >= sound_run_time) {
+        ex.is_sound = true;
+        record_answered_features(t, ex, answer_ending::framing);
+        if (std::exchange(ex.suspected, false))
+            record_complete_answer(t, ex);
     }
     ex.progressed_at = t.ctx.now;
     ex.events = with_events(ex.events, s.event_ids);
@@ -279,8 +284,10 @@
 void complete_answer(turn& t, exchange_id id, exchange& ex, answer_ending end)
 {
     // A worker's refusal or error doesn't show that a worker can run the request to its end.
-    if (is_success(ex.answer_started ? ex.answer_status : ex.held_head->status))
+    if (is_success(ex.answer_started ? ex.answer_status : ex.held_head->status)) {
         record_complete_answer(t, ex);
+        record_answered_features(t, ex, end);
+    }
     if (ex.answer_started)
         finish_answer(t, id, ex, end);
     else
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -188,6 +188,8 @@
     effect.attempt = ex.attempt;
     ex.worker_address = t.st.workers.workers.at(instance).entry.address;
     ex.body_begun = false;
+    ex.events_began_at = instant{};
+    ex.is_sound = false;
     effect.address = ex.worker_address;
     effect.instance = instance;
     effect.request = ex.request;
@@ -414,9 +416,14 @@
 {
     const exchange& ex = t.st.exchanges.at(id);
     t.out.emplace_back(record_metric{"quarantined_requests_refused", 1, rank::normal, {}});
+    const std::string parts = refused_parts(t, ex);
+    if (!parts.empty())
+        t.out.emplace_back(record_metric{"quarantined_parts_refused", 1, rank::normal, {}});
     fail_exchange(t, id, ex,
                   error{error_code::quarantined, "choose worker", "",
-                        "workers have ended under this request"});
+                        parts.empty()
+                            ? "workers have ended under this request"
+                            : "workers have ended under requests with prompt part " + parts});
 }
 
 } // namespace
@@ -429,6 +436,7 @@
     match(
         standing, [&](const crash_unsuspected&) { start_or_fail(t, id, choose_for(t, id, {})); },
         [&](const crash_suspected& s) { place_suspect(t, id, s); },
+        [&](const crash_resembling&) { place_suspect(t, id, crash_suspected{}); },
         [&](const crash_quarantined&) { refuse_quarantined(t, id); });
 }
 
@@ -484,7 +492,9 @@
     const auto standing = standing_of(t, ex);
     const auto* suspected = std::get_if<crash_suspected>(&standing);
     // Its caller decides whether a request goes to the worker that may be the last one to end.
-    const bool is_risky = ex.may_have_run && suspected != nullptr && suspected->is_last_trial;
+    const bool may_end_another = (suspected != nullptr && suspected->is_last_trial) ||
+                                 std::holds_alternative<crash_resembling>(standing);
+    const bool is_risky = ex.may_have_run && may_end_another;
     if (is_risky || !has_time || !may_run_again || !can_resume || !attempts_remain ||
         !(never_sent || spend_retry(t, ex))) {
         fail_exchange(t, id, ex, failure);
--- a/src/libcore/gateway_crash_test.cpp
+++ b/src/libcore/gateway_crash_test.cpp
@@ -345,15 +345,16 @@
     const request_fingerprints fingerprints{{1, 2}};
     crash_watch w;
     for (const char* instance : {"w0", "w1", "w2"}) {
-        w = with_broken_run(std::move(w), now, instance, "10.0.0.1:80", fingerprints);
+        w = with_broken_run(std::move(w), now, instance, "10.0.0.1:80", fingerprints, {});
         w.watched.at(instance).probes = 3; // none was answered
     }
-    const crash_standing standing = standing_of(w, now, fingerprints);
+    const crash_standing standing = standing_of(w, now, false, fingerprints, {});
     BOOST_REQUIRE(std::holds_alternative<crash_suspected>(standing));
     BOOST_TEST(std::get<crash_suspected>(standing).awaits_proof);
     for (const char* instance : {"w0", "w1", "w2"})
         w = with_ended_worker(std::move(w), now, instance);
-    BOOST_TEST(std::holds_alternative<crash_quarantined>(standing_of(w, now, fingerprints)));
+    BOOST_TEST(
+        std::holds_alternative<crash_quarantined>(standing_of(w, now, false, fingerprints, {})));
 }
 
 BOOST_AUTO_TEST_CASE(the_leaders_list_decides_for_requests_of_other_gateways)
@@ -409,7 +410,7 @@
     end_worker(ask("poison"));
     BOOST_TEST(take_crash_reports().size() == fingerprint_count);
     BOOST_TEST(take_crash_reports().empty());
-    st.crashes = with_new_leader(std::move(st.crashes));
+    st.crashes = with_new_leader(std::move(st.crashes), now);
     BOOST_TEST(take_crash_reports().size() == fingerprint_count);
 }
 
@@ -419,7 +420,7 @@
     crash_watch w;
     for (std::uint64_t n = 0; n < 3 * max_crash_suspects; ++n)
         w = with_broken_run(std::move(w), now, "w" + std::to_string(n), "10.0.0.1:80",
-                            {body_digest{n, n}});
+                            {body_digest{n, n}}, {});
     BOOST_TEST(w.suspects.entries.size() <= max_crash_suspects);
     BOOST_TEST(w.watched.size() <= 256U);
     crash_evidence_table evidence;
--- a/src/libcore/gateway_crashes.cpp
+++ b/src/libcore/gateway_crashes.cpp
@@ -38,6 +38,17 @@
     return text;
 }
 
+/// A request that comes again has the same hash, whatever its id: it is the whole request then that
+/// may end workers, not a part that others have as well.
+broken_request features_of(const exchange& ex)
+{
+    const pass_request& r = ex.request;
+    if (!r.demand)
+        return {};
+    return {hash_of(r.body.view(), hash_of(r.target, hash_of(r.host))),
+            features_of(ex.workspace, *r.demand)};
+}
+
 /// Parts and bytes of their names in one log field.
 constexpr std::size_t max_logged_parts = 8;
 constexpr std::size_t max_logged_name = 64;
@@ -53,6 +64,11 @@
     return text;
 }
 
+bool has_leader(const turn& t)
+{
+    return !t.st.table_sync.contact.empty();
+}
+
 std::string_view reason_text(crash_proof proof)
 {
     switch (proof) {
@@ -74,7 +90,23 @@
 {
     if (has_no_suspects(t.st.crashes))
         return crash_unsuspected{};
-    return standing_of(t.st.crashes, t.ctx.now, fingerprints_of(ex));
+    return standing_of(t.st.crashes, t.ctx.now, has_leader(t), fingerprints_of(ex),
+                       features_of(ex).features);
+}
+
+std::string refused_parts(const turn& t, const exchange& ex)
+{
+    const feature_set* set =
+        find_refusal(t.st.crashes.causes, t.ctx.now, has_leader(t), features_of(ex).features);
+    if (set == nullptr)
+        return "";
+    std::string names;
+    for (const auto& part : ex.request.demand->prompt) {
+        const request_feature feature{feature_kind::prompt_part, hash_of(part.name)};
+        if (std::binary_search(set->begin(), set->end(), feature))
+            names += (names.empty() ? "" : ",") + part.name.substr(0, max_logged_name);
+    }
+    return names;
 }
 
 std::vector<std::string> workers_with_suspects(const turn& t, exchange_id except)
@@ -112,7 +144,7 @@
         had_most_likely_ended(t.st.crashes, worker, ex.attempt_started_at))
         return;
     t.st.crashes = with_broken_run(std::move(t.st.crashes), t.ctx.now, worker,
-                                   it->second.entry.address, fingerprints_of(ex));
+                                   it->second.entry.address, fingerprints_of(ex), features_of(ex));
     ex.suspected = true;
     t.out.emplace_back(make_log_line(log_level::info, component,
                                      "Worker broke off a request; it is watched.", ex.request.id,
@@ -129,6 +161,20 @@
     t.st.crashes = with_complete_answer(std::move(t.st.crashes), fingerprints_of(ex));
 }
 
+void record_answered_features(turn& t, const exchange& ex, answer_ending end)
+{
+    broken_request request = features_of(ex);
+    if (request.features.empty())
+        return;
+    cause_watch& causes = t.st.crashes.causes;
+    if (end == answer_ending::framing)
+        causes = with_answer(std::move(causes), t.ctx.now, request.features, ex.attempt_started_at);
+    else
+        causes = with_unconfirmed_answer(std::move(causes),
+                                         {ex.tried_instances.back(), ex.attempt_started_at,
+                                          ex.progressed_at, std::move(request)});
+}
+
 void record_ended_worker(turn& t, const std::string& worker, crash_proof proof)
 {
     const auto it = t.st.crashes.watched.find(worker);
@@ -189,6 +235,9 @@
 void record_sign_of_life(turn& t, const exchange& ex)
 {
     const std::string& worker = ex.tried_instances.back();
+    if (!t.st.crashes.causes.unconfirmed.empty())
+        t.st.crashes.causes = with_living_worker(std::move(t.st.crashes.causes), t.ctx.now, worker,
+                                                 ex.attempt_started_at);
     const auto it = t.st.crashes.watched.find(worker);
     if (it != t.st.crashes.watched.end() && ex.attempt_started_at > it->second.broke_at)
         t.st.crashes = with_living_worker(std::move(t.st.crashes), t.ctx.now, worker);
@@ -201,6 +250,8 @@
         record_ended_worker(t, ev.instance, crash_proof::connection_refused);
     else if (ev.outcome == probe_outcome::connected)
         t.st.crashes = with_accepting_worker(std::move(t.st.crashes), t.ctx.now, ev.instance);
+    else
+        t.st.crashes = with_failed_probe(std::move(t.st.crashes), t.ctx.now, ev.instance);
 }
 
 } // namespace bluebell::core::gateway
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -79,6 +79,12 @@
 void record_broken_run(turn& t, exchange& ex, const std::string& worker, const attempt_broken& ev);
 /// Clears a request that a worker has run to the end of a successful answer.
 void record_complete_answer(turn& t, exchange& ex);
+/// Records what the answered request has in common with others. An answer whose end only its
+/// connection marked counts once its worker is known to have lived on.
+void record_answered_features(turn& t, const exchange& ex, answer_ending end);
+/// Returns the names of the parts of its prompt by which the request is refused, as text; empty if
+/// it isn't.
+[[nodiscard]] std::string refused_parts(const turn& t, const exchange& ex);
 /// Counts the end of a watched worker against the requests that it broke off.
 void record_ended_worker(turn& t, const std::string& worker, crash_proof proof);
 /// Compares the watched workers with a new list.
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -60,6 +60,7 @@
         crash_reports_step taken = take_reports(std::move(st.crashes), ctx.now);
         st.crashes = std::move(taken.next);
         query.crash_reports = std::move(taken.reports);
+        query.crash_causes = std::move(taken.causes);
     }
     if (has_table && leader_is_known) {
         out.emplace_back(send_message{sync.contact, fleet_message(query)});
@@ -217,7 +218,7 @@
                                            {{"leader", from.str()},
                                             {"table", std::to_string(st.table.version)},
                                             {"newest", std::to_string(update.table_version)}}));
-            st.crashes = with_new_leader(std::move(st.crashes));
+            st.crashes = with_new_leader(std::move(st.crashes), ctx.now);
         }
         apply_leader_list(st, ctx, update);
         const request_crash_list crash_list = update.crash_list.value_or(st.crashes.fleet);
--- a/src/libwire/damaged_messages_test.cpp
+++ b/src/libwire/damaged_messages_test.cpp
@@ -131,6 +131,7 @@
     presence_report presence;
     presence.processes.push_back(
         {make_info("control-3", node_role::control), true, false, seconds(1)});
+    const feature_set parts{{feature_kind::prompt_part, 3}, {feature_kind::prompt_part, 4}};
     table_query query{make_info("router-1", node_role::router),
                       1,
                       {{1, 2, 3}},
@@ -138,7 +139,10 @@
                       1,
                       false,
                       {{{1, 2}, {7, 8}, true}},
-                      5};
+                      5,
+                      {{{7, milliseconds(3), {{1, parts}, {2, parts}}}},
+                       {{parts.front(), milliseconds(5)}},
+                       {parts}}};
     table_update update;
     update.from_leader = true;
     update.leader = peer;
@@ -151,7 +155,7 @@
     update.workers.emplace();
     update.workers->workers.emplace_back();
     update.workers->workers.back().instance = "w1";
-    update.crash_list = request_crash_list{{{1, 2}}, {{3, 4}}};
+    update.crash_list = request_crash_list{{{1, 2}}, {{3, 4}}, {{parts}, {parts}, parts}};
     return {fleet_message(presence),
             fleet_message(bootstrap_replicas{{make_info("control-2", node_role::control)}}),
             fleet_message(query), fleet_message(update)};
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -5,12 +5,19 @@
 
 #include <bluebell/core/visit.h>
 
+#include <algorithm>
+
 namespace bluebell::wire {
 
 using namespace core;
 
 namespace {
 
+/// Stands for all kinds of features that this version doesn't know: no request has one.
+constexpr std::uint32_t unknown_kind = 0xff;
+/// Longest age that a report may state.
+constexpr microseconds max_age{3'600'000'000};
+
 template <class Message>
 void put_cached_prompts(const std::vector<cached_prompt>& from, Message& to)
 {
@@ -117,12 +124,111 @@
         wire::get(from.request()), {from.workers().begin(), from.workers().end()}, from.cleared()};
 }
 
+void put(const feature_set& from, pb::FeatureSet& to)
+{
+    for (const auto& f : from) {
+        to.add_kinds(static_cast<std::uint32_t>(f.kind));
+        to.add_values(f.value);
+    }
+}
+
+/// Kinds that this version doesn't know are kept, so that a set with one matches no request.
+std::vector<request_feature> get_features(const pb::FeatureSet& from)
+{
+    std::vector<request_feature> features;
+    const int n = std::min(from.kinds_size(), from.values_size());
+    for (int i = 0; i < n; ++i) {
+        const auto kind = std::min<std::uint32_t>(from.kinds(i), unknown_kind);
+        features.push_back({static_cast<feature_kind>(kind), from.values(i)});
+    }
+    return features;
+}
+
+feature_set get(const pb::FeatureSet& from)
+{
+    feature_set set = get_features(from);
+    std::sort(set.begin(), set.end());
+    set.erase(std::unique(set.begin(), set.end()), set.end());
+    return set;
+}
+
+/// As get, but empty if there are more features than requests have: with some of them left out, the
+/// set would match other requests.
+feature_set get_limited(const pb::FeatureSet& from)
+{
+    feature_set set = get(from);
+    return set.size() > max_features ? feature_set{} : set;
+}
+
+template <class Sets>
+std::vector<feature_set> get_sets(const Sets& from)
+{
+    std::vector<feature_set> sets;
+    for (const auto& s : from) {
+        if (feature_set set = get_limited(s); !set.empty()) // an empty one would match all requests
+            sets.push_back(std::move(set));
+    }
+    return sets;
+}
+
+void put(const crash_cause_report& from, pb::CrashCauses& to)
+{
+    for (const auto& end : from.ends) {
+        auto& e = *to.add_ends();
+        e.set_worker(end.worker);
+        e.set_age_us(end.age.count());
+        for (const auto& request : end.requests) {
+            auto& r = *e.add_requests();
+            r.set_request(request.id);
+            put(request.features, *r.mutable_features());
+        }
+    }
+    feature_set answered;
+    for (const auto& answer : from.answers) {
+        answered.push_back(answer.feature);
+        to.mutable_answers()->add_ages_us(answer.age.count());
+    }
+    if (!answered.empty())
+        put(answered, *to.mutable_answers()->mutable_features());
+    for (const auto& set : from.refused)
+        put(set, *to.add_refused());
+}
+
+microseconds get_age(std::int64_t age_us)
+{
+    return std::clamp(microseconds(age_us), microseconds{0}, max_age);
+}
+
+crash_cause_report get(const pb::CrashCauses& from)
+{
+    crash_cause_report report;
+    for (const auto& e : from.ends()) {
+        worker_end_report end{e.worker(), get_age(e.age_us()), {}};
+        for (const auto& r : e.requests())
+            end.requests.push_back({r.request(), get_limited(r.features())});
+        report.ends.push_back(std::move(end));
+    }
+    const auto answered = get_features(from.answers().features());
+    const int n = std::min(static_cast<int>(answered.size()), from.answers().ages_us_size());
+    for (int i = 0; i < n; ++i)
+        report.answers.push_back(
+            {answered[static_cast<std::size_t>(i)], get_age(from.answers().ages_us(i))});
+    report.refused = get_sets(from.refused());
+    return report;
+}
+
 void put(const request_crash_list& from, pb::RequestCrashList& to)
 {
     for (const auto& d : from.suspects)
         wire::put(d, *to.add_suspects());
     for (const auto& d : from.quarantined)
         wire::put(d, *to.add_quarantined());
+    for (const auto& set : from.causes.refused)
+        put(set, *to.add_refused());
+    for (const auto& set : from.causes.suspected)
+        put(set, *to.add_suspected());
+    if (!from.causes.watched.empty())
+        put(from.causes.watched, *to.mutable_watched());
 }
 
 request_crash_list get(const pb::RequestCrashList& from)
@@ -132,6 +238,7 @@
         list.suspects.push_back(wire::get(d));
     for (const auto& d : from.quarantined())
         list.quarantined.push_back(wire::get(d));
+    list.causes = {get_sets(from.refused()), get_sets(from.suspected()), get(from.watched())};
     return list;
 }
 
@@ -145,7 +252,8 @@
                           from.list(),
                           from.names_only(),
                           {},
-                          from.crash_list()};
+                          from.crash_list(),
+                          get(from.causes())};
         for (const auto& report : from.crashes())
             query.crash_reports.push_back(get(report));
         return fleet_message(std::move(query));
@@ -273,6 +381,8 @@
             for (const auto& report : m.crash_reports)
                 put(report, *to.mutable_table_query()->add_crashes());
             to.mutable_table_query()->set_crash_list(m.crash_list_hash);
+            if (m.crash_causes != crash_cause_report{})
+                put(m.crash_causes, *to.mutable_table_query()->mutable_causes());
         },
         [&](const table_update& m) { put(m, *to.mutable_table_news()); });
 }
--- a/testsuite/standins/platform.cpp
+++ b/testsuite/standins/platform.cpp
@@ -1,7 +1,8 @@
-// Stand-in for the platform: serves its list of workers and runs four workers. Two are engines,
-// which answer with event streams, and two are plain services, which answer with a short text. On
-// demand, workers leave and restart under a new id, or refuse requests for some time, and say so in
-// their answers. A request whose path contains /crash/ ends each worker that runs it.
+// Stand-in for the platform: serves its list of workers and runs some workers. Two or more are
+// engines, which answer with event streams, and two are plain services, which answer with a short
+// text. On demand, workers leave and restart under a new id, or refuse requests for some time, and
+// say so in their answers. A request whose path contains /crash/ ends each worker that runs it, and
+// one whose prompt has a part named bad ends each engine that has begun to answer it.
 
 #include <bluebell/runtime/http_server.h>
 
@@ -64,25 +65,25 @@
 class platform_standin {
 public:
     platform_standin(std::shared_ptr<runtime::event_loop> loop, std::uint16_t port,
-                     std::uint16_t listed_port)
-        : loop_(std::move(loop)), port_(port), listed_port_(listed_port)
+                     std::uint16_t listed_port, int engines)
+        : loop_(std::move(loop)), port_(port), listed_port_(listed_port), engines_(engines)
     {
     }
 
-    /// Listens on all five ports; false if one can't be opened.
+    /// Listens on all ports; false if one can't be opened.
     bool open()
     {
         list_server_ = listen(port_, [this](const auto& s, const auto& head, const std::string&) {
             handle_list_request(s, head);
         });
-        const char* services[] = {"engine", "engine", "plain", "plain"};
-        for (std::uint16_t n = 0; n < 4; ++n) {
+        constexpr int plain_workers = 2;
+        for (int n = 0; n < engines_ + plain_workers; ++n) {
             worker w;
-            w.service = services[n];
+            w.service = n < engines_ ? "engine" : "plain";
             w.instance = w.service + "-" + std::to_string(n);
             w.port = static_cast<std::uint16_t>(port_ + 1 + n);
             workers_.push_back(std::move(w));
-            if (!start_worker(n))
+            if (!start_worker(static_cast<std::size_t>(n)))
                 return false;
         }
         return list_server_ != nullptr;
@@ -280,8 +281,8 @@
             return;
         }
         runs_[std::string(find_header(head.headers, "Bluebellproxy-Request-Id"))] += 1;
+        const auto n = static_cast<std::size_t>(w.port - port_ - 1);
         if (head.target.find("/crash/") != std::string::npos) {
-            const auto n = static_cast<std::size_t>(w.port - port_ - 1);
             loop_->defer([this, s, n] {
                 s->abort();
                 end_worker(n);
@@ -294,6 +295,16 @@
             return;
         }
         answer.push_back({"Content-Type", "text/event-stream"});
+        const std::string prompt(find_header(head.headers, "Bluebellproxy-Prefix-Hash"));
+        if (("," + prompt).find(",bad:") != std::string::npos) {
+            s->start_response(200, answer, std::nullopt);
+            s->send("id: 1\ndata: e1\n\n");
+            loop_->defer([this, s, n] {
+                s->abort();
+                end_worker(n);
+            });
+            return;
+        }
         start_stream(w, s, head, answer);
     }
 
@@ -344,8 +355,9 @@
     }
 
     std::shared_ptr<runtime::event_loop> loop_;
-    std::uint16_t port_;        ///< of the list; the workers have the next four
+    std::uint16_t port_;        ///< of the list; the workers have the next ones
     std::uint16_t listed_port_; ///< the list shows this in place of port_: a proxy's first port
+    int engines_;
     std::shared_ptr<runtime::http_server> list_server_;
     std::vector<worker> workers_;
     std::vector<std::shared_ptr<stream>> streams_;
@@ -361,14 +373,16 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("standin_platform", "The platform's list on PORT, workers behind it.");
-    options.add_options()("port", "first of five ports", cxxopts::value<std::uint16_t>())(
+    options.add_options()("port", "first of the ports", cxxopts::value<std::uint16_t>())(
         "shown", "first port as the list shows it, if another", cxxopts::value<std::uint16_t>())(
+        "engines", "number of engines", cxxopts::value<int>()->default_value("2"))(
         "seconds", "stops by itself", cxxopts::value<int>()->default_value("60"));
     const auto args = options.parse(argc, argv);
     const auto loop = *runtime::event_loop::make();
     const auto port = args["port"].as<std::uint16_t>();
     platform_standin platform(loop, port,
-                              args.count("shown") != 0 ? args["shown"].as<std::uint16_t>() : port);
+                              args.count("shown") != 0 ? args["shown"].as<std::uint16_t>() : port,
+                              args["engines"].as<int>());
     if (!platform.open()) {
         std::cerr << "standin_platform: can't listen on its ports\n";
         return 1;
