Cross the soak's faults with prompts of which one part ends workers

Cause: the soak had one request that ends its workers, and no requests that are alike in a feature only. Change: with two of three seeds, requests that share their caller, route and two parts of their prompts, the second of which ends each engine that begins to answer, come beside all other faults and changes. At most 10 engines may end for each start of a router (five are free, three are allowed later, and some end until the fleet knows); after the faults a prompt with the shared first part must be answered by every router.

--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -4,7 +4,8 @@
 # workers, the routers and the control processes' operator port go through a proxy that delays, holds
 # and resets them. Processes are killed, frozen, terminated and reloaded, and disks are emptied or get
 # a torn write. Workers leave and refuse requests, and say so; with an odd seed a request ends each
-# worker that runs it. API keys change with each table. The faults overlap and are drawn from the seed.
+# worker that runs it, and with two of three seeds requests do that are alike in a part of their prompts. API
+# keys change with each table. The faults overlap and are drawn from the seed.
 # soak_client checks the answers meanwhile; after the faults everything must work again. If a check fails, the working folder is
 # copied to $BLUEBELL_SOAKS, if set.
 . "$(dirname "$0")/../lib.sh"
@@ -109,7 +110,8 @@
 done
 
 crashing=()
-[ $((seed % 2)) = 0 ] || crashing=(--crashing)
+[ $((seed % 2)) = 0 ] || crashing+=(--crashing)
+[ $((seed % 3)) = 0 ] || crashing+=(--bad-prompts)
 "$SOAK_BIN/soak_client" "${crashing[@]}" --seed "$seed" --seconds "$seconds" --begun "$work/begun" --healed "$work/healed" \
     --fronts "127.0.0.1:$((port + 45)) 127.0.0.1:$((port + 46)) 127.0.0.1:$((port + 47))" \
     --controls "127.0.0.1:$((port + 31)) 127.0.0.1:$((port + 32)) 127.0.0.1:$((port + 33))" \
--- a/testsuite/soak/soak_client.cpp
+++ b/testsuite/soak/soak_client.cpp
@@ -32,6 +32,9 @@
 constexpr int max_runs = 3;
 /// How many workers may end under one request before a router refuses it, also without control.
 constexpr std::size_t max_ended_workers = 3;
+/// How many may end under requests that share a part of their prompts: the platform allows five,
+/// those that end until the fleet knows, and three more.
+constexpr std::size_t max_ended_by_part = 10;
 /// Time between two requests that end their workers.
 constexpr milliseconds crashing_interval{300};
 
@@ -95,22 +98,80 @@
     }
 }
 
+/// Sends a request to a stream's route whose prompt has these parts before its own last one. Its
+/// body is its id: equal requests would be quarantined as a whole.
+int send_prompt(soak_results& results, const address& front, const std::string& id,
+                const std::string& parts)
+{
+    results.record_request(id, {request_kind::resumable, 0, front.port, wall_ms(), 0});
+    const connection c = connection::open(front);
+    if (!c.is_open() ||
+        !c.send("POST /stream/2 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                std::to_string(id.size()) + "\r\nBluebellproxy-Request-Id: " + id +
+                "\r\nBluebellproxy-Credential: key1\r\nBluebellproxy-Request-Timeout-Ms: 2000\r\n"
+                "Bluebellproxy-Model: m\r\nBluebellproxy-Token-Usage: 90,9\r\n"
+                "Bluebellproxy-Prefix-Hash: " +
+                parts + "," + id + ":30\r\n\r\n" + id))
+        return 0;
+    const answer a = read_answer(c, steady_clock::now() + check_timeout);
+    return a.complete ? a.status : 0;
+}
+
+constexpr const char* bad_parts = "shared:30,bad:30";
+
+/// Sends requests that have nothing in common but their caller, route and two parts of their
+/// prompts; the second part ends each worker that begins to answer.
+void send_bad_prompts(soak_results& results, const std::vector<address>& fronts,
+                      steady_clock::time_point end)
+{
+    for (std::size_t n = 0; steady_clock::now() < end; ++n) {
+        const std::string id = "bad-" + std::to_string(n);
+        if (send_prompt(results, fronts[n % fronts.size()], id, bad_parts) == 200)
+            results.violate("a request that ends its worker was answered request=" + id);
+        std::this_thread::sleep_for(crashing_interval);
+    }
+}
+
 /// Each start of a router may forget what its process knew; control must not be needed for the
 /// rest.
 void check_ended_workers(soak_results& results, const std::string& ends, const std::string& outages)
 {
-    const auto count_lines = [](const std::string& text, const std::string& prefix) {
+    const auto count_lines = [](const std::string& text, const std::string& part) {
         std::istringstream in(text);
         std::size_t n = 0;
         for (std::string line; std::getline(in, line);)
-            n += line.starts_with(prefix) ? 1 : 0;
+            n += line.find(part) != std::string::npos ? 1 : 0;
         return n;
     };
-    const std::size_t ended = count_lines(ends, "");
     const std::size_t starts = count_lines(outages, "router-");
-    if (ended > max_ended_workers * starts)
-        results.violate(std::to_string(ended) + " workers ended under one request, with " +
-                        std::to_string(starts) + " starts of routers");
+    const auto check = [&](const char* service, std::size_t max_for_start, const char* cause) {
+        const std::size_t ended = count_lines(ends, service);
+        if (ended > max_for_start * starts)
+            results.violate(std::to_string(ended) + " workers ended under " + cause + ", with " +
+                            std::to_string(starts) + " starts of routers");
+    };
+    check(" plain-", max_ended_workers, "one request");
+    check(" engine-", max_ended_by_part, "requests with one part");
+}
+
+/// After the faults: requests that share their caller and first part with those that ended workers
+/// are answered by every router.
+void check_sound_prompts(soak_results& results, const std::vector<address>& fronts)
+{
+    const auto end = steady_clock::now() + recovery_time;
+    for (const auto& front : fronts) {
+        int status = 0;
+        for (int n = 0; status != 200 && steady_clock::now() < end; ++n) {
+            status = send_prompt(results, front,
+                                 "sound-" + std::to_string(front.port) + "-" + std::to_string(n),
+                                 "shared:30,session:30");
+            if (status != 200)
+                std::this_thread::sleep_for(milliseconds(200));
+        }
+        if (status != 200)
+            results.violate("a sound prompt is not answered: port " + std::to_string(front.port) +
+                            " status " + std::to_string(status));
+    }
 }
 
 /// After the faults: a new table is acknowledged, it can be read back, and every router serves it.
@@ -164,7 +225,8 @@
         cxxopts::value<std::string>())("begun", "file to create when the faults may begin",
                                        cxxopts::value<std::string>())(
         "healed", "file that is created when the faults are over", cxxopts::value<std::string>())(
-        "crashing", "also send a request that ends the workers that run it");
+        "crashing", "also send a request that ends the workers that run it")(
+        "bad-prompts", "also send requests of which one part ends workers");
     const auto args = options.parse(argc, argv);
     const auto fronts = parse_addresses(args["fronts"].as<std::string>());
     const auto seed = args["seed"].as<std::uint64_t>();
@@ -186,11 +248,14 @@
     threads.emplace_back([&] { op.run(end); });
     if (args["crashing"].as<bool>())
         threads.emplace_back([&] { send_crashing_requests(results, fronts, end); });
+    if (args["bad-prompts"].as<bool>())
+        threads.emplace_back([&] { send_bad_prompts(results, fronts, end); });
     for (auto& t : threads)
         t.join();
     while (::access(args["healed"].as<std::string>().c_str(), F_OK) != 0)
         std::this_thread::sleep_for(milliseconds(50));
     check_recovery(results, op, fronts);
+    check_sound_prompts(results, fronts);
     const address workers = parse_addresses(args["workers"].as<std::string>()).at(0);
     check_runs(results, read_workers_list(results, workers, "runs"));
     std::ostringstream outages;
