Look up no set that the leader may have dropped

Cause: the leader looked up each newly found set of features among those that it keeps, which are 64 at most; with more of them found in one search the look-up would throw, and end the process. Found by reading. Change: the search returns the sets themselves. Features that were answered long ago are dropped together, not one by one with a search through all of them each time.

--- a/src/include/bluebell/core/crash_cases.h
+++ b/src/include/bluebell/core/crash_cases.h
@@ -43,7 +43,7 @@
 /// Looks for causes if there is news, but not too often. Forgets sets whose quarantine has ended.
 struct crash_cases_step {
     crash_cases next;
-    std::vector<body_digest> to_quarantine; ///< sets found now
+    std::vector<feature_set> to_quarantine; ///< found now
     std::vector<body_digest> to_release;    ///< sets whose features were all answered since
 };
 [[nodiscard]] crash_cases_step search(crash_cases c, instant now,
--- a/src/libcore/cause_watch_test.cpp
+++ b/src/libcore/cause_watch_test.cpp
@@ -266,7 +266,7 @@
     std::sort(sorted.begin(), sorted.end());
     crash_cases cases;
     instant now{seconds(100)};
-    std::vector<body_digest> found;
+    std::vector<feature_set> found;
     for (hash64 n = 1; n <= 3; ++n) {
         now += seconds(1);
         crash_cause_report report;
@@ -278,11 +278,11 @@
     }
     BOOST_REQUIRE(found.size() == 1U);
     BOOST_TEST((causes_for_gateways(cases).refused == std::vector<feature_set>{sorted}));
-    quarantined.insert(found.front());
+    quarantined.insert(digest_of(found.front()));
     now += seconds(100);
     BOOST_TEST(causes_for_gateways(search(cases, now, is_quarantined).next).refused.size() == 1U);
     // An operator's release.
-    const crash_cases released = without_set(cases, now, found.front());
+    const crash_cases released = without_set(cases, now, digest_of(found.front()));
     BOOST_TEST(causes_for_gateways(search(released, now, is_quarantined).next).refused.empty());
     // The next leader is told by a gateway.
     crash_cause_report told;
@@ -298,4 +298,31 @@
     BOOST_TEST(causes_for_gateways(search(cases, now, is_quarantined).next).refused.empty());
 }
 
+// Guards against a report with many parts that ends the leader, which keeps few sets.
+BOOST_AUTO_TEST_CASE(more_sets_than_are_kept_are_found_at_once)
+{
+    const auto is_quarantined = [](const body_digest&) { return false; };
+    constexpr hash64 set_count = 100;
+    crash_cases cases;
+    instant now{seconds(100)};
+    for (hash64 n = 1; n <= 4; ++n) {
+        now += seconds(1);
+        crash_cause_report report;
+        report.ends = {{n, microseconds(0), {}}};
+        for (hash64 set = 0; set < set_count; ++set)
+            report.ends.front().requests.push_back(
+                {n * set_count + set, {{feature_kind::prompt_part, set}}});
+        cases = with_report(std::move(cases), now, report, is_quarantined);
+    }
+    // Sets of different requests explain the same ends: none is found until the others are
+    // answered.
+    BOOST_TEST(search(cases, now, is_quarantined).to_quarantine.empty());
+    crash_cases listed;
+    crash_cause_report told;
+    for (hash64 set = 0; set < set_count; ++set)
+        told.refused.push_back({{feature_kind::prompt_part, set}});
+    listed = with_report(std::move(listed), now, told, [](const body_digest&) { return true; });
+    BOOST_TEST(causes_for_gateways(listed).refused.size() == 64U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -301,14 +301,15 @@
     lead.cases = with_report(std::move(lead.cases), t.ctx.now, report, is_listed);
     crash_cases_step step = search(std::move(lead.cases), t.ctx.now, is_listed);
     lead.cases = std::move(step.next);
-    for (const auto& digest : step.to_quarantine) {
+    for (const auto& set : step.to_quarantine) {
+        const body_digest digest = digest_of(set);
         lead.queue.commands.emplace_back(record_crash{crash_report{digest, true, from, false}});
         t.out.emplace_back(make_log_line(
             log_level::warning, component,
             "Requests are quarantined by what they have in common: workers ended under them.",
             request_id(),
             {{"fingerprint", to_string(digest)},
-             {"features", format(lead.cases.refused.at(digest).features)},
+             {"features", format(set)},
              {"ends", std::to_string(lead.cases.evidence.ends.size())},
              {"reported_by", from.str()}}));
     }
--- a/src/libcore/crash_cases.cpp
+++ b/src/libcore/crash_cases.cpp
@@ -75,7 +75,7 @@
             if (c.refused.contains(digest))
                 continue;
             add_refused(c, digest, {set, now});
-            step.to_quarantine.push_back(digest);
+            step.to_quarantine.push_back(set);
         }
         std::erase_if(c.refused, [&](const auto& entry) {
             const bool is_cleared = was_answered_since(c.evidence, entry.second);
--- a/src/libcore/crash_causes.cpp
+++ b/src/libcore/crash_causes.cpp
@@ -330,7 +330,10 @@
 {
     const auto [it, is_new] = e.answered.try_emplace(feature, began_at);
     it->second = std::max(it->second, began_at);
-    if (is_new && e.answered.size() > max_answered_features)
+    if (!is_new || e.answered.size() <= max_answered_features)
+        return e;
+    std::erase_if(e.answered, [&](const auto& a) { return began_at - a.second >= end_memory; });
+    if (e.answered.size() > max_answered_features)
         e.answered.erase(
             std::min_element(e.answered.begin(), e.answered.end(),
                              [](const auto& a, const auto& b) { return a.second < b.second; }));
