Name a test by what it checks

The test came with a change of the leader's search, but doesn't reach the look-up that the change mended: rivals keep the sets from being found at once. It checks that a leader keeps a limited number of sets that it is told of. Not built: only the name and the comment differ.

--- a/src/libcore/cause_watch_test.cpp
+++ b/src/libcore/cause_watch_test.cpp
@@ -298,8 +298,8 @@
     BOOST_TEST(causes_for_gateways(search(cases, now, is_quarantined).next).refused.empty());
 }
 
-// Guards against a report with many parts that ends the leader, which keeps few sets.
-BOOST_AUTO_TEST_CASE(more_sets_than_are_kept_are_found_at_once)
+// Guards against sets without limit in the memory of a leader.
+BOOST_AUTO_TEST_CASE(sets_that_a_leader_is_told_of_are_limited)
 {
     const auto is_quarantined = [](const body_digest&) { return false; };
     constexpr hash64 set_count = 100;
