--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -51,6 +51,7 @@
     st.gateway.enabled = s.from_platform->pass_through_endpoint.port != 0;
     st.gateway.table_sync.seeds = s.from_platform->seeds;
     st.gateway.drain_grace = s.from_platform->drain_grace;
+    st.gateway.workers.cold_starts.tolerance = s.from_platform->cold_start;
     st.gateway.retry_config = {s.from_platform->fleet_retry_budget_permille *
                                    local_budget_share_permille / 1000,
                                0, max_saved_retry_permille};
--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -49,6 +49,9 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_output_tokens = 0;
     std::vector<prompt_part> prompt; ///< in order; other requests may share all parts but the last
+    /// The caller's estimate of the output tokens: right in the median, often far off. 0: not
+    /// stated.
+    std::uint32_t expected_output_tokens = 0;
 
     friend bool operator==(const engine_demand&, const engine_demand&) = default;
 };
@@ -75,6 +78,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0; ///< requests that the worker can run at once
+    /// Time that work takes on the worker's machine at present, in percent of the usual time; 0:
+    /// not stated.
+    std::uint32_t time_percent = 0;
 
     friend bool operator==(const worker_load&, const worker_load&) = default;
 };
@@ -91,7 +97,8 @@
     std::optional<std::uint64_t> length;
     std::optional<worker_load> load;
     worker_notice notice;
-    std::vector<header_field> fields; ///< headers to forward, in order
+    std::optional<microseconds> cold_remaining; ///< the worker stays cold for this time
+    std::vector<header_field> fields;           ///< headers to forward, in order
 
     friend bool operator==(const worker_answer&, const worker_answer&) = default;
 };
--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -5,8 +5,12 @@
 
 #include <bluebell/core/control_message.h>
 #include <bluebell/core/crash_causes.h>
+#include <bluebell/core/evacuation.h>
 #include <bluebell/core/exchange.h>
+#include <bluebell/core/place_share.h>
 #include <bluebell/core/routing_table.h>
+#include <bluebell/core/worker_condition.h>
+#include <bluebell/core/worker_lease.h>
 
 #include <optional>
 #include <string>
@@ -130,8 +134,12 @@
     std::uint64_t worker_list_version = 0;
     bool version_only = false;                       ///< the answer must omit the table's document
     std::vector<request_crash_report> crash_reports; ///< news since the sender's last query
-    hash64 crash_list_hash = 0;        ///< of the list that the sender has; 0: an empty one
-    crash_cause_report crash_causes{}; ///< news since the sender's last query
+    hash64 crash_list_hash = 0;           ///< of the list that the sender has; 0: an empty one
+    crash_cause_report crash_causes{};    ///< news since the sender's last query
+    std::uint64_t evacuation_version = 0; ///< of the evacuated zones that the sender knows
+    bool wants_worker_leases = false;     ///< its table has a service whose workers start cold
+    std::vector<service_demand> service_demands{};     ///< of services under pressure only
+    std::vector<worker_condition> worker_conditions{}; ///< of workers that deviate only
 
     friend bool operator==(const table_query&, const table_query&) = default;
 };
@@ -154,8 +162,12 @@
         worker_request_counts;
     /// Version of the leader's list of workers; 0: it has no recent list.
     std::uint64_t worker_list_version = 0;
-    std::optional<worker_list_change> workers;    ///< absent: the receiver has this list
-    std::optional<request_crash_list> crash_list; ///< absent: the receiver has it
+    std::optional<worker_list_change> workers;         ///< absent: the receiver has this list
+    std::optional<request_crash_list> crash_list;      ///< absent: the receiver has it
+    std::optional<evacuation_set> evacuations{};       ///< absent: the receiver has this version
+    std::optional<worker_lease_grant> worker_leases{}; ///< absent: not asked for, or none is given
+    std::vector<place_share> place_shares{};           ///< of the services in the query
+    std::optional<listed_conditions> worker_conditions{}; ///< absent: not known, as by a new leader
 
     friend bool operator==(const table_update&, const table_update&) = default;
 };
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -6,7 +6,9 @@
 
 #include <bluebell/core/context.h>
 #include <bluebell/core/crash_watch.h>
+#include <bluebell/core/rank_admission.h>
 #include <bluebell/core/retry.h>
+#include <bluebell/core/service_queue.h>
 #include <bluebell/core/worker_table.h>
 
 #include <map>
@@ -31,6 +33,7 @@
     microseconds target_event_gap{}; ///< as route::target_event_gap
     std::uint8_t priority = 0;       ///< rank; 0 is served first
     std::uint32_t max_workers = 1;   ///< maximum number of workers tried
+    hash64 kind = 0; ///< of route and model: requests of one kind are expected to cost alike
 
     friend bool operator==(const exchange_policy&, const exchange_policy&) = default;
 };
@@ -66,6 +69,9 @@
     std::string worker_address;               ///< IP:PORT of the last of them
     attempt_number attempt = 0;               ///< attempt in progress; 0: none
     instant attempt_started_at{};
+    bool is_held = false;              ///< it waits for a place; no attempt is in progress
+    instant held_since{};              ///< when it began to wait
+    instant review_at{};               ///< a held one is decided on anew then
     bool suspected = false;            ///< workers may have ended under it, see crash_watch
     request_fingerprints fingerprints; ///< empty: not needed yet
     bool may_have_run = false;         ///< an earlier attempt was sent and not refused
@@ -135,6 +141,8 @@
     /// Requests that arrived before the first table or list of workers, in order of arrival. Each
     /// has a timer.
     std::vector<waiting_request> waiting_requests;
+    service_queues queues;      ///< requests that wait for places at plain services
+    rank_admissions admissions; ///< by rank, at services with engines
     std::map<service_id, retry_budget> retry_budgets;
     retry_budget_config retry_config{0, 0, 0};
     attempt_number last_attempt = 0;
--- a/src/include/bluebell/core/routing_table.h
+++ b/src/include/bluebell/core/routing_table.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <bluebell/core/bytes.h>
+#include <bluebell/core/cold_start.h>
 #include <bluebell/core/ids.h>
 #include <bluebell/core/time.h>
 
@@ -64,6 +65,7 @@
     std::string health_path;             ///< empty: not stated
     std::uint32_t max_connections = 0;   ///< to one worker, from all gateways; 0: not stated
     std::optional<engine_config> engine; ///< absent: a plain service, which runs no model
+    cold_start_limit cold_start;         ///< what its workers tolerate after a start
 
     friend bool operator==(const service_config&, const service_config&) = default;
 };
--- a/src/include/bluebell/core/worker_table.h
+++ b/src/include/bluebell/core/worker_table.h
@@ -3,9 +3,12 @@
 /// prompts in their caches, and their recent errors.
 #pragma once
 
+#include <bluebell/core/cold_start.h>
+#include <bluebell/core/evacuation.h>
 #include <bluebell/core/exchange.h>
 #include <bluebell/core/fleet_message.h>
 #include <bluebell/core/prompt_share.h>
+#include <bluebell/core/work_estimate.h>
 #include <bluebell/core/worker_notice.h>
 
 #include <map>
@@ -62,6 +65,9 @@
     std::map<std::string, worker_record> workers; ///< by instance
     worker_standings standings;                   ///< by the workers' own notices
     prompt_shares recent_prompts;                 ///< of this process's requests, by home_hash
+    evacuation_view evacuations;                  ///< zones whose workers get no requests
+    cold_start_state cold_starts;                 ///< workers that tolerate few requests
+    work_estimates work;                          ///< remaining work and speeds
     bool list_received = false;                   ///< a list was received since the start
     instant list_received_at{}; ///< when the newest list was received or confirmed
 
--- a/src/include/bluebell/settings/settings.h
+++ b/src/include/bluebell/settings/settings.h
@@ -3,6 +3,7 @@
 /// starts any service.
 #pragma once
 
+#include <bluebell/core/cold_start.h>
 #include <bluebell/core/control_message.h>
 #include <bluebell/core/effect.h>
 
@@ -73,7 +74,12 @@
         0; ///< retries per 1000 requests, for the whole fleet
     /// Time from SIGTERM until the platform kills the process; 0: not stated.
     core::microseconds drain_grace{};
-    std::uint32_t max_descriptors = 1024; ///< file descriptors that the process may open
+    std::uint32_t max_descriptors = 1024;  ///< file descriptors that the process may open
+    std::uint64_t memory_bytes = 0;        ///< the process is killed above it; 0: not stated
+    core::cold_start_tolerance cold_start; ///< how far the limits of cold workers may be exceeded
+    /// Time from the acknowledgement of an evacuation until it must be in force.
+    core::microseconds evacuation_time{};
+    std::vector<core::zone_id> zones; ///< availability zones of the platform
 
     friend bool operator==(const platform_settings&, const platform_settings&) = default;
 };
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -71,6 +71,8 @@
     ex.policy.target_event_gap = r.target_event_gap;
     ex.policy.priority = holder.priority.value_or(r.priority);
     ex.policy.max_workers = std::max<std::uint32_t>(1, r.max_workers);
+    ex.policy.kind = hash_of(request.demand ? request.demand->model : "",
+                             hash_of(r.path_prefix, hash_of(r.host)));
     ex.arrived_at = arrived_at;
     const microseconds caller_timeout =
         request.caller_timeout.count() > 0 ? request.caller_timeout : default_caller_timeout;
@@ -140,7 +142,7 @@
         t.st.workers.recent_prompts = with_request(std::move(t.st.workers.recent_prompts),
                                                    home_hash(*ex.request.demand), t.ctx.now);
     t.st.exchanges.insert_or_assign(id, std::move(ex));
-    assign_worker(t, id);
+    place_request(t, id);
 }
 
 /// Without a list of workers every request would be refused, right after a start when callers come
@@ -347,6 +349,7 @@
 
 gateway_step finish(turn t)
 {
+    start_held_requests(t);
     t.out.emplace_back(schedule_tick{next_tick_at(t.st, t.ctx.now)});
     return {std::move(t.st), std::move(t.out)};
 }
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -135,6 +135,7 @@
 void handle_rejection(turn& t, exchange_id id, exchange& ex, std::uint16_t status)
 {
     const std::string worker = ex.tried_instances.back();
+    observe_rejection(t, ex, status);
     end_attempt(t, ex, false);
     if (status == misdirected_request) {
         t.st.workers = without_worker(std::move(t.st.workers), worker);
@@ -187,8 +188,10 @@
         }
         ex.must_continue = false;
     }
-    if (ex.events_began_at == instant{})
+    if (ex.events_began_at == instant{}) {
         ex.events_began_at = t.ctx.now;
+        observe_first_event(t, ex);
+    }
     if (!ex.is_sound && t.ctx.now - ex.events_began_at >= sound_run_time) {
         ex.is_sound = true;
         record_answered_features(t, ex, answer_ending::framing);
@@ -218,6 +221,7 @@
                                       {"last_event", std::to_string(ex.events.last.value_or(0))},
                                       {"first_ms", since_arrival(ex.answer_started_at)},
                                       {"passed_ms", since_arrival(t.ctx.now)}}));
+    observe_answer_completed(t, ex);
     remove_exchange(t, id);
 }
 
@@ -331,6 +335,7 @@
     const std::string& worker = ex->tried_instances.back();
     if (ev.head.load)
         t.st.workers = with_load(std::move(t.st.workers), worker, t.ctx.now, *ev.head.load);
+    observe_answer_head(t, *ex, ev.head);
     const bool is_other_instance = ev.head.status == misdirected_request;
     if (!is_other_instance) {
         apply_notice(t, worker, ev);
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -94,6 +94,8 @@
 /// be replaced because it is slow or has stalled.
 instant next_timer_at(const exchange& ex)
 {
+    if (ex.is_held)
+        return std::min(ex.review_at, ex.deadline);
     if (ex.awaits_worker)
         return ex.awaited_probe == 0 ? ex.progressed_at + probe_delay : ex.deadline + probe_grace;
     if (ex.answer_started)
@@ -208,6 +210,7 @@
     if (ex.caller_lags)
         t.out.emplace_back(pause_attempt{ex.attempt, true});
     log_attempt(t, ex, choice);
+    observe_attempt_started(t, ex, choice);
     reschedule_timer(t, id, ex);
 }
 
@@ -304,6 +307,8 @@
     if (it == t.st.exchanges.end())
         return;
     t.st.timers.erase({it->second.due_at, id});
+    forget_held(t, id, it->second);
+    observe_request_ended(t, it->second);
     t.st.exchanges.erase(it);
 }
 
@@ -313,6 +318,7 @@
         return;
     if (cancel)
         t.out.emplace_back(cancel_attempt{ex.attempt});
+    observe_attempt_ended(t, ex);
     t.st.attempts.erase(ex.attempt);
     ex.attempt = 0;
     t.st.workers = with_attempt_ended(std::move(t.st.workers), ex.tried_instances.back());
@@ -368,6 +374,18 @@
     send_refusal(t, id, status, text, retry_after);
 }
 
+void reject(turn& t, exchange_id id, const request_rejected& rejected)
+{
+    const exchange& ex = t.st.exchanges.at(id);
+    if (ex.answer_started || ex.may_have_run) {
+        fail_exchange(t, id, ex,
+                      error{error_code::overloaded, "admit request", ex.policy.service.str(),
+                            rejected.reason});
+        return;
+    }
+    send_refusal(t, id, 503, rejected.reason, rejected.retry_after);
+}
+
 void refuse_without_retry(turn& t, exchange_id id, std::uint16_t status, std::string_view text)
 {
     send_refusal(t, id, status, text, microseconds{0});
@@ -477,7 +495,7 @@
     end_attempt(t, ex, false);
     ex.sent_attempts -= 1;
     ex.tried_instances.pop_back(); // the request never reached it
-    assign_worker(t, id);
+    place_request(t, id);
 }
 
 void retry_or_fail(turn& t, exchange_id id, const error& failure)
@@ -508,7 +526,7 @@
                        {"after", std::to_string(ex.events.last.value_or(0))}}));
     ex.held_head.reset();
     ex.pending_data.clear();
-    assign_worker(t, id);
+    place_request(t, id);
 }
 
 void handle_timeout(turn& t, exchange_id id)
@@ -517,6 +535,10 @@
     if (it == t.st.exchanges.end())
         return;
     exchange& ex = it->second;
+    if (ex.is_held && t.ctx.now < ex.deadline) {
+        place_request(t, id);
+        return;
+    }
     if (ex.awaits_worker && ex.awaited_probe == 0) {
         ex.awaited_probe =
             start_probe(t, ex.tried_instances.back(), ex.worker_address, microseconds{0});
--- /dev/null
+++ b/src/libcore/gateway_observations.cpp
@@ -0,0 +1,22 @@
+// Tells the gateway's estimates what becomes of each attempt: what work costs, how fast workers
+// are, which services are under pressure, and whether ranks meet their targets.
+
+#include "gateway_pvt.h"
+
+namespace bluebell::core::gateway {
+
+void observe_attempt_started(turn&, const exchange&, const worker_choice&) {}
+
+void observe_answer_head(turn&, const exchange&, const worker_answer&) {}
+
+void observe_rejection(turn&, const exchange&, std::uint16_t) {}
+
+void observe_first_event(turn&, const exchange&) {}
+
+void observe_attempt_ended(turn&, const exchange&) {}
+
+void observe_answer_completed(turn&, const exchange&) {}
+
+void observe_request_ended(turn&, const exchange&) {}
+
+} // namespace bluebell::core::gateway
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -3,7 +3,9 @@
 /// the state in a `turn` and by adding effects to it.
 #pragma once
 
+#include <bluebell/core/admission_verdict.h>
 #include <bluebell/core/gateway.h>
+#include <bluebell/core/worker_choice.h>
 
 #include <string_view>
 
@@ -65,6 +67,38 @@
 /// brought no answer for too long.
 void handle_timeout(turn& t, exchange_id id);
 
+/// Refuses a request that was not admitted with 503 and the time to come back, or fails it as
+/// retry_or_fail does if it may have run or its answer was started.
+void reject(turn& t, exchange_id id, const request_rejected& rejected);
+
+// gateway_admission.cpp
+
+/// Sends the request to a worker, lets it wait for a place, or refuses it.
+void place_request(turn& t, exchange_id id);
+/// Removes what the queues hold of a request that is about to end.
+void forget_held(turn& t, exchange_id id, const exchange& ex);
+/// Starts the requests that wait and for which there is a place now. Called at the end of each
+/// turn.
+void start_held_requests(turn& t);
+
+// gateway_observations.cpp
+
+/// Each is called once for each such moment of an attempt or request, before the exchange changes
+/// further. `ex.tried_instances.back()` is the worker.
+void observe_attempt_started(turn& t, const exchange& ex, const worker_choice& choice);
+/// The head of an answer has arrived, of whatever status.
+void observe_answer_head(turn& t, const exchange& ex, const worker_answer& head);
+/// The worker stated with this status that it has not run the request.
+void observe_rejection(turn& t, const exchange& ex, std::uint16_t status);
+/// The first whole event of a stream has arrived.
+void observe_first_event(turn& t, const exchange& ex);
+/// The attempt has ended, for whatever reason.
+void observe_attempt_ended(turn& t, const exchange& ex);
+/// The whole answer was sent to the caller.
+void observe_answer_completed(turn& t, const exchange& ex);
+/// The request ends, answered or not.
+void observe_request_ended(turn& t, const exchange& ex);
+
 // gateway_crashes.cpp
 
 /// How it was found that a worker's process has ended.
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -224,6 +224,9 @@
         const request_crash_list crash_list = update.crash_list.value_or(st.crashes.fleet);
         st.crashes = with_fleet_list(std::move(st.crashes), crash_list);
     }
+    if (update.evacuations)
+        st.workers.evacuations =
+            with_evacuations(std::move(st.workers.evacuations), ctx.now, *update.evacuations);
     update_controls(st.table_sync, update.control_nodes);
     st.workers = with_cached_prompts(std::move(st.workers), update.cached_prompts,
                                      max_cache_capacity(st.table));
--- a/src/libcore/worker_choice.cpp
+++ b/src/libcore/worker_choice.cpp
@@ -48,8 +48,9 @@
 
 bool is_available(const worker_table& table, const worker_record& w, instant now)
 {
-    return !w.entry.draining && std::holds_alternative<worker_available>(
-                                    availability(table.standings, w.entry.instance, now));
+    return !w.entry.draining && !is_evacuated(table.evacuations, w.entry.zone) &&
+           std::holds_alternative<worker_available>(
+               availability(table.standings, w.entry.instance, now));
 }
 
 bool is_eligible(const worker_table& table, const worker_record& w, const worker_criteria& criteria,
--- a/src/libcore/worker_table.cpp
+++ b/src/libcore/worker_table.cpp
@@ -95,6 +95,9 @@
     worker_table next;
     next.standings = without_old(std::move(current.standings), now);
     next.recent_prompts = std::move(current.recent_prompts);
+    next.evacuations = std::move(current.evacuations);
+    next.cold_starts = std::move(current.cold_starts);
+    next.work = std::move(current.work);
     next.list_received = true;
     next.list_received_at = now;
     for (const auto& entry : list) {
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -242,6 +242,101 @@
     return list;
 }
 
+void put(const evacuation_set& from, pb::Evacuations& to)
+{
+    to.set_version(from.version);
+    for (const auto& zone : from.zones)
+        to.add_zones(zone.str());
+}
+
+evacuation_set get(const pb::Evacuations& from)
+{
+    evacuation_set set{from.version(), {}};
+    for (const auto& zone : from.zones())
+        set.zones.insert(get_id<zone_id>(zone));
+    return set;
+}
+
+void put(const worker_lease_grant& from, pb::WorkerLeases& to)
+{
+    to.set_list(from.list_version);
+    for (const auto position : from.positions)
+        to.add_positions(position);
+    to.set_duration_us(from.duration.count());
+}
+
+worker_lease_grant get(const pb::WorkerLeases& from)
+{
+    return {from.list(),
+            {from.positions().begin(), from.positions().end()},
+            microseconds(from.duration_us())};
+}
+
+void put(const service_demand& from, pb::ServiceDemand& to)
+{
+    to.set_service(from.service.str());
+    to.set_running(from.running);
+    to.set_waiting(from.waiting);
+    to.set_rejected(from.rejected);
+    to.set_completed(from.completed);
+    to.set_waiting_at_workers(from.waiting_at_workers);
+}
+
+service_demand get(const pb::ServiceDemand& from)
+{
+    return {get_id<service_id>(from.service()),
+            from.running(),
+            from.waiting(),
+            from.rejected(),
+            from.completed(),
+            from.waiting_at_workers()};
+}
+
+void put(const place_share& from, pb::PlaceShare& to)
+{
+    to.set_service(from.service.str());
+    to.set_leased_permille(from.leased_permille);
+    to.set_reserved_permille(from.reserved_permille);
+    to.set_duration_us(from.duration.count());
+}
+
+place_share get(const pb::PlaceShare& from)
+{
+    return {get_id<service_id>(from.service()), from.leased_permille(), from.reserved_permille(),
+            microseconds(from.duration_us())};
+}
+
+void put(const worker_condition& from, pb::WorkerCondition& to)
+{
+    to.set_worker(from.worker_hash);
+    to.set_work_ms(from.work_ms);
+    to.set_time_permille(from.time_permille);
+}
+
+worker_condition get(const pb::WorkerCondition& from)
+{
+    return {from.worker(), from.work_ms(), from.time_permille()};
+}
+
+void put(const listed_conditions& from, pb::ListedConditions& to)
+{
+    to.set_list(from.list_version);
+    for (const auto& w : from.workers) {
+        to.add_positions(w.position);
+        to.add_work_ms(w.work_ms);
+        to.add_time_permille(w.time_permille);
+    }
+}
+
+listed_conditions get(const pb::ListedConditions& from)
+{
+    listed_conditions conditions{from.list(), {}};
+    const int n = std::min({from.positions_size(), from.work_ms_size(), from.time_permille_size()});
+    for (int i = 0; i < n; ++i)
+        conditions.workers.push_back({from.positions(i), from.work_ms(i), from.time_permille(i)});
+    return conditions;
+}
+
 result<fleet_message> get(const pb::TableQuery& from)
 {
     return wire::get(from.from()).map([&](auto node) {
@@ -256,6 +351,12 @@
                           get(from.causes())};
         for (const auto& report : from.crashes())
             query.crash_reports.push_back(get(report));
+        query.evacuation_version = from.evacuations();
+        query.wants_worker_leases = from.wants_leases();
+        for (const auto& demand : from.demands())
+            query.service_demands.push_back(get(demand));
+        for (const auto& condition : from.conditions())
+            query.worker_conditions.push_back(get(condition));
         return fleet_message(std::move(query));
     });
 }
@@ -320,6 +421,14 @@
         put(*from.workers, to);
     if (from.crash_list)
         put(*from.crash_list, *to.mutable_crashes());
+    if (from.evacuations)
+        put(*from.evacuations, *to.mutable_evacuations());
+    if (from.worker_leases)
+        put(*from.worker_leases, *to.mutable_leases());
+    for (const auto& share : from.place_shares)
+        put(share, *to.add_shares());
+    if (from.worker_conditions)
+        put(*from.worker_conditions, *to.mutable_conditions());
 }
 
 result<fleet_message> get(const pb::TableNews& from)
@@ -339,6 +448,14 @@
                         std::nullopt};
     if (from.has_crashes())
         update.crash_list = get(from.crashes());
+    if (from.has_evacuations())
+        update.evacuations = get(from.evacuations());
+    if (from.has_leases())
+        update.worker_leases = get(from.leases());
+    for (const auto& share : from.shares())
+        update.place_shares.push_back(get(share));
+    if (from.has_conditions())
+        update.worker_conditions = get(from.conditions());
     if (from.has_running())
         update.worker_request_counts = get_request_counts(from.running());
     if (from.has_listed())
@@ -383,6 +500,12 @@
             to.mutable_table_query()->set_crash_list(m.crash_list_hash);
             if (m.crash_causes != crash_cause_report{})
                 put(m.crash_causes, *to.mutable_table_query()->mutable_causes());
+            to.mutable_table_query()->set_evacuations(m.evacuation_version);
+            to.mutable_table_query()->set_wants_leases(m.wants_worker_leases);
+            for (const auto& demand : m.service_demands)
+                put(demand, *to.mutable_table_query()->add_demands());
+            for (const auto& condition : m.worker_conditions)
+                put(condition, *to.mutable_table_query()->add_conditions());
         },
         [&](const table_update& m) { put(m, *to.mutable_table_news()); });
 }
