--- a/src/include/bluebell/core/routing_table.h
+++ b/src/include/bluebell/core/routing_table.h
@@ -94,7 +94,10 @@
     std::uint64_t version = 0; ///< 0: no table has been received yet
     std::map<std::pair<std::string, std::string>, route> routes; ///< keyed by host and path prefix
     std::map<service_id, service_config> services;
-    std::map<std::string, key_holder> keys; ///< by API key; empty: no request needs a key
+    std::map<std::string, key_holder> keys; ///< by API key
+    /// Requests need an API key, except on anonymous routes. It doesn't follow from `keys`: a table
+    /// whose workspaces have lost their last key serves no request that needs one.
+    bool requires_keys = false;
     caller_limits limits;
 
     friend bool operator==(const routing_table&, const routing_table&) = default;
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -53,7 +53,7 @@
     const auto it = table.keys.find(request.credential);
     if (it != table.keys.end())
         return it->second;
-    if (table.keys.empty() || r.anonymous)
+    if (!table.requires_keys || r.anonymous)
         return key_holder{};
     return tl::unexpected(std::uint16_t{401});
 }
--- a/src/libcore/gateway_test.cpp
+++ b/src/libcore/gateway_test.cpp
@@ -432,4 +432,18 @@
     BOOST_TEST(split_at_events("data: id: 3\n\n").event_ids.empty());
 }
 
+// Guards against requests that run without a key once the last key of all workspaces is taken away.
+BOOST_FIXTURE_TEST_CASE(requests_need_a_key_also_when_none_is_left, ready_gateway)
+{
+    routing_table none = table(2);
+    none.keys.clear();
+    apply(apply_table(std::move(st), context{now, 1, self, fleet}, none));
+    for (const char* credential : {"k1", "unknown", ""}) {
+        pass_request r = request("/unsafe/x");
+        r.credential = credential;
+        handle(exchange_event(pass_request_received{1, r}));
+        BOOST_TEST(refused_status() == 401);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libcore/gateway_test.h
+++ b/src/libcore/gateway_test.h
@@ -57,6 +57,7 @@
         t.routes.emplace(std::pair{r.host, r.path_prefix}, r);
     t.services[service_id::from_trusted("plain")] = {};
     t.services[service_id::from_trusted("engine")].engine = engine_config{8, 100'000, true};
+    t.requires_keys = true;
     t.keys["k1"] = {workspace_id::from_trusted("lenas"), std::nullopt};
     return t;
 }
