Go on with the fleet's first start after a stop in it

Cause: only the seed with the lowest id chose the initial replicas, and only while its settings had bootstrap on. No test stopped a process before the choice.

Change: a data folder records, durably, that it was first used in the fleet's first start; a process that comes back with it goes on. The next seed takes over from one that came back without its disk or stays silent for 5 s, if it is in contact with most seeds and knows no initialized replica. All that know the choice repeat it until the first election is over, and a process that is named in it accepts it without a record of its own: all initial replicas must vote in that election, so two choices never both take effect.

Not covered: a chosen replica that never comes back before the first election.

--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -126,6 +127,7 @@
     loop_ = std::move(*loop);
     if (settings_.log.folder.empty())
         log_ = runtime::log_output::make(loop_);
+    open_run_marker();
     auto node = runtime::node_runner::make(loop_, initial_state(settings_));
     if (!node)
         return tl::unexpected(node.error());
@@ -221,20 +223,34 @@
     if (!disk)
         return tl::unexpected(disk.error());
     adapters_.disk = std::move(*disk);
-    open_run_marker();
+    record_run();
     return {};
 }
 
 void process::open_run_marker()
 {
-    auto marker = runtime::run_marker::make(settings_.data_folder);
+    if (settings_.self.role != node_role::control || settings_.data_folder.empty())
+        return;
+    std::error_code ec; // a folder that can't be made is reported by the next step
+    std::filesystem::create_directory(settings_.data_folder, ec);
+    const bool is_bootstrap = settings_.from_platform && settings_.from_platform->is_bootstrap;
+    auto marker = runtime::run_marker::make(settings_.data_folder, is_bootstrap);
     if (!marker) {
         LOG(WARNING) << "process: The end of this process will not be told to the next one. "
                      << to_string(marker.error());
         return;
     }
-    const runtime::run_record& run = marker->record();
-    if (marker->previous_ended_without_drain())
+    run_marker_ = std::move(*marker);
+    if (settings_.from_platform)
+        settings_.from_platform->is_bootstrap = run_marker_->record().bootstrapping;
+}
+
+void process::record_run()
+{
+    if (!run_marker_)
+        return;
+    const runtime::run_record& run = run_marker_->record();
+    if (run_marker_->previous_ended_without_drain())
         LOG(WARNING) << "process: The previous process ended without a drain. starts=" << run.starts
                      << " ends_without_drain=" << run.ends_without_drain;
     node_->telemetry().record(
@@ -243,7 +259,6 @@
         loop_->now(),
         record_metric{
             "process_ends_without_drain", static_cast<double>(run.ends_without_drain), {}, {}});
-    run_marker_ = std::move(*marker);
 }
 
 result<void> process::open_platform()
--- a/src/bluebell/process.h
+++ b/src/bluebell/process.h
@@ -37,6 +37,8 @@
     [[nodiscard]] core::result<void> open_disk();
     /// Tells how the previous process on this data folder ended.
     void open_run_marker();
+    /// Logs and counts how the previous process ended.
+    void record_run();
     /// Opens what only the platform's settings ask for: the endpoint of routing tables, the reader
     /// of the worker list, and pass-through. Does nothing without those settings.
     [[nodiscard]] core::result<void> open_platform();
--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -25,6 +25,7 @@
     bool has_disk = false;              ///< it has a disk, so it may vote
     bool bootstrapping = false;         ///< it is configured for the fleet's first start
     microseconds time_since_contact{0}; ///< estimated by the sender, partly from other reports
+    bool initialized = false; ///< its log names the replicas: the fleet's first election is over
 
     friend bool operator==(const control_presence&, const control_presence&) = default;
 };
--- a/src/include/bluebell/core/roster.h
+++ b/src/include/bluebell/core/roster.h
@@ -1,6 +1,8 @@
 /// \file
 /// Discovery among control processes: starting from a few seed addresses, each finds all others. At
-/// the fleet's first start, one process, the seed with the lowest id, chooses the initial replicas.
+/// the fleet's first start, one process, the seed with the lowest id, chooses the initial replicas;
+/// the next seed takes over if that one can't. All initial replicas must vote in the first
+/// election, so two choices that share a replica never both take effect.
 #pragma once
 
 #include <bluebell/core/effect.h>
@@ -17,9 +19,8 @@
 /// and until bootstrap_quiet_time has passed without a new process being discovered.
 inline constexpr microseconds min_bootstrap_wait{1'000'000};
 inline constexpr microseconds bootstrap_quiet_time{600'000};
-/// For this time after its start, that process repeats its choice to all others, which may start
-/// later or miss a message.
-inline constexpr microseconds bootstrap_repeat_time{8'000'000};
+/// A seed takes over the choice from one that has been silent for this time since its own start.
+inline constexpr microseconds bootstrap_takeover_time{5'000'000};
 /// A process counts as present if its last contact is less than this long ago.
 inline constexpr microseconds presence_timeout{1'600'000};
 /// A process without contact for this time is removed, unless it is a seed.
@@ -35,15 +36,18 @@
 
 /// What a control process knows about the other control processes.
 struct roster {
-    std::vector<node_info> seeds;             ///< from the settings; empty: discovery is off
-    bool has_disk = false;                    ///< this process has a data folder and may vote
-    bool bootstrapping = false;               ///< the fleet starts for the first time
+    std::vector<node_info> seeds; ///< from the settings; empty: discovery is off
+    bool has_disk = false;        ///< this process has a data folder and may vote
+    /// The fleet starts for the first time, by the settings or by what an earlier process of this
+    /// data folder recorded: a process that was stopped during the first start goes on with it.
+    bool bootstrapping = false;
+    bool initialized = false;                 ///< the log of this process names the replicas
     std::size_t tolerated_failures = 1;       ///< voters that may fail at the same time
     std::map<node_id, roster_member> members; ///< without this process
     instant started_at{};
     instant last_discovery_at{}; ///< newest first contact with a process
     instant next_report_at{};
-    std::vector<node_info> initial_replicas; ///< as chosen by this process; empty: none chosen
+    std::vector<node_info> initial_replicas; ///< as chosen or accepted; empty: none known
 
     friend bool operator==(const roster&, const roster&) = default;
 };
@@ -64,6 +68,12 @@
 /// Schedules the next tick.
 [[nodiscard]] roster_step run_roster_timers(roster current, instant now, const node_info& self);
 
+/// Accepts a choice of the initial replicas, the first one that arrives, if this process is not
+/// initialized. A process that isn't bootstrapping accepts only a choice that names it:
+/// it has lost its disk during the first start. Returns the roster unchanged otherwise.
+[[nodiscard]] roster accept_initial_replicas(roster current, const node_info& self,
+                                             const bootstrap_replicas& choice);
+
 /// Returns all processes that count as present, this one first.
 [[nodiscard]] std::vector<node_info> present_controls(const roster& r, instant now,
                                                       const node_info& self);
--- a/src/include/bluebell/runtime/run_marker.h
+++ b/src/include/bluebell/runtime/run_marker.h
@@ -14,7 +14,8 @@
 struct run_record {
     std::uint64_t starts = 0;
     std::uint64_t ends_without_drain = 0;
-    bool running = false; ///< a process has started and not drained
+    bool running = false;       ///< a process has started and not drained
+    bool bootstrapping = false; ///< the folder was first used in the fleet's first start
 
     friend bool operator==(const run_record&, const run_record&) = default;
 };
@@ -28,12 +29,14 @@
 [[nodiscard]] run_record next_run(const run_record& previous);
 
 /// Owns the file while the process runs. It is written without a sync: after a loss of power, the
-/// count may lack the last start.
+/// count may lack the last start. Only the begin of the fleet's first start is synced, because a
+/// process that is stopped during it must go on with it when it comes back.
 class run_marker {
 public:
     /// Reads the file in the folder and marks this process as running. Fails with io_failure at
     /// step `write run marker`.
-    [[nodiscard]] static core::result<run_marker> make(const std::string& folder);
+    [[nodiscard]] static core::result<run_marker> make(const std::string& folder,
+                                                       bool is_bootstrap = false);
 
     /// The record of this process. ends_without_drain includes the previous process.
     [[nodiscard]] const run_record& record() const { return record_; }
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -420,16 +420,23 @@
     t.add(std::move(done.out));
 }
 
-void on(control_turn& t, const node_id&, const bootstrap_replicas& msg)
+/// Uses the initial replicas that the roster knows for the first election.
+void use_initial_replicas(control_turn& t)
 {
-    const bool has_no_replicas =
-        t.st.replication.replicas.empty() && t.st.replication.initial_replicas.empty();
-    if (!has_no_replicas || !t.st.peers.bootstrapping || !t.st.peers.has_disk)
+    if (t.st.peers.initial_replicas.empty() || !t.st.peers.has_disk ||
+        !t.st.replication.replicas.empty() || !t.st.replication.initial_replicas.empty())
         return;
-    t.st.replication.initial_replicas = msg.replicas;
-    t.out.emplace_back(make_log_line(log_level::info, component, "Initial replicas received.",
-                                     request_id(),
-                                     {{"count", std::to_string(msg.replicas.size())}}));
+    t.st.replication.initial_replicas = t.st.peers.initial_replicas;
+    t.out.emplace_back(
+        make_log_line(log_level::info, component, "Initial replicas received.", request_id(),
+                      {{"count", std::to_string(t.st.peers.initial_replicas.size())}}));
+}
+
+void on(control_turn& t, const node_id&, const bootstrap_replicas& msg)
+{
+    t.st.peers.initialized = !t.st.replication.replicas.empty();
+    t.st.peers = accept_initial_replicas(std::move(t.st.peers), t.ctx.self, msg);
+    use_initial_replicas(t);
 }
 
 void on(control_turn&, const node_id&, const table_update&) {}
@@ -526,11 +533,11 @@
         t.st.peers = std::move(started.next);
         t.add(std::move(started.out));
     }
+    t.st.peers.initialized = !t.st.replication.replicas.empty();
     roster_step done = run_roster_timers(std::move(t.st.peers), t.ctx.now, t.ctx.self);
     t.st.peers = std::move(done.next);
     t.add(std::move(done.out));
-    if (!t.st.peers.initial_replicas.empty())
-        on(t, t.ctx.self.id, bootstrap_replicas{t.st.peers.initial_replicas});
+    use_initial_replicas(t);
 }
 
 void review_voters(control_turn& t)
--- a/src/libcore/roster.cpp
+++ b/src/libcore/roster.cpp
@@ -23,14 +23,48 @@
                        [&](const node_info& s) { return s.id == id; });
 }
 
+bool is_present(const roster& r, instant now, const node_info& self, const node_id& id)
+{
+    const auto it = r.members.find(id);
+    return id == self.id ||
+           (it != r.members.end() && now - it->second.last_contact_at < presence_timeout);
+}
+
+/// Returns true if the other seed can't choose the initial replicas: it was restarted without its
+/// disk, or it has been silent for long.
+bool is_unable_to_choose(const roster& r, instant now, const node_id& seed)
+{
+    const auto it = r.members.find(seed);
+    if (it == r.members.end())
+        return false;
+    const roster_member& m = it->second;
+    if (now - m.last_contact_at < presence_timeout)
+        return !m.presence.bootstrapping;
+    return now - std::max(r.started_at, m.last_contact_at) >= bootstrap_takeover_time;
+}
+
 /// Returns true if this process chooses the initial replicas. At the first start all processes have
-/// the same seeds, so they agree on the seed with the lowest id.
-bool is_bootstrap_leader(const roster& r, const node_info& self)
+/// the same seeds, so they agree on the seed with the lowest id that is able to. Only a process in
+/// contact with most seeds takes over, and only while it knows of no initialized one, so that a
+/// minority never founds a second fleet.
+bool is_bootstrap_leader(const roster& r, instant now, const node_info& self)
 {
-    const auto first =
-        std::min_element(r.seeds.begin(), r.seeds.end(),
-                         [](const node_info& a, const node_info& b) { return a.id < b.id; });
-    return r.bootstrapping && first != r.seeds.end() && first->id == self.id;
+    if (!r.bootstrapping || r.initialized || !is_seed(r, self.id))
+        return false;
+    bool takes_over = false;
+    std::size_t present_seeds = 0;
+    for (const auto& seed : r.seeds) {
+        present_seeds += is_present(r, now, self, seed.id) ? 1 : 0;
+        if (!(seed.id < self.id))
+            continue;
+        if (!is_unable_to_choose(r, now, seed.id))
+            return false;
+        takes_over = true;
+    }
+    const bool knows_fleet = std::any_of(r.members.begin(), r.members.end(), [](const auto& m) {
+        return m.second.presence.initialized;
+    });
+    return !takes_over || (2 * present_seeds > r.seeds.size() && !knows_fleet);
 }
 
 /// Adds or updates the process that a presence report describes, unless the recorded contact or
@@ -60,7 +94,7 @@
 presence_report make_report(const roster& r, instant now, const node_info& self)
 {
     presence_report report;
-    report.processes.push_back({self, r.has_disk, r.bootstrapping, microseconds{0}});
+    report.processes.push_back({self, r.has_disk, r.bootstrapping, microseconds{0}, r.initialized});
     for (const auto& [id, m] : r.members) {
         if (m.last_contact_at == instant{})
             continue;
@@ -143,11 +177,12 @@
     if (now >= r.next_report_at) {
         r.next_report_at = now + presence_interval;
         remove_silent_members(r, now, out);
-        if (is_bootstrap_leader(r, self))
+        if (is_bootstrap_leader(r, now, self))
             choose_initial_replicas(r, now, self, out);
         const presence_report report = make_report(r, now, self);
-        const bool repeats_choice =
-            !r.initial_replicas.empty() && now - r.started_at < bootstrap_repeat_time;
+        // Repeated by all that know it until the first election is over: others may start later,
+        // miss a message, or be restarted.
+        const bool repeats_choice = !r.initial_replicas.empty() && !r.initialized;
         for (const auto& [id, m] : r.members) {
             out.emplace_back(send_message{id, fleet_message(report)});
             if (repeats_choice)
@@ -159,6 +194,17 @@
     return {std::move(r), std::move(out)};
 }
 
+roster accept_initial_replicas(roster current, const node_info& self,
+                               const bootstrap_replicas& choice)
+{
+    const bool names_self = std::any_of(choice.replicas.begin(), choice.replicas.end(),
+                                        [&](const node_info& n) { return n.id == self.id; });
+    if (!current.initialized && current.initial_replicas.empty() &&
+        (current.bootstrapping || names_self))
+        current.initial_replicas = choice.replicas;
+    return current;
+}
+
 std::vector<node_info> present_controls(const roster& r, instant now, const node_info& self)
 {
     std::vector<node_info> all{self};
--- a/src/libcore/roster_test.cpp
+++ b/src/libcore/roster_test.cpp
@@ -39,11 +39,21 @@
         rosters_[n] = std::move(r);
     }
 
+    /// The process starts anew, with what `keeps_disk` leaves of the first start.
+    void restart(int n, microseconds delay, bool keeps_disk)
+    {
+        restarts_.push_back({start + delay, n, keeps_disk});
+    }
+
+    /// The process ends for good.
+    void stop(int n, microseconds delay) { stop_times_[n] = start + delay; }
+
     void run(microseconds time)
     {
         for (instant now = start; now < start + time; now += milliseconds(50)) {
+            apply_restarts(now);
             for (auto& [n, r] : rosters_) {
-                if (now < start_times_[n])
+                if (!is_running(n, now))
                     continue;
                 if (r.started_at == instant{})
                     r = start_discovery(std::move(r), now, control(n)).next;
@@ -52,6 +62,8 @@
                 deliver(now, done.out);
                 if (!r.initial_replicas.empty())
                     known_replicas[n] = r.initial_replicas;
+                else
+                    known_replicas.erase(n);
             }
         }
     }
@@ -61,6 +73,33 @@
     std::map<int, std::vector<node_info>> known_replicas; ///< the choice that each process knows
 
 private:
+    struct planned_restart {
+        instant at{};
+        int n = 0;
+        bool keeps_disk = true;
+    };
+
+    [[nodiscard]] bool is_running(int n, instant now) const
+    {
+        const auto stop_time = stop_times_.find(n);
+        return now >= start_times_.at(n) &&
+               (stop_time == stop_times_.end() || now < stop_time->second);
+    }
+
+    void apply_restarts(instant now)
+    {
+        for (const auto& planned : restarts_) {
+            if (planned.at != now)
+                continue;
+            roster& r = rosters_.at(planned.n);
+            roster next;
+            next.seeds = r.seeds;
+            next.has_disk = r.has_disk;
+            next.bootstrapping = r.bootstrapping && planned.keeps_disk;
+            r = std::move(next);
+        }
+    }
+
     void deliver(instant now, const effects& out)
     {
         for (const auto& e : out) {
@@ -69,17 +108,19 @@
                 continue;
             const auto& msg = std::get<fleet_message>(sent->payload);
             for (auto& [n, r] : rosters_) {
-                if (control(n).id != sent->to || now < start_times_[n] || r.started_at == instant{})
+                if (control(n).id != sent->to || !is_running(n, now) || r.started_at == instant{})
                     continue;
                 if (const auto* report = std::get_if<presence_report>(&msg))
                     r = handle_presence(std::move(r), now, control(n), *report).next;
                 else if (const auto* choice = std::get_if<bootstrap_replicas>(&msg))
-                    known_replicas.try_emplace(n, choice->replicas);
+                    r = accept_initial_replicas(std::move(r), control(n), *choice);
             }
         }
     }
 
     std::map<int, instant> start_times_;
+    std::map<int, instant> stop_times_;
+    std::vector<planned_restart> restarts_;
     std::map<int, roster> rosters_;
 };
 
@@ -108,6 +149,59 @@
     }
 }
 
+// Guards against a fleet that never gets a leader because the process that chooses the initial
+// replicas is stopped during the first start. All that name a set must name the same one, as all of
+// its members must vote.
+RC_BOOST_PROP(a_stop_at_any_moment_of_the_first_start_leaves_one_choice, ())
+{
+    simulated_controls m;
+    for (int n = 0; n < 3; ++n)
+        m.add(n, milliseconds(50 * *rc::gen::inRange(0, 6)), true, true);
+    const bool all_at_once = *rc::gen::inRange(0, 2) == 1;
+    const microseconds stopped_at = milliseconds(50 * *rc::gen::inRange(6, 60));
+    const int victim = *rc::gen::inRange(0, 3);
+    for (int n = 0; n < 3; ++n) {
+        if (all_at_once || n == victim)
+            m.restart(n, stopped_at, all_at_once || *rc::gen::inRange(0, 2) == 1);
+    }
+    m.run(seconds(10));
+    RC_ASSERT(m.known_replicas.size() >= 2U);
+    const auto& chosen = m.known_replicas.begin()->second;
+    for (const auto& [n, replicas] : m.known_replicas)
+        RC_ASSERT(replicas == chosen);
+    for (const auto& node : chosen) {
+        bool is_known = false;
+        for (const auto& [n, replicas] : m.known_replicas)
+            is_known = is_known || control(n).id == node.id;
+        RC_ASSERT(is_known);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_next_seed_chooses_if_the_first_one_is_gone)
+{
+    simulated_controls m;
+    for (int n = 0; n < 3; ++n)
+        m.add(n, microseconds{0}, true, true);
+    m.stop(0, milliseconds(300));
+    m.run(seconds(8));
+    BOOST_REQUIRE(m.known_replicas.contains(1));
+    BOOST_TEST(m.known_replicas.at(1).size() == 2U);
+    BOOST_TEST((m.known_replicas.at(1) == m.known_replicas.at(2)));
+}
+
+// Guards against a second fleet: a process that starts late and can't reach the others must not
+// choose replicas by itself.
+BOOST_AUTO_TEST_CASE(a_seed_without_contact_with_most_seeds_does_not_take_over)
+{
+    simulated_controls m;
+    for (int n = 0; n < 3; ++n)
+        m.add(n, microseconds{0}, true, true);
+    m.stop(0, milliseconds(300));
+    m.stop(1, milliseconds(300));
+    m.run(seconds(20));
+    BOOST_TEST(m.known_replicas.empty());
+}
+
 BOOST_AUTO_TEST_CASE(no_initial_replicas_are_chosen_without_bootstrap)
 {
     simulated_controls m;
--- a/src/libruntime/run_marker_test.cpp
+++ b/src/libruntime/run_marker_test.cpp
@@ -37,6 +37,16 @@
     BOOST_TEST((third->record() == run_record{3, 1, true}));
 }
 
+// Guards against a process that is stopped during the fleet's first start and doesn't go on with
+// it, because its settings no longer name it.
+BOOST_AUTO_TEST_CASE(the_first_start_of_the_fleet_is_recorded)
+{
+    BOOST_TEST(run_marker::make(path, true)->record().bootstrapping);
+    BOOST_TEST(run_marker::make(path, false)->record().bootstrapping);
+    std::filesystem::remove(path + "/run");
+    BOOST_TEST(!run_marker::make(path, false)->record().bootstrapping);
+}
+
 BOOST_AUTO_TEST_CASE(a_damaged_file_counts_as_none)
 {
     for (const char* text : {"", "\n", "starts=", "starts=x ends_without_drain=1 state=running",
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -87,6 +87,7 @@
         b.set_stores(process.has_disk);
         b.set_founding(process.bootstrapping);
         b.set_silence_us(process.time_since_contact.count());
+        b.set_initialized(process.initialized);
     }
 }
 
@@ -97,8 +98,8 @@
         auto node = wire::get(b.node());
         if (!node)
             return tl::unexpected(node.error());
-        report.processes.push_back(
-            {std::move(*node), b.stores(), b.founding(), microseconds(b.silence_us())});
+        report.processes.push_back({std::move(*node), b.stores(), b.founding(),
+                                    microseconds(b.silence_us()), b.initialized()});
     }
     return report;
 }
