Keep a worker that refuses a version of its model

Cause: each 421 was taken for a sign that another instance runs at the worker's address, but a sound worker also answers it to a request that expects another version of its model. It was removed until the platform's list changed.

Change: the instance that answers is decoded; where it isn't stated, a 421 to a request that expects a version doesn't remove the worker.

Result: a_worker_that_refuses_a_version_stays passes.

--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -67,6 +67,7 @@
     /// Last event of the stream that the caller has received. Absent: it starts a new stream.
     std::optional<std::uint64_t> last_event_id;
     std::optional<engine_demand> demand;
+    bool expects_version = false;     ///< a worker whose model has another version refuses with 421
     std::vector<header_field> fields; ///< headers to forward, in order
     bytes body;
 
@@ -89,6 +90,7 @@
 struct worker_answer {
     std::uint16_t status = 0;
     request_id id;        ///< id of the request that is answered
+    std::string instance; ///< of the worker that answers; empty: not stated
     bool stamped = false; ///< the answer carries the worker's stamp
     bool not_run = false; ///< the worker states that it did not run the request
     bool encoded = false; ///< the body has a content encoding other than identity
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -131,13 +131,26 @@
         record_metric{"first_answer_seconds", passed_seconds, request_rank, ex.workspace});
 }
 
+/// Returns whether another instance than the expected one runs at the worker's address. A worker
+/// also refuses a request that expects another version of its model with the same status.
+bool is_from_other_instance(const exchange& ex, const worker_answer& head)
+{
+    if (head.status != misdirected_request)
+        return false;
+    if (!head.instance.empty())
+        return head.instance != ex.tried_instances.back();
+    return !ex.request.expects_version;
+}
+
 /// Handles a worker's statement that it has not run the request.
-void handle_rejection(turn& t, exchange_id id, exchange& ex, std::uint16_t status)
+void handle_rejection(turn& t, exchange_id id, exchange& ex, const worker_answer& head)
 {
+    const std::uint16_t status = head.status;
+    const bool is_other_instance = is_from_other_instance(ex, head);
     const std::string worker = ex.tried_instances.back();
     observe_rejection(t, ex, status);
     end_attempt(t, ex, false);
-    if (status == misdirected_request) {
+    if (is_other_instance) {
         t.st.workers = without_worker(std::move(t.st.workers), worker);
         record_ended_worker(t, worker, crash_proof::other_instance);
     }
@@ -336,13 +349,12 @@
     if (ev.head.load)
         t.st.workers = with_load(std::move(t.st.workers), worker, t.ctx.now, *ev.head.load);
     observe_answer_head(t, *ex, ev.head);
-    const bool is_other_instance = ev.head.status == misdirected_request;
-    if (!is_other_instance) {
+    if (!is_from_other_instance(*ex, ev.head)) {
         apply_notice(t, worker, ev);
         record_sign_of_life(t, *ex);
     }
-    if (ev.head.not_run || is_other_instance) {
-        handle_rejection(t, id, *ex, ev.head.status);
+    if (ev.head.not_run || ev.head.status == misdirected_request) {
+        handle_rejection(t, id, *ex, ev.head);
         return;
     }
     if (is_success(ev.head.status) && (!ev.head.stamped || ev.head.encoded)) {
--- a/src/libcore/gateway_notice_test.cpp
+++ b/src/libcore/gateway_notice_test.cpp
@@ -157,6 +157,23 @@
     BOOST_TEST((used_workers() == std::set<std::string>{"w0plain", "w9plain"}));
 }
 
+// Guards against a sound worker that is lost to the router until the list changes, because it
+// refused a request for another version of its model.
+BOOST_FIXTURE_TEST_CASE(a_worker_that_refuses_a_version_stays, ready_gateway)
+{
+    pass_request r = request("/unsafe/x");
+    r.expects_version = true;
+    handle(exchange_event(pass_request_received{1, r}));
+    const std::string worker = started_attempt().instance;
+    handle(exchange_event(attempt_head{started_attempt().attempt, answer(421)}));
+    BOOST_TEST(st.workers.workers.contains(worker));
+    worker_answer other = answer(421);
+    other.instance = "another";
+    const std::string second = started_attempt().instance;
+    handle(exchange_event(attempt_head{started_attempt().attempt, other}));
+    BOOST_TEST(!st.workers.workers.contains(second));
+}
+
 // Status 421 comes from another instance than the one that was asked, so its notice isn't that
 // one's.
 BOOST_AUTO_TEST_CASE(a_notice_with_status_421_marks_nobody)
