--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -183,9 +183,10 @@
     attempt_number attempt = 0;
     friend bool operator==(const attempt_recalled&, const attempt_recalled&) = default;
 };
-/// The platform's complete list of workers was read.
+/// The platform's list of workers was read.
 struct worker_list_received {
     std::vector<worker_entry> workers;
+    bool is_complete = true; ///< false: a part of it could not be read
     friend bool operator==(const worker_list_received&, const worker_list_received&) = default;
 };
 /// The platform's list of workers could not be read.
--- a/src/include/bluebell/core/worker_list.h
+++ b/src/include/bluebell/core/worker_list.h
@@ -35,6 +35,11 @@
 [[nodiscard]] worker_list with_read_list(worker_list current, std::vector<worker_entry> read,
                                          term at_term);
 
+/// Returns the workers that were read, and those known before that are missing among them: a list
+/// of which a part could not be read doesn't tell that a worker is gone.
+[[nodiscard]] std::vector<worker_entry> with_unread_workers(std::vector<worker_entry> read,
+                                                            const std::vector<worker_entry>& known);
+
 /// Returns the changes since a version, or the complete list if that version isn't among the recent
 /// ones.
 [[nodiscard]] worker_list_change changes_since(const worker_list& list, std::uint64_t version);
--- a/src/include/bluebell/runtime/pass_codec.h
+++ b/src/include/bluebell/runtime/pass_codec.h
@@ -17,6 +17,8 @@
     std::vector<core::worker_entry> workers;
     std::string next_page;           ///< token of the next page; empty: this is the last
     std::size_t invalid_entries = 0; ///< number of entries without a usable worker
+    /// False: the page breaks off, so that there may be more workers on it and on later pages.
+    bool is_complete = true;
 
     friend bool operator==(const worker_page&, const worker_page&) = default;
 };
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -503,7 +503,9 @@
     lead.list_read_time = t.ctx.now - std::max(lead.list_read_started_at, t.ctx.now - list_timeout);
     lead.next_list_read_at = t.ctx.now + list_interval;
     const std::uint64_t previous_version = lead.workers.version;
-    lead.workers = with_read_list(std::move(lead.workers), listed->workers, lead.at_term);
+    auto read = listed->is_complete ? listed->workers
+                                    : with_unread_workers(listed->workers, lead.workers.workers);
+    lead.workers = with_read_list(std::move(lead.workers), std::move(read), lead.at_term);
     if (lead.workers.version == previous_version)
         return;
     for (const auto& [id, s] : lead.subscribers) {
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway_pvt.h"
 
 #include <bluebell/core/visit.h>
+#include <bluebell/core/worker_list.h>
 
 #include <algorithm>
 
@@ -262,7 +263,11 @@
     t.st.next_list_read_at = t.ctx.now + list_interval;
     std::size_t newly_draining = 0;
     std::size_t added = 0;
-    for (const auto& w : ev.workers) {
+    std::vector<worker_entry> known;
+    for (const auto& [instance, w] : t.st.workers.workers)
+        known.push_back(w.entry);
+    const auto workers = ev.is_complete ? ev.workers : with_unread_workers(ev.workers, known);
+    for (const auto& w : workers) {
         const auto it = t.st.workers.workers.find(w.instance);
         if (it == t.st.workers.workers.end())
             added += 1;
@@ -270,7 +275,7 @@
             newly_draining += 1;
     }
     const std::size_t previous_count = t.st.workers.workers.size();
-    t.st.workers = with_list(std::move(t.st.workers), t.ctx.now, ev.workers);
+    t.st.workers = with_list(std::move(t.st.workers), t.ctx.now, workers);
     t.st.table_sync.uses_leader_list = false;
     review_watched_workers(t);
     if (added != 0 || newly_draining != 0 || previous_count + added != t.st.workers.workers.size())
--- a/src/libcore/worker_list.cpp
+++ b/src/libcore/worker_list.cpp
@@ -78,6 +78,19 @@
     return current;
 }
 
+std::vector<worker_entry> with_unread_workers(std::vector<worker_entry> read,
+                                              const std::vector<worker_entry>& known)
+{
+    std::set<std::string> instances;
+    for (const auto& w : read)
+        instances.insert(w.instance);
+    for (const auto& w : known) {
+        if (!instances.contains(w.instance))
+            read.push_back(w);
+    }
+    return read;
+}
+
 worker_list_change changes_since(const worker_list& list, std::uint64_t version)
 {
     const auto first = std::find_if(list.revisions.begin(), list.revisions.end(),
--- a/src/libcore/worker_list_test.cpp
+++ b/src/libcore/worker_list_test.cpp
@@ -194,4 +194,16 @@
     }
 }
 
+// Guards against workers that are dropped because the end of the list could not be read.
+BOOST_FIXTURE_TEST_CASE(a_list_that_is_read_in_part_removes_no_worker, ready_gateway)
+{
+    worker_list_received part{{worker(0, "plain", true)}, false};
+    handle(exchange_event(part));
+    BOOST_TEST(st.workers.workers.size() == 2U * worker_count);
+    BOOST_TEST(st.workers.workers.at(worker_name(0) + "plain").entry.draining);
+    part.is_complete = true;
+    handle(exchange_event(part));
+    BOOST_TEST(st.workers.workers.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libruntime/list_reader.cpp
+++ b/src/libruntime/list_reader.cpp
@@ -138,12 +138,16 @@
                      << page->invalid_entries;
     workers_.insert(workers_.end(), std::make_move_iterator(page->workers.begin()),
                     std::make_move_iterator(page->workers.end()));
+    if (!page->is_complete)
+        LOG(WARNING)
+            << "list: A page of the worker list breaks off; what it lacks stays as it was.";
     if (!page->next_page.empty()) {
         request_page(page->next_page);
         return;
     }
     is_reading_ = false;
-    on_event_(core::exchange_event(core::worker_list_received{std::move(workers_)}));
+    on_event_(
+        core::exchange_event(core::worker_list_received{std::move(workers_), page->is_complete}));
 }
 
 void worker_list_reader::fail(core::error failure)
