Keep evacuated zones in the replicated log and send them to gateways

A gateway isn't ready before it knows the set, recalls requests that have not left, and keeps fetches and probes away from evacuated zones after 2.5 s.

--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -52,6 +52,8 @@
     st.gateway.enabled = s.from_platform->pass_through_endpoint.port != 0;
     st.gateway.table_sync.seeds = s.from_platform->seeds;
     st.gateway.drain_grace = s.from_platform->drain_grace;
+    st.gateway.workers.evacuations.contact_time =
+        evacuation_contact_time(s.from_platform->evacuation_time);
     st.gateway.workers.cold_starts.tolerance = s.from_platform->cold_start;
     st.gateway.retry_config = {s.from_platform->fleet_retry_budget_permille *
                                    local_budget_share_permille / 1000,
@@ -69,6 +71,7 @@
     st.peers.bootstrapping = s.from_platform->is_bootstrap;
     st.peers.tolerated_failures = s.from_platform->tolerated_failures;
     st.reads_worker_list = true;
+    st.zones = {s.from_platform->zones.begin(), s.from_platform->zones.end()};
     return st;
 }
 
--- a/src/bluebellctl/actions.cpp
+++ b/src/bluebellctl/actions.cpp
@@ -291,6 +291,16 @@
     return submit_change(fleet, "/v1/quarantine/release", {{"digest", a.digest}});
 }
 
+int do_action(const fleet_access& fleet, const evacuate_zone& a)
+{
+    return submit_change(fleet, "/v1/evacuations", {{"zone", a.zone}, {"evacuated", a.evacuated}});
+}
+
+int do_action(const fleet_access& fleet, const show_evacuations&)
+{
+    return show_response(fleet, "/v1/evacuations");
+}
+
 int do_action(const fleet_access&, const create_key_file& a)
 {
     const auto written = write_key_file(a.file);
--- a/src/bluebellctl/command_line.cpp
+++ b/src/bluebellctl/command_line.cpp
@@ -105,6 +105,10 @@
         return show_quarantine{};
     if (matches(w, 1, "quarantine", "release"))
         return release_quarantine{w[2]};
+    if (matches(w, 1, "evacuate"))
+        return evacuate_zone{w[1], args.count("end") == 0};
+    if (matches(w, 0, "evacuations"))
+        return show_evacuations{};
     if (matches(w, 1, "keygen"))
         return create_key_file{w[1]};
     if (matches(w, 1, "check"))
@@ -187,6 +191,7 @@
         cxxopts::value<std::size_t>()->default_value("20"), "N");
     add("lifetime-s", "Seconds after which an added exception ends; 0: never",
         cxxopts::value<std::uint32_t>()->default_value("0"), "N");
+    add("end", "With evacuate: end the zone's evacuation");
     add("json", "Print JSON instead of tables");
     add("version", "Print the version and exit");
     add("help", "Print this help and exit");
@@ -234,6 +239,9 @@
            "  quarantine                      what the fleet refuses as it ends engines or "
            "workers\n"
            "  quarantine release DIGEST --why TEXT    run it again\n"
+           "  evacuate ZONE [--end] --why TEXT\n"
+           "                                  send the zone's workers no requests, until --end\n"
+           "  evacuations                     evacuated zones, by whom, since when and why\n"
            "  orders                          orders to engines and their outcomes\n"
            "  orders give AGENT KIND [model=M] [adapter=A] [version=V] [role=R]\n"
            "                                  KIND is load_model, unload_model, load_adapter or\n"
--- a/src/bluebellctl/command_line.h
+++ b/src/bluebellctl/command_line.h
@@ -58,6 +58,12 @@
 struct release_quarantine {
     std::string digest;
 };
+/// Evacuates an availability zone, or ends its evacuation.
+struct evacuate_zone {
+    std::string zone;
+    bool evacuated = true;
+};
+struct show_evacuations {};
 struct create_key_file {
     std::string file;
 };
@@ -67,10 +73,11 @@
 struct show_help {};
 struct show_version {};
 
-using action = std::variant<show_status, explain_request, get_config, set_config, show_history,
-                            list_exceptions, add_exception, remove_exception, drain_node,
-                            show_orders, issue_order, show_quarantine, release_quarantine,
-                            create_key_file, check_settings, show_help, show_version>;
+using action =
+    std::variant<show_status, explain_request, get_config, set_config, show_history,
+                 list_exceptions, add_exception, remove_exception, drain_node, show_orders,
+                 issue_order, show_quarantine, release_quarantine, create_key_file, check_settings,
+                 show_help, show_version, evacuate_zone, show_evacuations>;
 
 /// Where the fleet is, and the options that several actions share.
 struct fleet_access {
--- a/src/include/bluebell/admin/operator_api.h
+++ b/src/include/bluebell/admin/operator_api.h
@@ -69,6 +69,9 @@
 struct read_quarantine {
     friend bool operator==(const read_quarantine&, const read_quarantine&) = default;
 };
+struct read_evacuations {
+    friend bool operator==(const read_evacuations&, const read_evacuations&) = default;
+};
 /// Submits a change. Its result arrives as an operator_reply with this operation id;
 /// drain_requested gets no reply.
 struct submit_change {
@@ -77,9 +80,9 @@
     friend bool operator==(const submit_change&, const submit_change&) = default;
 };
 
-using operator_request =
-    std::variant<read_health, read_readiness, read_metrics, read_status, read_explanation,
-                 read_config, read_history, read_orders, read_quarantine, submit_change>;
+using operator_request = std::variant<read_health, read_readiness, read_metrics, read_status,
+                                      read_explanation, read_config, read_history, read_orders,
+                                      read_quarantine, read_evacuations, submit_change>;
 
 /// Parses a request that was received at wall-clock time `now`. All pages but health, readiness and
 /// metrics need an operator's token. Fails with not_found or invalid_argument at step
@@ -99,6 +102,12 @@
 [[nodiscard]] std::string config_json(const core::config_log& log);
 /// Returns the newest `max_records` changes of the configuration, oldest first.
 [[nodiscard]] std::string history_json(const core::config_log& log, std::size_t max_records);
+/// Returns the evacuated zones, who evacuated each, when and why. `now` is the wall-clock time.
+[[nodiscard]] std::string evacuations_json(const core::machine_state& machine, core::wall_time now);
+/// Returns lines for the page of metrics about the zones of which the node knows an evacuation;
+/// none if nothing was ever evacuated.
+[[nodiscard]] std::string evacuation_metrics(const core::node_state& st, core::instant now,
+                                             core::wall_time wall_now);
 /// Returns the open and ended orders and the drained nodes.
 [[nodiscard]] std::string orders_json(const core::order_book& book);
 /// Returns what the fleet refuses because it ends engines or workers, and the chat API's suspects,
--- a/src/include/bluebell/core/command.h
+++ b/src/include/bluebell/core/command.h
@@ -132,8 +132,22 @@
     friend bool operator==(const set_table&, const set_table&) = default;
 };
 
+/// Starts or ends the evacuation of an availability zone. The log index of an entry that changes
+/// the set of evacuated zones is the set's version.
+struct set_evacuation {
+    std::string operation; ///< operation id chosen by the operator; empty: a call of the platform
+    std::string call;      ///< identifies the platform's call within the leader's process
+    operator_id issuer;    ///< empty: the platform
+    zone_id zone;
+    bool evacuated = true; ///< false: the evacuation ends
+    wall_time requested_at{0};
+    std::string reason;
+
+    friend bool operator==(const set_evacuation&, const set_evacuation&) = default;
+};
+
 using command = std::variant<no_operation, set_replicas, set_config, advance_time, register_nodes,
                              expire_nodes, decide_grants, end_grants, issue_order, complete_order,
-                             set_drain, record_crash, set_table>;
+                             set_drain, record_crash, set_table, set_evacuation>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/config_log.h
+++ b/src/include/bluebell/core/config_log.h
@@ -36,8 +36,13 @@
 struct release_accepted {
     friend bool operator==(const release_accepted&, const release_accepted&) = default;
 };
+/// The start or end of an evacuation was accepted.
+struct evacuation_accepted {
+    std::uint64_t version = 0; ///< of the set of evacuated zones afterwards
+    friend bool operator==(const evacuation_accepted&, const evacuation_accepted&) = default;
+};
 using operator_result = std::variant<config_accepted, order_accepted, drain_accepted,
-                                     replicas_accepted, release_accepted>;
+                                     replicas_accepted, release_accepted, evacuation_accepted>;
 
 /// One default or exception that a change set, replaced or removed. An empty text means that it
 /// didn't exist.
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -85,6 +85,7 @@
     std::vector<pending_change> pending_changes;
     std::set<std::string> pending_tables;    ///< operations whose routing table is not applied yet
     std::vector<pending_read> pending_reads; ///< oldest first
+    std::map<std::string, instant> pending_evacuations;  ///< arrival of calls that wait, by call
     std::map<std::string, body_digest> pending_releases; ///< by operation
     std::map<node_id, table_subscriber> subscribers;
     std::deque<reported_prompt> reported_prompts; ///< the newest ones, oldest first
@@ -114,6 +115,7 @@
     roster peers; ///< known control processes; used when seed addresses are configured
     /// The leader reads the platform's list of workers on behalf of all gateways.
     bool reads_worker_list = false;
+    std::set<zone_id> zones; ///< that may be evacuated, from the settings
 
     friend bool operator==(const control_state&, const control_state&) = default;
 };
--- a/src/include/bluebell/core/effect.h
+++ b/src/include/bluebell/core/effect.h
@@ -175,9 +175,14 @@
     std::string reason;
     friend bool operator==(const table_unavailable&, const table_unavailable&) = default;
 };
-using table_outcome =
-    std::variant<table_accepted, table_returned, table_redirected, table_unavailable>;
-/// Answers table_submitted and table_requested, once.
+/// The call names something that doesn't exist, so it is refused for good.
+struct table_call_unknown {
+    std::string reason;
+    friend bool operator==(const table_call_unknown&, const table_call_unknown&) = default;
+};
+using table_outcome = std::variant<table_accepted, table_returned, table_redirected,
+                                   table_unavailable, table_call_unknown>;
+/// Answers table_submitted, table_requested and evacuation_called, once.
 struct table_reply {
     std::string operation;
     table_outcome outcome;
--- a/src/include/bluebell/core/event.h
+++ b/src/include/bluebell/core/event.h
@@ -233,9 +233,19 @@
     std::vector<node_id> leaving;
     friend bool operator==(const platform_vm_list&, const platform_vm_list&) = default;
 };
+/// An operator evacuates an availability zone, or ends its evacuation.
+struct zone_evacuation {
+    std::string operation;
+    operator_id issuer;
+    zone_id zone;
+    bool evacuated = true;
+    wall_time requested_at{0};
+    std::string reason;
+    friend bool operator==(const zone_evacuation&, const zone_evacuation&) = default;
+};
 using operator_event =
     std::variant<config_change, order_requested, replicas_change, drain_requested, platform_vm_list,
-                 exception_change, node_drain, quarantine_release>;
+                 exception_change, node_drain, quarantine_release, zone_evacuation>;
 
 // The routing table.
 
@@ -255,7 +265,16 @@
     routing_table table;
     friend bool operator==(const table_decoded&, const table_decoded&) = default;
 };
-using table_event = std::variant<table_submitted, table_requested, table_decoded>;
+/// The platform evacuates an availability zone, or ends its evacuation.
+struct evacuation_called {
+    std::string operation; ///< identifies the call within this process
+    zone_id zone;
+    bool evacuated = true;
+    wall_time requested_at{0};
+    friend bool operator==(const evacuation_called&, const evacuation_called&) = default;
+};
+using table_event =
+    std::variant<table_submitted, table_requested, table_decoded, evacuation_called>;
 
 // From the clock.
 
--- a/src/include/bluebell/core/machine.h
+++ b/src/include/bluebell/core/machine.h
@@ -5,6 +5,7 @@
 
 #include <bluebell/core/command.h>
 #include <bluebell/core/config_log.h>
+#include <bluebell/core/evacuation_log.h>
 #include <bluebell/core/grants.h>
 #include <bluebell/core/orders.h>
 #include <bluebell/core/quarantine.h>
@@ -39,6 +40,8 @@
     grant_table grants;
     order_book orders;
     quarantine_table quarantine;
+    evacuation_set evacuations;           ///< zones whose workers get no requests
+    evacuation_orders evacuation_records; ///< of the zones in `evacuations`
 
     friend bool operator==(const machine_state&, const machine_state&) = default;
 };
--- a/src/include/bluebell/runtime/table_server.h
+++ b/src/include/bluebell/runtime/table_server.h
@@ -1,5 +1,5 @@
 /// \file
-/// HTTP server by which operators submit and read the routing table.
+/// HTTP server by which operators submit and read the routing table, and start and end evacuations.
 #pragma once
 
 #include <bluebell/core/effect.h>
@@ -8,10 +8,19 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace bluebell::runtime {
 
+/// A call that starts or ends the evacuation of a zone.
+struct evacuation_call {
+    core::zone_id zone;
+    bool evacuated = true; ///< false: the evacuation ends
+    friend bool operator==(const evacuation_call&, const evacuation_call&) = default;
+};
+
 /// The platform's paths and its table format.
 struct table_codec {
     std::string submit_path; ///< method POST
@@ -19,6 +28,12 @@
     std::string ready_path;  ///< method GET; path of the load balancer's readiness check
     /// Parses and validates a submitted table. Fails with invalid_argument at step `read table`.
     std::function<core::result<core::routing_document>(std::string body)> parse_submitted_table;
+    /// Parses a call that starts or ends an evacuation; none if it is another call. Fails at step
+    /// `read evacuation call` with not_found if no zone can have the name, and with
+    /// invalid_argument if the call has a body.
+    std::function<std::optional<core::result<evacuation_call>>(
+        std::string_view method, std::string_view path, std::string_view body)>
+        parse_evacuation_call;
 };
 
 /// Holds each call open until its table_reply. A call is removed when its caller disconnects.
@@ -42,6 +57,9 @@
     void handle_request(const std::shared_ptr<http_session>& session, const message_head& head,
                         std::string body);
 
+    void handle_evacuation(const std::shared_ptr<http_session>& session, const message_head& head,
+                           const core::result<evacuation_call>& call);
+
     struct pending_call {
         std::shared_ptr<http_session> session;
         std::string target;
--- a/src/libadmin/operator_api.cpp
+++ b/src/libadmin/operator_api.cpp
@@ -162,6 +162,20 @@
         operator_event(node_drain{header.operation, header.issuer, *node, drains, header.reason})};
 }
 
+result<operator_request> parse_evacuation(const json& doc, const change_header& header)
+{
+    const auto zone = zone_id::make(string_member(doc, "zone"));
+    if (!zone)
+        return invalid_request("zone: 1 to 128 visible characters are required");
+    const auto evacuated = doc.find("evacuated");
+    if (evacuated == doc.end() || !evacuated->is_boolean())
+        return invalid_request("evacuated: true or false is required");
+    return submit_change{header.operation,
+                         operator_event(zone_evacuation{header.operation, header.issuer, *zone,
+                                                        evacuated->get<bool>(), header.requested_at,
+                                                        header.reason})};
+}
+
 result<operator_request> parse_release(const json& doc, const change_header& header)
 {
     const auto digest = parse_digest(string_member(doc, "digest"));
@@ -191,6 +205,8 @@
         return parse_order_request(doc, *header);
     if (request.path == "/v1/drains")
         return parse_node_drain(doc, *header);
+    if (request.path == "/v1/evacuations")
+        return parse_evacuation(doc, *header);
     if (request.path == "/v1/quarantine/release")
         return parse_release(doc, *header);
     if (request.path == "/v1/shutdown")
@@ -208,6 +224,8 @@
         return read_config{};
     if (path == "/v1/orders")
         return read_orders{};
+    if (path == "/v1/evacuations")
+        return read_evacuations{};
     if (path == "/v1/quarantine")
         return read_quarantine{};
     if (path.starts_with(explain_prefix)) {
--- a/src/libadmin/operator_json.cpp
+++ b/src/libadmin/operator_json.cpp
@@ -162,7 +162,11 @@
         [&](const order_accepted& r) { doc["fence"] = r.fence; },
         [&](const drain_accepted&) { doc["drain"] = "accepted"; },
         [&](const replicas_accepted&) { doc["replicas"] = "accepted"; },
-        [&](const release_accepted&) { doc["release"] = "accepted"; });
+        [&](const release_accepted&) { doc["release"] = "accepted"; },
+        [&](const evacuation_accepted& r) {
+            doc["evacuation"] = "accepted";
+            doc["version"] = r.version;
+        });
     return dump(doc);
 }
 
--- a/src/libcore/control.cpp
+++ b/src/libcore/control.cpp
@@ -106,13 +106,13 @@
 
 // Operators.
 
+} // namespace
+
 void reply_failure(control_turn& t, const std::string& operation, tl::unexpected<error> failure)
 {
     t.out.emplace_back(operator_reply{operation, std::move(failure)});
 }
 
-/// Queues an operator's command. If this replica doesn't lead, replies with the known leader and
-/// returns false.
 bool queue_command(control_turn& t, const std::string& operation, command cmd)
 {
     if (!t.is_leading()) {
@@ -127,6 +127,8 @@
     return true;
 }
 
+namespace {
+
 void on(control_turn& t, const config_change& ev)
 {
     queue_command(t, ev.operation,
--- a/src/libcore/control_lead.cpp
+++ b/src/libcore/control_lead.cpp
@@ -117,6 +117,7 @@
         return;
     const revision previous_revision = t.st.machine.configuration.revision_number;
     const std::uint64_t previous_table = t.st.machine.table.version;
+    const std::uint64_t previous_evacuations = t.st.machine.evacuations.version;
     machine_step done = apply(std::move(t.st.machine), entry.payload);
     t.st.machine = std::move(done.next);
     if (t.st.machine.configuration.revision_number != previous_revision)
@@ -127,6 +128,7 @@
     const bool table_changed = t.st.machine.table.version != previous_table;
     if (table_changed)
         log_committed_table(t, entry);
+    finish_evacuation(t, entry, previous_evacuations);
     if (!t.is_leading())
         return;
     for (const auto& a : done.results)
@@ -186,6 +188,7 @@
         t.out.emplace_back(operator_reply{operation, failure});
     for (const auto& operation : t.st.lead.pending_tables)
         t.out.emplace_back(table_reply{operation, table_unavailable{"leadership was lost"}});
+    end_evacuation_calls(t);
     const auto reads = std::move(t.st.lead.pending_reads);
     t.st.lead = leadership{};
     redirect_reads(t, reads);
--- a/src/libcore/control_pvt.h
+++ b/src/libcore/control_pvt.h
@@ -64,6 +64,33 @@
 /// Sends the table that was just applied to the gateways.
 void push_table(control_turn& t);
 
+/// Returns true if this replica leads. Otherwise redirects the caller of the table server to the
+/// leader, or replies that the call can't be answered now if no address is known.
+[[nodiscard]] bool check_leading(control_turn& t, const std::string& operation);
+
+// control_evacuations.cpp
+
+/// Handles the platform's calls that start or end evacuations.
+void on(control_turn& t, const evacuation_called& ev);
+/// Handles operators' requests that start or end evacuations.
+void on(control_turn& t, const zone_evacuation& ev);
+/// Logs an applied change of the evacuated zones. The leader also sends the set to the gateways and
+/// answers the call that the entry came from.
+void finish_evacuation(control_turn& t, const log_entry& entry, std::uint64_t previous_version);
+/// Replies to all waiting calls that the leadership was lost.
+void end_evacuation_calls(control_turn& t);
+/// Adds the committed set unless the receiver has it: `known_version` is its set's.
+void add_evacuations(const control_turn& t, std::uint64_t known_version, table_update& update);
+/// Returns an update for a gateway, with the committed table if it is newer than `version`.
+[[nodiscard]] table_update make_table_update(const control_turn& t, std::uint64_t version);
+/// Sends an update to all gateways that were in contact lately.
+void send_to_subscribers(control_turn& t, const table_update& update);
+/// Queues an operator's command. If this replica doesn't lead, replies with the known leader and
+/// returns false.
+bool queue_command(control_turn& t, const std::string& operation, command cmd);
+/// Replies to an operator that the operation failed.
+void reply_failure(control_turn& t, const std::string& operation, tl::unexpected<error> failure);
+
 /// Stores the platform's list of workers and sends it to the gateways if it changed.
 void handle_worker_list(control_turn& t, const exchange_event& ev);
 
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -74,8 +74,8 @@
     t.out.emplace_back(table_reply{operation, std::move(outcome)});
 }
 
-/// Returns true if this replica leads. Otherwise redirects the operator to the leader, or replies
-/// that the request can't be answered now if no address is known.
+} // namespace
+
 bool check_leading(control_turn& t, const std::string& operation)
 {
     if (t.is_leading())
@@ -90,6 +90,8 @@
     return false;
 }
 
+namespace {
+
 void on(control_turn& t, const table_submitted& ev)
 {
     if (!check_leading(t, ev.operation))
@@ -129,8 +131,10 @@
            t.ctx.now - t.st.lead.list_read_at < list_lifetime + 2 * t.st.lead.list_read_time;
 }
 
-/// Includes only a committed table: an entry that is not committed may be replaced by another text
-/// under the same version, and a gateway tells tables apart by their version.
+} // namespace
+
+// Includes only a committed table: an entry that is not committed may be replaced by another text
+// under the same version, and a gateway tells tables apart by their version.
 table_update make_table_update(const control_turn& t, std::uint64_t version)
 {
     table_update update;
@@ -140,9 +144,21 @@
     const bool is_newer = update.table_version > version;
     if (is_newer && (update.from_leader || version == 0))
         update.document = t.st.machine.table;
+    if (update.document)
+        add_evacuations(t, 0, update); // the receiver may have restarted and know no set
     return update;
 }
 
+void send_to_subscribers(control_turn& t, const table_update& update)
+{
+    for (const auto& [id, s] : t.st.lead.subscribers) {
+        if (t.ctx.now - s.last_contact_at < subscriber_timeout)
+            t.out.emplace_back(send_message{id, fleet_message(update)});
+    }
+}
+
+namespace {
+
 void record_prompts(leadership& lead, const node_id& from,
                     const std::vector<cached_prompt>& prompts)
 {
@@ -368,6 +384,7 @@
 void on(control_turn& t, const node_id& from, const table_query& msg)
 {
     table_update update = make_table_update(t, msg.table_version);
+    add_evacuations(t, msg.evacuation_version, update);
     if (!t.is_leading())
         update.control_nodes = queryable_controls(t);
     if (t.is_leading()) {
--- a/src/libcore/evacuation.cpp
+++ b/src/libcore/evacuation.cpp
@@ -2,6 +2,8 @@
 
 #include <bluebell/core/evacuation.h>
 
+#include <algorithm>
+
 namespace bluebell::core {
 
 evacuation_view with_evacuations(evacuation_view current, instant now,
@@ -29,6 +31,21 @@
     return view.ordered.zones.contains(zone);
 }
 
+bool may_contact(const evacuation_view& view, const zone_id& zone, instant now)
+{
+    if (!is_evacuated(view, zone))
+        return true;
+    const auto it = view.learned_at.find(zone);
+    return it != view.learned_at.end() && now - it->second < view.contact_time;
+}
+
+microseconds evacuation_contact_time(microseconds bound)
+{
+    if (bound.count() == 0)
+        return max_evacuation_contact_time;
+    return std::min<microseconds>(max_evacuation_contact_time, bound / 2);
+}
+
 std::optional<instant> evacuation_ended_at(const evacuation_view& view, const zone_id& zone)
 {
     const auto it = view.ended_at.find(zone);
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -147,17 +147,23 @@
 }
 
 /// Without a list of workers every request would be refused, right after a start when callers come
-/// back.
+/// back. Without the set of evacuated zones, requests could go to workers of such a zone.
 bool can_admit(const gateway_state& st)
 {
-    return st.table.version != 0 && st.workers.list_received;
+    return st.table.version != 0 && st.workers.list_received && st.workers.evacuations.received;
+}
+
+std::string_view missing_part(const gateway_state& st)
+{
+    if (st.table.version == 0)
+        return "no routing table yet";
+    return st.workers.list_received ? "no set of evacuated zones yet" : "no list of workers yet";
 }
 
 void refuse_waiting(turn& t, exchange_id id, const pass_request& request)
 {
-    refuse_unadmitted(t, id, 503,
-                      t.st.table.version == 0 ? "no routing table yet" : "no list of workers yet",
-                      request, request.caller_timeout / retry_after_divisor);
+    refuse_unadmitted(t, id, 503, missing_part(t.st), request,
+                      request.caller_timeout / retry_after_divisor);
 }
 
 void on(turn& t, const pass_request_received& ev)
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -450,7 +450,9 @@
         complete_answer(t, id, ex, answer_ending::connection);
     else
         break_off_ended(t, id, ex, answer_ending::connection,
-                        "the worker accepts no connection after the end of the answer's");
+                        may_contact_worker(t, ev.instance)
+                            ? "the worker accepts no connection after the end of the answer's"
+                            : "the worker can't be probed: its zone is evacuated");
 }
 
 void on(turn& t, const attempt_broken& ev)
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway_pvt.h"
 
+#include <bluebell/core/evacuation_status.h>
 #include <bluebell/core/visit.h>
 #include <bluebell/core/worker_choice.h>
 
@@ -170,6 +171,8 @@
     const auto passed_over = find_passed_over(t.st.workers, ex.policy.service, t.ctx.now);
     if (!passed_over.empty())
         fields.push_back({"passed_over", format_passed_over(passed_over, t.ctx.now)});
+    if (auto evacuated = describe_evacuated(t.st.workers, ex.policy.service); !evacuated.empty())
+        fields.push_back({"evacuated", std::move(evacuated)});
     t.out.emplace_back(make_log_line(log_level::info, component, "Request is sent to a worker.",
                                      ex.request.id, std::move(fields)));
 }
@@ -404,6 +407,9 @@
     const auto passed_over = find_passed_over(t.st.workers, ex.policy.service, t.ctx.now);
     if (!passed_over.empty())
         reason += ": " + format_passed_over(passed_over, t.ctx.now);
+    const auto evacuated = describe_evacuated(t.st.workers, ex.policy.service);
+    if (!evacuated.empty())
+        reason += "; evacuated zones: " + evacuated;
     fail_exchange(t, id, ex,
                   error{error_code::unavailable, "choose worker", ex.policy.service.str(),
                         std::move(reason)});
@@ -540,6 +546,13 @@
         return;
     }
     if (ex.awaits_worker && ex.awaited_probe == 0) {
+        if (!may_contact_worker(t, ex.tried_instances.back())) {
+            t.st.last_probe += 1;
+            ex.awaited_probe = t.st.last_probe;
+            settle_ended_answers(t, worker_probed{ex.tried_instances.back(), probe_outcome::unknown,
+                                                  ex.awaited_probe});
+            return;
+        }
         ex.awaited_probe =
             start_probe(t, ex.tried_instances.back(), ex.worker_address, microseconds{0});
         reschedule_timer(t, id, ex);
--- a/src/libcore/gateway_crashes.cpp
+++ b/src/libcore/gateway_crashes.cpp
@@ -201,8 +201,8 @@
         const auto it = t.st.workers.workers.find(instance);
         if (it == t.st.workers.workers.end())
             ended.push_back(instance);
-        else if (it->second.entry.draining)
-            draining.push_back(instance);
+        else if (it->second.entry.draining || !may_contact_worker(t, instance))
+            draining.push_back(instance); // its silence shows nothing
     }
     for (const auto& instance : ended)
         record_ended_worker(t, instance, crash_proof::not_listed);
@@ -212,6 +212,8 @@
 
 void watch_due_workers(turn& t)
 {
+    if (!t.st.crashes.watched.empty() && !t.st.workers.evacuations.ordered.zones.empty())
+        review_watched_workers(t); // a zone's time for probes may be over
     const due_watches due = find_due(t.st.crashes, t.ctx.now);
     for (const auto& instance : due.silent)
         record_ended_worker(t, instance, crash_proof::silence);
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -36,6 +36,15 @@
 /// Sends control a query for the routing table if it is time for one.
 void query_table_if_due(turn& t);
 
+// gateway_evacuations.cpp
+
+/// Applies the evacuated zones that an update carries, and recalls the requests that are on their
+/// way to workers of newly evacuated ones.
+void apply_evacuations(gateway_state& st, const context& ctx, const node_id& from,
+                       const table_update& update, effects& out);
+/// Returns whether the worker may be probed: not if its zone has been evacuated for some time.
+[[nodiscard]] bool may_contact_worker(const turn& t, const std::string& instance);
+
 // gateway_calls.cpp
 
 /// Chooses a worker and starts an attempt there. Fails the exchange if no worker is eligible.
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -56,6 +56,7 @@
                       !has_table,
                       {},
                       list_hash(st.crashes.fleet)};
+    query.evacuation_version = st.workers.evacuations.ordered.version;
     if (leader_is_known) {
         crash_reports_step taken = take_reports(std::move(st.crashes), ctx.now);
         st.crashes = std::move(taken.next);
@@ -134,14 +135,15 @@
 {
     st.table_sync.contact = from;
     st.table_sync.fetch_deadline = ctx.now + first_table_timeout;
-    const table_query query{ctx.self,
-                            0,
-                            {},
-                            own_request_counts(st.workers),
-                            known_list_version(st.table_sync),
-                            false,
-                            {},
-                            list_hash(st.crashes.fleet)};
+    table_query query{ctx.self,
+                      0,
+                      {},
+                      own_request_counts(st.workers),
+                      known_list_version(st.table_sync),
+                      false,
+                      {},
+                      list_hash(st.crashes.fleet)};
+    query.evacuation_version = st.workers.evacuations.ordered.version;
     out.emplace_back(send_message{from, fleet_message(query)});
 }
 
@@ -224,9 +226,7 @@
         const request_crash_list crash_list = update.crash_list.value_or(st.crashes.fleet);
         st.crashes = with_fleet_list(std::move(st.crashes), crash_list);
     }
-    if (update.evacuations)
-        st.workers.evacuations =
-            with_evacuations(std::move(st.workers.evacuations), ctx.now, *update.evacuations);
+    gateway::apply_evacuations(st, ctx, from, update, out);
     update_controls(st.table_sync, update.control_nodes);
     st.workers = with_cached_prompts(std::move(st.workers), update.cached_prompts,
                                      max_cache_capacity(st.table));
--- a/src/libcore/gateway_test.h
+++ b/src/libcore/gateway_test.h
@@ -113,6 +113,7 @@
             list.workers.push_back(worker(n, "plain"));
             list.workers.push_back(worker(n, "engine"));
         }
+        st.workers.evacuations.received = true; // arrives with the first table
         handle(exchange_event(list));
         apply(apply_table(std::move(st), context{now, 1, self, fleet}, table(version)));
     }
--- a/src/libcore/machine.cpp
+++ b/src/libcore/machine.cpp
@@ -44,6 +44,11 @@
     return hash_of(c.node.str(), c.draining ? 1 : 0);
 }
 
+hash64 hash_request(const set_evacuation& c)
+{
+    return hash_of(c.zone.str(), c.evacuated ? 1 : 0);
+}
+
 microseconds grant_expiry_time(const machine_state& st)
 {
     return st.log_time + config_of(st).grant_keep_time;
@@ -199,6 +204,17 @@
     return {std::move(st), {table_applied{c.operation}}};
 }
 
+machine_step on(machine_state st, const set_evacuation& c)
+{
+    return apply_once(std::move(st), c, [&](machine_state& m) -> result<operator_result> {
+        auto [set, records] = apply_evacuation(
+            {std::move(m.evacuations), std::move(m.evacuation_records)}, c, m.applied);
+        m.evacuations = std::move(set);
+        m.evacuation_records = std::move(records);
+        return operator_result(evacuation_accepted{m.evacuations.version});
+    });
+}
+
 machine_step on(machine_state st, const record_crash& c)
 {
     const microseconds expires_at = st.log_time + config_of(st).quarantine_time;
--- a/src/libcore/view.cpp
+++ b/src/libcore/view.cpp
@@ -1,5 +1,6 @@
 // Builds the summary of a node's state for operators.
 
+#include <bluebell/core/evacuation_status.h>
 #include <bluebell/core/view.h>
 #include <bluebell/core/visit.h>
 
@@ -36,6 +37,15 @@
                                {"leaving", yes_no(a.load.leaving)}});
     }
     v.tables.push_back(std::move(agents));
+    view_table evacuations{"evacuations", {}};
+    for (const auto& s : evacuation_statuses(st.gateway.workers, now))
+        evacuations.rows.push_back({{"availability_zone", s.zone.str()},
+                                    {"evacuated", yes_no(s.evacuated)},
+                                    {"since_ms", to_ms(s.age)},
+                                    {"workers", std::to_string(s.workers)},
+                                    {"running", std::to_string(s.running_requests)}});
+    if (!evacuations.rows.empty())
+        v.tables.push_back(std::move(evacuations));
 }
 
 void add_role(node_view& v, const agent_state& st)
--- a/src/libcore/worker_choice.cpp
+++ b/src/libcore/worker_choice.cpp
@@ -64,16 +64,25 @@
 /// The workers of the criteria's service, and their mean load.
 struct service_view {
     std::vector<candidate> candidates; ///< those that may be chosen
-    double mean_load = 0;              ///< of all, with draining and failing ones
+    /// Of all outside evacuated zones, with draining and failing ones.
+    double mean_load = 0;
 };
 
+/// Returns whether the worker counts for the mean load of the service. Those of evacuated zones
+/// don't: their load falls while that of the others rises, and by a mean that is too low engines
+/// would turn away prompts that have their home there.
+bool counts_for_mean(const worker_table& table, const worker_record& w, const service_id& service)
+{
+    return w.entry.service == service && !is_evacuated(table.evacuations, w.entry.zone);
+}
+
 /// Returns the mean of the reported requests of other gateways, over the workers with a report.
 double mean_other_requests(const worker_table& table, const service_id& service)
 {
     double sum = 0;
     double n = 0;
     for (const auto& [id, w] : table.workers) {
-        if (w.entry.service != service || w.load_reported_at == instant{})
+        if (!counts_for_mean(table, w, service) || w.load_reported_at == instant{})
             continue;
         sum += w.other_requests;
         n += 1;
@@ -99,7 +108,7 @@
     double sum = 0;
     double count = 0;
     for (const auto& [id, w] : table.workers) {
-        if (w.entry.service != criteria.service)
+        if (!counts_for_mean(table, w, criteria.service))
             continue;
         const double load = estimate_load(w, now, mean_other);
         sum += load;
@@ -211,12 +220,13 @@
 };
 
 /// Workers that drain or leave count, because others can still fetch what they hold. Those that
-/// want a pause don't.
+/// want a pause don't, and those of a zone that has been evacuated for some time.
 prompt_holder find_holder(const worker_table& table, const worker_criteria& criteria, instant now)
 {
     prompt_holder best;
     for (const auto& [id, w] : table.workers) {
         if (w.entry.service != criteria.service || w.backoff_until > now ||
+            !may_contact(table.evacuations, w.entry.zone, now) ||
             std::holds_alternative<worker_paused>(availability(table.standings, id, now)))
             continue;
         const std::uint32_t cached_tokens =
@@ -311,7 +321,8 @@
 {
     std::optional<instant> next;
     for (const auto& [instance, w] : table.workers) {
-        if (w.entry.service != service || w.entry.draining)
+        if (w.entry.service != service || w.entry.draining ||
+            is_evacuated(table.evacuations, w.entry.zone))
             continue;
         const worker_availability reason = availability(table.standings, instance, now);
         if (std::holds_alternative<worker_available>(reason))
--- a/src/libruntime/admin_server.cpp
+++ b/src/libruntime/admin_server.cpp
@@ -156,7 +156,8 @@
             reply_json(request, ready_ ? 200 : 503, ready_ ? R"({"ok":true})" : R"({"ok":false})");
         },
         [&](const admin::read_metrics&) {
-            reply_text(request, source_.telemetry().metrics_page(loop_->now()));
+            reply_text(request, source_.telemetry().metrics_page(loop_->now()) +
+                                    admin::evacuation_metrics(st, loop_->now(), wall_now()));
         },
         [&](const admin::read_status&) {
             reply_json(request, 200, admin::to_json(make_node_view(st, loop_->now())));
@@ -179,6 +180,9 @@
             reply_machine(
                 [](const auto& m) { return admin::quarantine_json(m.quarantine, m.log_time); });
         },
+        [&](const admin::read_evacuations&) {
+            reply_machine([](const auto& m) { return admin::evacuations_json(m, wall_now()); });
+        },
         [&](const admin::submit_change& c) { start_change(request, c); });
 }
 
--- a/src/libruntime/table_server.cpp
+++ b/src/libruntime/table_server.cpp
@@ -1,4 +1,4 @@
-// HTTP server for the routing table.
+// HTTP server for the routing table and for evacuations.
 
 #include <bluebell/core/visit.h>
 #include <bluebell/runtime/table_server.h>
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <chrono>
 
 namespace bluebell::runtime {
 
@@ -61,6 +62,10 @@
     const std::string path = head.target.substr(0, head.target.find('?'));
     const bool is_submit = head.method == "POST" && path == codec_.submit_path;
     const bool is_read = head.method == "GET" && path == codec_.read_path;
+    if (const auto call = codec_.parse_evacuation_call(head.method, path, body)) {
+        handle_evacuation(session, head, *call);
+        return;
+    }
     if (!is_submit && !is_read) {
         session->reply(404, json_type, make_error_body("no such call"));
         return;
@@ -84,6 +89,25 @@
     on_event_(table_event(table_submitted{operation, std::move(*submitted)}));
 }
 
+void table_server::handle_evacuation(const std::shared_ptr<http_session>& session,
+                                     const message_head& head, const result<evacuation_call>& call)
+{
+    if (!call) {
+        LOG(WARNING) << "tables: Evacuation call refused. target=\"" << head.target << "\" why=\""
+                     << call.error().text << "\"";
+        const int status = call.error().code == error_code::not_found ? 404 : 400;
+        session->reply(status, json_type, make_error_body(call.error().text));
+        return;
+    }
+    last_operation_ += 1;
+    const std::string operation = "table-" + std::to_string(last_operation_);
+    pending_calls_.emplace(operation, pending_call{session, head.target});
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    on_event_(
+        table_event(evacuation_called{operation, call->zone, call->evacuated,
+                                      std::chrono::duration_cast<core::wall_time>(since_epoch)}));
+}
+
 void table_server::run(const table_reply& e)
 {
     const auto it = pending_calls_.find(e.operation);
@@ -109,8 +133,11 @@
                                               std::to_string(port_) + call.target});
             call.session->reply(307, fields, make_error_body("another replica leads"));
         },
+        [&](const table_call_unknown& o) {
+            call.session->reply(404, json_type, make_error_body(o.reason));
+        },
         [&](const table_unavailable& o) {
-            LOG(WARNING) << "tables: Routing table is unavailable. operation=" << e.operation
+            LOG(WARNING) << "tables: Call can't be answered now. operation=" << e.operation
                          << " why=\"" << o.reason << "\"";
             call.session->reply(503, json_type, make_error_body(o.reason));
         });
--- a/src/libwire/command_codec.cpp
+++ b/src/libwire/command_codec.cpp
@@ -114,6 +114,17 @@
         to.mutable_set_table()->set_operation(c.operation);
         put(c.document, *to.mutable_set_table()->mutable_document());
     }
+    void operator()(const set_evacuation& c) const
+    {
+        auto& b = *to.mutable_set_evacuation();
+        b.set_operation(c.operation);
+        b.set_call(c.call);
+        b.set_who(c.issuer.str());
+        b.set_zone(c.zone.str());
+        b.set_evacuated(c.evacuated);
+        b.set_when_us(c.requested_at.count());
+        b.set_why(c.reason);
+    }
     void operator()(const record_crash& c) const
     {
         *to.mutable_note_crash() = std::move(*encode_as_control(c.report).mutable_crash_report());
@@ -217,6 +228,17 @@
                      b.draining(), b.why()};
 }
 
+result<command> get(const pb::SetEvacuation& b)
+{
+    return set_evacuation{b.operation(),
+                          b.call(),
+                          get_id<operator_id>(b.who()),
+                          get_id<zone_id>(b.zone()),
+                          b.evacuated(),
+                          wall_time(b.when_us()),
+                          b.why()};
+}
+
 result<command> get(const pb::CrashReport& b)
 {
     pb::ControlMessage m;
@@ -260,6 +282,8 @@
         return get(from.note_crash());
     case pb::Command::kSetTable:
         return set_table{from.set_table().operation(), get(from.set_table().document())};
+    case pb::Command::kSetEvacuation:
+        return get(from.set_evacuation());
     case pb::Command::WHAT_NOT_SET:
         break;
     }
--- a/src/libwire/machine_codec.cpp
+++ b/src/libwire/machine_codec.cpp
@@ -77,7 +77,11 @@
         },
         [&](const drain_accepted&) { to.set_kind(pb::OperatorResult::DRAIN); },
         [&](const replicas_accepted&) { to.set_kind(pb::OperatorResult::REPLICAS); },
-        [&](const release_accepted&) { to.set_kind(pb::OperatorResult::RELEASE); });
+        [&](const release_accepted&) { to.set_kind(pb::OperatorResult::RELEASE); },
+        [&](const evacuation_accepted& r) {
+            to.set_kind(pb::OperatorResult::EVACUATION);
+            to.set_number(r.version);
+        });
 }
 
 operator_result get(const pb::OperatorResult& from)
@@ -91,6 +95,8 @@
         return replicas_accepted{};
     case pb::OperatorResult::RELEASE:
         return release_accepted{};
+    case pb::OperatorResult::EVACUATION:
+        return evacuation_accepted{from.number()};
     default:
         return config_accepted{from.number()};
     }
@@ -312,6 +318,34 @@
     return quarantine;
 }
 
+// Evacuations.
+
+void put(const evacuation_log_state& from, pb::Machine& to)
+{
+    to.set_evacuation_version(from.set.version);
+    for (const auto& [zone, record] : from.records) {
+        auto& b = *to.add_evacuated();
+        b.set_zone(zone.str());
+        b.set_index(record.index);
+        b.set_who(record.issuer.str());
+        b.set_when_us(record.requested_at.count());
+        b.set_why(record.reason);
+    }
+}
+
+evacuation_log_state get_evacuations(const pb::Machine& from)
+{
+    evacuation_log_state log;
+    log.set.version = from.evacuation_version();
+    for (const auto& b : from.evacuated()) {
+        const auto zone = get_id<zone_id>(b.zone());
+        log.set.zones.insert(zone);
+        log.records.emplace(zone, evacuation_record{b.index(), get_id<operator_id>(b.who()),
+                                                    wall_time(b.when_us()), b.why()});
+    }
+    return log;
+}
+
 /// Reads the whole state. Replicas are stored in the form of the command that sets them.
 result<machine_state> get(const pb::Machine& from)
 {
@@ -338,6 +372,9 @@
     st.orders = std::move(*orders);
     st.quarantine = get_quarantine(from);
     st.table = wire::get(from.table());
+    auto [set, records] = get_evacuations(from);
+    st.evacuations = std::move(set);
+    st.evacuation_records = std::move(records);
     return st;
 }
 
@@ -359,6 +396,7 @@
     put(state.orders, to);
     put(state.quarantine, to);
     wire::put(state.table, *to.mutable_table());
+    put(evacuation_log_state{state.evacuations, state.evacuation_records}, to);
     return to.SerializeAsString();
 }
 
--- a/src/libwire/machine_test.cpp
+++ b/src/libwire/machine_test.cpp
@@ -35,28 +35,32 @@
     doc.defaults["load_bound_permille"] = "1300";
     doc.exceptions["e"] = {"e", "workspace:w", "weight", "2", "a reason", seconds(60)};
     const engine_order_reply failed_reply{9, false, {error_code::unavailable, "load", "e", "full"}};
-    return {no_operation{},
-            set_replicas{{node}, {node}},
-            set_config{"op-1", ana, wall_time(7), 0, doc, "why"},
-            set_config{"op-2", ana, wall_time(8), 0, doc, "why"},
-            advance_time{seconds(1)},
-            register_nodes{{{node, {{model_id::from_trusted("m")}, {}, 4, true}}}},
-            decide_grants{{make_grant_request("a", 1), make_grant_request("b", 2),
-                           make_grant_request("c", 3), make_grant_request("d", 4)}},
-            end_grants{{{make_grant_request("a", 1).key,
-                         make_grant_request("a", 1).attempt,
-                         {200, "text/plain", bytes::from("ok")}}},
-                       {{make_grant_request("b", 2).key, make_grant_request("b", 2).attempt,
-                         run_outcome::not_run},
-                        {make_grant_request("c", 3).key, make_grant_request("c", 3).attempt,
-                         run_outcome::unknown}}},
-            issue_order{"op-3", ana, agent, load_model{model_id::from_trusted("m"), "v"}, "why"},
-            issue_order{"op-4", ana, agent, change_role{"standby"}, "why"},
-            complete_order{agent, failed_reply},
-            set_drain{"op-5", ana, agent, true, "repair"},
-            record_crash{{{3, 4}, true, agent, false}},
-            record_crash{{{5, 6}, false, agent, false}},
-            expire_nodes{{node_id::from_trusted("nobody")}}};
+    return {
+        no_operation{},
+        set_replicas{{node}, {node}},
+        set_config{"op-1", ana, wall_time(7), 0, doc, "why"},
+        set_config{"op-2", ana, wall_time(8), 0, doc, "why"},
+        advance_time{seconds(1)},
+        register_nodes{{{node, {{model_id::from_trusted("m")}, {}, 4, true}}}},
+        decide_grants{{make_grant_request("a", 1), make_grant_request("b", 2),
+                       make_grant_request("c", 3), make_grant_request("d", 4)}},
+        end_grants{{{make_grant_request("a", 1).key,
+                     make_grant_request("a", 1).attempt,
+                     {200, "text/plain", bytes::from("ok")}}},
+                   {{make_grant_request("b", 2).key, make_grant_request("b", 2).attempt,
+                     run_outcome::not_run},
+                    {make_grant_request("c", 3).key, make_grant_request("c", 3).attempt,
+                     run_outcome::unknown}}},
+        issue_order{"op-3", ana, agent, load_model{model_id::from_trusted("m"), "v"}, "why"},
+        issue_order{"op-4", ana, agent, change_role{"standby"}, "why"},
+        complete_order{agent, failed_reply},
+        set_drain{"op-5", ana, agent, true, "repair"},
+        record_crash{{{3, 4}, true, agent, false}},
+        record_crash{{{5, 6}, false, agent, false}},
+        expire_nodes{{node_id::from_trusted("nobody")}},
+        set_evacuation{"op-6", "", ana, zone_id::from_trusted("a"), true, wall_time(9), "flood"},
+        set_evacuation{"", "call-1", {}, zone_id::from_trusted("b"), true, wall_time(10), ""},
+        set_evacuation{"", "call-2", {}, zone_id::from_trusted("b"), false, wall_time(11), ""}};
 }
 
 } // namespace
@@ -81,6 +85,7 @@
         state = apply(std::move(state), c).next;
     BOOST_REQUIRE(state.orders.open.size() == 1);
     BOOST_REQUIRE(state.grants.entries.size() == 4);
+    BOOST_REQUIRE(state.evacuations.zones.size() == 1);
     const auto decoded = wire::decode_machine(wire::encode(state));
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST((*decoded == state));
