--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -117,6 +117,8 @@
         const node_info self = make_node("control-0", node_role::control);
         control_state st;
         st.reads_worker_list = scenario_.pass.has_value();
+        for (const char* zone : {"a", "b", "c", "d", "e"}) // as worker_pool names them
+            st.zones.insert(zone_id::from_trusted(zone));
         start_node(self, std::move(st));
         disk_loaded loaded;
         loaded.was_empty = true;
@@ -513,6 +515,12 @@
             [&](const workers_stop& f) { workers_->stop_workers(f.service, f.share, f.down_time); },
             [&](const workers_slow& f) {
                 workers_->slow_workers(f.service, f.share, f.factor, f.duration);
+            },
+            [&](const zone_evacuation_call& f) {
+                dispatch(node_id::from_trusted("control-0"),
+                         table_event(evacuation_called{f.evacuated ? "start" : "end",
+                                                       zone_id::from_trusted(f.zone), f.evacuated,
+                                                       wall_time(0)}));
             });
     }
 
--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -3,6 +3,7 @@
 /// outcome of each request.
 #pragma once
 
+#include <bluebell/core/ids.h>
 #include <bluebell/core/time.h>
 
 #include <cstdint>
@@ -155,6 +156,7 @@
     instant at{};
     std::string service;
     bool over_limit = false; ///< the worker held over twice the mean of its service, plus 3
+    zone_id zone{};          ///< of the worker
 
     friend bool operator==(const worker_arrival&, const worker_arrival&) = default;
 };
--- a/src/libcore/gateway_test.cpp
+++ b/src/libcore/gateway_test.cpp
@@ -253,6 +253,7 @@
     for (int n = 0; n < worker_count; ++n)
         list.workers.push_back(worker(n, "plain"));
     gateway_fixture g;
+    g.st.workers.evacuations.received = true; // arrives with the table
     g.handle(pass_request_received{1, request("/safe/x", "r1")});
     g.apply(apply_table(std::move(g.st), context{g.now, 1, g.self, g.fleet}, table()));
     BOOST_TEST(g.refused_status() == 0);
@@ -263,6 +264,7 @@
     BOOST_TEST(g.st.attempts.size() == 2U);
     // The leader's list serves as well.
     gateway_fixture other;
+    other.st.workers.evacuations.received = true;
     other.handle(pass_request_received{1, request("/safe/x", "r1")});
     other.apply(
         apply_table(std::move(other.st), context{other.now, 1, other.self, other.fleet}, table()));
--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -5,7 +5,7 @@
 # and resets them. Processes are killed, frozen, terminated and reloaded, and disks are emptied or get
 # a torn write. Workers leave and refuse requests, and say so; with an odd seed a request ends each
 # worker that runs it, and with two of three seeds requests do that are alike in a part of their prompts. API
-# keys change with each table. The faults overlap and are drawn from the seed.
+# keys change with each table. One of two zones is evacuated and taken back. The faults overlap and are drawn from the seed.
 # soak_client checks the answers meanwhile; after the faults everything must work again. If a check fails, the working folder is
 # copied to $BLUEBELL_SOAKS, if set.
 . "$(dirname "$0")/../lib.sh"
@@ -24,6 +24,7 @@
     ip=$(ip_of "$1")
     printf 'role=%s\nip=%s\nzone=a%s\nregion=r\ninternal-port-range=%s,%s\nseeds=%s\nbootstrap=%s\n' \
         "$role" "$ip" "${1#*-}" "$port" $((port + 9)) "$seeds" "$2"
+    printf 'bounds.evac-ms=5000\nzones.a=r\nzones.b=r\n'
     printf 'bounds.retry-budget-ratio=0.5\nfault-tolerance.machines=1\ncloud.address=127.0.0.1:%s\n' $((port + 40))
     case $role in
     control) printf 'listen.control=%s:%s\ndata-dir=%s\n' "$ip" $((port + 12)) "$work/data-$1" ;;
@@ -79,7 +80,7 @@
 trap end_all EXIT
 
 for name in "${names[@]}"; do settings "$name" true >"$work/$name.conf"; done
-start workers "$STANDINS_BIN/standin_platform" --port "$workers" --shown $((port + 40)) --seconds $((seconds + 90))
+start workers "$STANDINS_BIN/standin_platform" --port "$workers" --shown $((port + 40)) --zones 2 --seconds $((seconds + 90))
 # Links of the proxy: 0 is the worker list, 1 to 4 the workers, 5 to 7 the routers' caller ports, 8 to
 # 10 the control processes' operator ports.
 links=()
--- a/testsuite/soak/soak_client.cpp
+++ b/testsuite/soak/soak_client.cpp
@@ -2,6 +2,7 @@
 // the answers that they received with the workers' own count of runs. Each violation is printed as
 // one line that starts with VIOLATION.
 
+#include "soak_evacuations.h"
 #include "soak_notices.h"
 #include "soak_operator.h"
 
@@ -241,11 +242,13 @@
     std::ofstream(args["begun"].as<std::string>()) << "begun\n";
     const auto end = steady_clock::now() + std::chrono::seconds(args["seconds"].as<int>());
     std::vector<std::thread> threads;
-    threads.reserve(caller_count + 2);
+    threads.reserve(caller_count + 4);
     for (int n = 0; n < caller_count; ++n)
         threads.emplace_back(
             [&, n] { caller(results, fronts, "c" + std::to_string(n), seed * 100 + n).run(end); });
     threads.emplace_back([&] { op.run(end); });
+    evacuation_caller evacuations(parse_addresses(args["controls"].as<std::string>()), seed);
+    threads.emplace_back([&] { evacuations.run(end); });
     if (args["crashing"].as<bool>())
         threads.emplace_back([&] { send_crashing_requests(results, fronts, end); });
     if (args["bad-prompts"].as<bool>())
@@ -254,6 +257,8 @@
         t.join();
     while (::access(args["healed"].as<std::string>().c_str(), F_OK) != 0)
         std::this_thread::sleep_for(milliseconds(50));
+    if (!evacuations.is_taken_back())
+        results.violate("the end of an evacuation was not acknowledged");
     check_recovery(results, op, fronts);
     check_sound_prompts(results, fronts);
     const address workers = parse_addresses(args["workers"].as<std::string>()).at(0);
@@ -262,6 +267,9 @@
     outages << std::ifstream(args["outages"].as<std::string>()).rdbuf();
     check_ended_workers(results, read_workers_list(results, workers, "ends"), outages.str());
     check_notices(results, fronts, read_workers_list(results, workers, "arrivals"), outages.str());
+    check_evacuations(results, evacuations.windows(), fronts,
+                      read_workers_list(results, workers, "arrivals"), outages.str());
+    std::cout << "evacuations=" << evacuations.windows().size() << " ";
     std::cout << "tables=" << op.acknowledged() << " requests=" << results.sent().size();
     for (const auto& [status, n] : results.by_status())
         std::cout << " " << status << ":" << n;
