Give workers to gateways by leases, and send cold ones what they tolerate

Change: the leader gives each worker to one gateway for a lease that counts from the query. A gateway sends a cold worker requests only under its lease, at most half of the bound in each window, and only if it is a home of the prompt or no warm worker accepts them. The share rises over 2 s after the cold time. A rise of a worker's cold time is a change of the list. table_query::sent_at and table_update::query_sent_at tell which query an answer is for.

--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -10,6 +10,7 @@
 #include <bluebell/core/replication.h>
 #include <bluebell/core/request_sums.h>
 #include <bluebell/core/roster.h>
+#include <bluebell/core/worker_lease.h>
 #include <bluebell/core/worker_list.h>
 
 #include <deque>
@@ -92,8 +93,9 @@
     crash_cases cases;              ///< what the requests that end workers have in common
     std::uint64_t prompt_count = 0; ///< all prompts reported so far, also those no longer stored
     instant next_voter_review_at{};
-    request_sums sums;      ///< over all subscribers
-    worker_list workers;    ///< the platform's list, as last read
+    request_sums sums;   ///< over all subscribers
+    worker_list workers; ///< the platform's list, as last read
+    worker_lease_table worker_leases;
     instant list_read_at{}; ///< when the list was last read; 0: never
     instant next_list_read_at{};
     instant list_read_started_at{};
--- a/src/include/bluebell/core/exchange.h
+++ b/src/include/bluebell/core/exchange.h
@@ -227,6 +227,8 @@
     std::optional<std::uint64_t> last_event_id; ///< resumes the stream after this event
     /// Address of a worker that has more of the prompt in its cache; empty: nothing is fetched.
     std::string fetch_from;
+    /// The attempt fails unsent if no byte of it has left by then; 0: the time is not limited.
+    instant leave_by{};
     friend bool operator==(const start_attempt&, const start_attempt&) = default;
 };
 /// Cancels the attempt by closing its connection to the worker. No event of the attempt follows.
--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -141,6 +141,8 @@
     bool wants_worker_leases = false;     ///< its table has a service whose workers start cold
     std::vector<service_demand> service_demands{};     ///< of services under pressure only
     std::vector<worker_condition> worker_conditions{}; ///< of workers that deviate only
+    /// Time of sending by the sender's clock, which the answer repeats; 0: leases aren't asked for.
+    microseconds sent_at{};
 
     friend bool operator==(const table_query&, const table_query&) = default;
 };
@@ -169,6 +171,7 @@
     std::optional<worker_lease_grant> worker_leases{}; ///< absent: not asked for, or none is given
     std::vector<place_share> place_shares{};           ///< of the services in the query
     std::optional<listed_conditions> worker_conditions{}; ///< absent: not known, as by a new leader
+    microseconds query_sent_at{}; ///< table_query::sent_at of the answered query; 0: not stated
 
     friend bool operator==(const table_update&, const table_update&) = default;
 };
--- a/src/include/bluebell/core/worker_choice.h
+++ b/src/include/bluebell/core/worker_choice.h
@@ -15,6 +15,7 @@
     const engine_config* engine = nullptr;           ///< null: the service has no engines
     const std::vector<std::string>& tried_instances; ///< not to be chosen again
     const zone_id& zone; ///< availability zone of this process; workers in it are preferred
+    const cold_start_limit* cold_limit = nullptr; ///< null: the service's workers have no limit
 };
 
 /// The worker that was chosen for a request, and the estimates behind the choice.
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -243,6 +243,29 @@
         update.workers = changes_since(list, s.list_version);
 }
 
+/// Answers a query for leases on workers. A new leader gives none until its predecessor's have
+/// ended.
+void add_worker_leases(control_turn& t, const node_id& from, const table_query& msg,
+                       table_update& update)
+{
+    auto& lead = t.st.lead;
+    const auto* leader = std::get_if<leader_role>(&t.st.replication.role);
+    if (!msg.wants_worker_leases) {
+        lead.worker_leases = without_gateway(std::move(lead.worker_leases), from);
+        return;
+    }
+    if (leader == nullptr || lead.workers.version == 0 ||
+        t.ctx.now < first_lease_at(leader->elected_at))
+        return;
+    lead.worker_leases = with_listed_workers(std::move(lead.worker_leases), t.ctx.now,
+                                             lead.workers.version, lead.workers.hashes);
+    lease_step given =
+        give_leases(std::move(lead.worker_leases), t.ctx.now, {from, msg.sender.incarnation});
+    lead.worker_leases = std::move(given.next);
+    update.worker_leases = std::move(given.grant);
+    update.query_sent_at = msg.sent_at;
+}
+
 bool is_quarantined(const control_turn& t, const body_digest& fingerprint)
 {
     return t.st.machine.quarantine.quarantined_until.contains(fingerprint);
@@ -384,6 +407,7 @@
         add_control_nodes(t, s, update);
         add_worker_list(t, s, update);
         add_request_counts(t, s, update);
+        add_worker_leases(t, from, msg, update);
         for (const auto& report : msg.crash_reports)
             record_crash_report(t, from, report);
         if (record_crash_causes(t, from, msg.crash_causes))
@@ -503,9 +527,13 @@
     lead.list_read_time = t.ctx.now - std::max(lead.list_read_started_at, t.ctx.now - list_timeout);
     lead.next_list_read_at = t.ctx.now + list_interval;
     const std::uint64_t previous_version = lead.workers.version;
-    auto read = listed->is_complete ? listed->workers
-                                    : with_unread_workers(listed->workers, lead.workers.workers);
-    lead.workers = with_read_list(std::move(lead.workers), std::move(read), lead.at_term);
+    // The list itself keeps the announced cold times of workers that were not read.
+    std::vector<worker_entry> known = lead.workers.workers;
+    for (auto& w : known)
+        w.warmup_remaining = microseconds{0};
+    auto read = listed->is_complete ? listed->workers : with_unread_workers(listed->workers, known);
+    lead.workers =
+        with_read_list(std::move(lead.workers), std::move(read), lead.at_term, t.ctx.now);
     if (lead.workers.version == previous_version)
         return;
     for (const auto& [id, s] : lead.subscribers) {
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -264,8 +264,10 @@
     std::size_t newly_draining = 0;
     std::size_t added = 0;
     std::vector<worker_entry> known;
-    for (const auto& [instance, w] : t.st.workers.workers)
+    for (const auto& [instance, w] : t.st.workers.workers) {
         known.push_back(w.entry);
+        known.back().warmup_remaining = std::max(microseconds{0}, w.warmup_until - t.ctx.now);
+    }
     const auto workers = ev.is_complete ? ev.workers : with_unread_workers(ev.workers, known);
     for (const auto& w : workers) {
         const auto it = t.st.workers.workers.find(w.instance);
@@ -355,6 +357,7 @@
 gateway_step finish(turn t)
 {
     start_held_requests(t);
+    review_cold_workers(t);
     t.out.emplace_back(schedule_tick{next_tick_at(t.st, t.ctx.now)});
     return {std::move(t.st), std::move(t.out)};
 }
@@ -395,6 +398,7 @@
                                           {"routes", std::to_string(table.routes.size())},
                                           {"keys", std::to_string(table.keys.size())}}));
         t.st.table = std::move(table);
+        t.st.workers.cold_starts.review_at = instant{}; // its limits may be new
         t.out.emplace_back(set_caller_limits{t.st.table.limits});
     }
     update_readiness(t);
--- a/src/libcore/gateway_answers.cpp
+++ b/src/libcore/gateway_answers.cpp
@@ -248,6 +248,7 @@
     if (ev.stage == attempt_stage::unsent) {
         ex.sent_attempts -= 1;
         ex.unsent_attempts += 1;
+        record_unsent_request(t, ex, worker);
     } else {
         ex.may_have_run = true;
     }
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -170,6 +170,7 @@
     const auto passed_over = find_passed_over(t.st.workers, ex.policy.service, t.ctx.now);
     if (!passed_over.empty())
         fields.push_back({"passed_over", format_passed_over(passed_over, t.ctx.now)});
+    add_cold_fields(t, ex.policy.service, choice.instance, fields);
     t.out.emplace_back(make_log_line(log_level::info, component, "Request is sent to a worker.",
                                      ex.request.id, std::move(fields)));
 }
@@ -199,6 +200,7 @@
     effect.time_left = ex.deadline - t.ctx.now;
     if (engine != nullptr)
         effect.priority = engine_priority(ex);
+    effect.leave_by = cold_departure(t, ex.policy.service, instance);
     effect.last_event_id = ex.events.last;
     ex.must_continue = ex.events.last.has_value();
     effect.fetch_from = choice.fetch_from;
@@ -242,24 +244,15 @@
         refuse(t, id, status, to_string(failure));
 }
 
-/// Recalls the requests to the worker of which no byte has left yet, for instance because their
-/// connections are still being established. `answered` is the one that it has just answered.
-void recall_attempts(turn& t, const std::string& worker, attempt_number answered)
-{
-    for (const auto& [attempt, id] : t.st.attempts) {
-        if (attempt != answered && t.st.exchanges.at(id).tried_instances.back() == worker)
-            t.out.emplace_back(recall_attempt{attempt});
-    }
-}
-
 /// Chooses a worker that has not been tried and isn't one of `avoided`.
 worker_choice choose_for(turn& t, exchange_id id, const std::vector<std::string>& avoided)
 {
     const exchange& ex = t.st.exchanges.at(id);
     std::vector<std::string> excluded = ex.tried_instances;
     excluded.insert(excluded.end(), avoided.begin(), avoided.end());
-    const worker_criteria criteria{ex.policy.service, find_demand(ex), find_engine(t, ex), excluded,
-                                   t.ctx.self.zone};
+    const worker_criteria criteria{ex.policy.service,  find_demand(ex),
+                                   find_engine(t, ex), excluded,
+                                   t.ctx.self.zone,    find_cold_limit(t, ex.policy.service)};
     return choose_worker(t.st.workers, criteria, t.ctx.now, t.ctx.random ^ id);
 }
 
@@ -294,6 +287,14 @@
 
 } // namespace
 
+void recall_attempts(turn& t, const std::string& worker, attempt_number answered)
+{
+    for (const auto& [attempt, id] : t.st.attempts) {
+        if (attempt != answered && t.st.exchanges.at(id).tried_instances.back() == worker)
+            t.out.emplace_back(recall_attempt{attempt});
+    }
+}
+
 void reschedule_timer(turn& t, exchange_id id, exchange& ex)
 {
     t.st.timers.erase({ex.due_at, id});
@@ -331,7 +332,9 @@
 /// so that not all callers come at once.
 microseconds choose_retry_after(const turn& t, exchange_id id, const exchange& ex)
 {
-    const auto next = next_available_at(t.st.workers, ex.policy.service, t.ctx.now);
+    auto next = next_available_at(t.st.workers, ex.policy.service, t.ctx.now);
+    if (!next)
+        next = all_cold_until(t, ex.policy.service);
     if (next) {
         const microseconds pause = *next - t.ctx.now;
         const auto spread = std::max<microseconds>(pause / retry_spread_divisor, min_retry_after);
@@ -404,6 +407,7 @@
     const auto passed_over = find_passed_over(t.st.workers, ex.policy.service, t.ctx.now);
     if (!passed_over.empty())
         reason += ": " + format_passed_over(passed_over, t.ctx.now);
+    reason += describe_cold(t, ex.policy.service);
     fail_exchange(t, id, ex,
                   error{error_code::unavailable, "choose worker", ex.policy.service.str(),
                         std::move(reason)});
--- a/src/libcore/gateway_observations.cpp
+++ b/src/libcore/gateway_observations.cpp
@@ -5,9 +5,15 @@
 
 namespace bluebell::core::gateway {
 
-void observe_attempt_started(turn&, const exchange&, const worker_choice&) {}
-
-void observe_answer_head(turn&, const exchange&, const worker_answer&) {}
+void observe_attempt_started(turn& t, const exchange& ex, const worker_choice&)
+{
+    count_cold_request(t, ex);
+}
+
+void observe_answer_head(turn& t, const exchange& ex, const worker_answer& head)
+{
+    apply_cold_time(t, ex, head);
+}
 
 void observe_rejection(turn&, const exchange&, std::uint16_t) {}
 
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -43,6 +43,9 @@
 /// Applies what a worker says of itself in the head of an answer, and recalls the other requests to
 /// it.
 void apply_notice(turn& t, const std::string& worker, const attempt_head& ev);
+/// Recalls the requests to the worker of which no byte has left yet, for instance because their
+/// connections are still being established. `answered` is the one that it has just answered.
+void recall_attempts(turn& t, const std::string& worker, attempt_number answered);
 /// Chooses another worker for a request that was recalled in time.
 void on(turn& t, const attempt_recalled& ev);
 /// Handles an attempt that ended without an answer to send to the caller: starts another attempt if
@@ -99,6 +102,37 @@
 /// The request ends, answered or not.
 void observe_request_ended(turn& t, const exchange& ex);
 
+// gateway_cold.cpp
+
+/// Returns what cold workers of the service tolerate, or null if they have no limit.
+[[nodiscard]] const cold_start_limit* find_cold_limit(const turn& t, const service_id& service);
+/// Returns when a request to the worker that is decided on now must have left; 0: at any time.
+[[nodiscard]] instant cold_departure(const turn& t, const service_id& service,
+                                     const std::string& instance);
+/// Adds to a log line of a choice that the chosen worker is cold, and which ones were passed over
+/// because they are.
+void add_cold_fields(const turn& t, const service_id& service, const std::string& instance,
+                     std::vector<log_field>& fields);
+/// Returns which workers of the service are cold and may get nothing now, for the reason of a
+/// refusal; empty if there are none.
+[[nodiscard]] std::string describe_cold(const turn& t, const service_id& service);
+/// Returns when the first worker may get a request if all of the service wait for that because
+/// they are cold.
+[[nodiscard]] std::optional<instant> all_cold_until(const turn& t, const service_id& service);
+/// Counts a request that is sent to a worker.
+void count_cold_request(turn& t, const exchange& ex);
+/// Applies what a worker says of its cold time.
+void apply_cold_time(turn& t, const exchange& ex, const worker_answer& head);
+/// Records that no byte of a request to the worker could be sent.
+void record_unsent_request(turn& t, const exchange& ex, const std::string& worker);
+/// Logs which workers have become cold or warm, and recalls requests that are still on their way
+/// to those that have become cold.
+void review_cold_workers(turn& t);
+/// Returns whether the gateway needs leases on workers: its table has a service with a limit.
+[[nodiscard]] bool wants_worker_leases(const gateway_state& st);
+/// Takes over the leases of an answer.
+void take_worker_leases(turn& t, const table_update& update);
+
 // gateway_crashes.cpp
 
 /// How it was found that a worker's process has ended.
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -56,6 +56,12 @@
                       !has_table,
                       {},
                       list_hash(st.crashes.fleet)};
+    if (gateway::wants_worker_leases(st)) {
+        st.workers.cold_starts.leases =
+            with_lease_query(std::move(st.workers.cold_starts.leases), ctx.now);
+        query.wants_worker_leases = true;
+        query.sent_at = ctx.now.time_since_epoch();
+    }
     if (leader_is_known) {
         crash_reports_step taken = take_reports(std::move(st.crashes), ctx.now);
         st.crashes = std::move(taken.next);
@@ -224,9 +230,11 @@
         const request_crash_list crash_list = update.crash_list.value_or(st.crashes.fleet);
         st.crashes = with_fleet_list(std::move(st.crashes), crash_list);
     }
-    if (update.evacuations)
+    if (update.evacuations) {
         st.workers.evacuations =
             with_evacuations(std::move(st.workers.evacuations), ctx.now, *update.evacuations);
+        st.workers.cold_starts.review_at = instant{}; // workers of zones taken back are cold
+    }
     update_controls(st.table_sync, update.control_nodes);
     st.workers = with_cached_prompts(std::move(st.workers), update.cached_prompts,
                                      max_cache_capacity(st.table));
@@ -257,6 +265,9 @@
         }
     }
     gateway::turn t{std::move(st), ctx, std::move(out)};
+    if (update.from_leader)
+        gateway::take_worker_leases(t, update);
+    gateway::review_cold_workers(t);
     gateway::review_watched_workers(t);
     gateway::update_readiness(t);
     t.out.emplace_back(schedule_tick{t.st.table_sync.next_query_at});
--- a/src/libcore/worker_choice.cpp
+++ b/src/libcore/worker_choice.cpp
@@ -9,6 +9,7 @@
 //   not all gateways leave it and come back at the same moment.
 // - Of plain workers, two are drawn at random, so none gets more than twice its share.
 
+#include <bluebell/core/cold_choice.h>
 #include <bluebell/core/worker_choice.h>
 
 #include <algorithm>
@@ -53,10 +54,19 @@
                availability(table.standings, w.entry.instance, now));
 }
 
+/// Returns whether the worker is cold and may get nothing from this process now.
+bool is_withheld(const worker_table& table, const worker_record& w, const worker_criteria& criteria,
+                 instant now)
+{
+    return criteria.cold_limit != nullptr &&
+           use_of(warmth_of(table, w, *criteria.cold_limit, now), 0) == cold_use::none;
+}
+
 bool is_eligible(const worker_table& table, const worker_record& w, const worker_criteria& criteria,
                  instant now)
 {
     return w.entry.service == criteria.service && is_available(table, w, now) &&
+           !is_withheld(table, w, criteria, now) &&
            std::find(criteria.tried_instances.begin(), criteria.tried_instances.end(),
                      w.entry.instance) == criteria.tried_instances.end();
 }
@@ -269,15 +279,64 @@
     return choice;
 }
 
+/// Removes the cold workers from the candidates, and those whose share still rises and that aren't
+/// drawn, if there are others. Returns the cold ones, which get the request only if no other worker
+/// accepts it.
+std::vector<candidate> set_cold_apart(service_view& view, const worker_table& table,
+                                      const worker_criteria& criteria, instant now,
+                                      std::uint64_t random)
+{
+    if (criteria.cold_limit == nullptr)
+        return {};
+    std::vector<candidate> reserved;
+    std::vector<candidate> waiting;
+    std::erase_if(view.candidates, [&](const candidate& c) {
+        const auto warmth = warmth_of(table, *c.worker, *criteria.cold_limit, now);
+        const cold_use use = use_of(warmth, uniform(*c.worker, ~random));
+        if (use == cold_use::reserved)
+            reserved.push_back(c);
+        if (use == cold_use::waiting)
+            waiting.push_back(c);
+        return use != cold_use::free;
+    });
+    if (view.candidates.empty())
+        view.candidates = std::move(waiting);
+    if (view.candidates.empty())
+        view.candidates = std::exchange(reserved, {});
+    return reserved;
+}
+
+/// Moves the cold workers that are among the prompt's first homes to the candidates.
+void add_cold_homes(service_view& view, std::vector<candidate>& reserved, hash64 key)
+{
+    constexpr std::size_t home_count = 2;
+    std::erase_if(reserved, [&](const candidate& c) {
+        const hash64 weight = hash_of(c.worker->entry.instance, key);
+        const auto heavier = [&](const candidate& other) {
+            return hash_of(other.worker->entry.instance, key) > weight;
+        };
+        const auto before = std::count_if(view.candidates.begin(), view.candidates.end(), heavier);
+        const bool is_home = static_cast<std::size_t>(before) < home_count;
+        if (is_home)
+            view.candidates.push_back(c);
+        return is_home;
+    });
+}
+
 worker_choice choose_engine(const worker_table& table, const worker_criteria& criteria, instant now,
-                            std::uint64_t random, const service_view& view)
+                            std::uint64_t random, service_view view,
+                            std::vector<candidate> reserved)
 {
     const engine_demand& demand = *criteria.demand;
     const hash64 key = home_hash(demand);
+    add_cold_homes(view, reserved, key);
     const prompt_homes homes =
         find_homes(view, key, share_of(table.recent_prompts, key, now), random);
-    const candidate& chosen =
-        homes.accepting != nullptr ? *homes.accepting : less_loaded_of_two(view, criteria, random);
+    const service_view spare{std::move(reserved), view.mean_load};
+    const service_view& fallback = spare.candidates.empty() ? view : spare;
+    const candidate& chosen = homes.accepting != nullptr
+                                  ? *homes.accepting
+                                  : less_loaded_of_two(fallback, criteria, random);
     worker_choice choice = make_choice(chosen);
     choice.cached_tokens = estimate_cached_tokens(chosen.worker->prompt_cache, demand.prompt);
     if (criteria.engine == nullptr || !criteria.engine->can_fetch_prompts)
@@ -325,12 +384,13 @@
 worker_choice choose_worker(const worker_table& table, const worker_criteria& criteria, instant now,
                             std::uint64_t random)
 {
-    const service_view view = view_service(table, criteria, now);
+    service_view view = view_service(table, criteria, now);
+    std::vector<candidate> reserved = set_cold_apart(view, table, criteria, now, random);
     if (view.candidates.empty())
         return {};
     if (criteria.demand == nullptr)
         return make_choice(less_loaded_of_two(view, criteria, random));
-    return choose_engine(table, criteria, now, random, view);
+    return choose_engine(table, criteria, now, random, std::move(view), std::move(reserved));
 }
 
 } // namespace bluebell::core
--- a/src/libcore/worker_list.cpp
+++ b/src/libcore/worker_list.cpp
@@ -53,17 +53,58 @@
     return touched;
 }
 
+/// Returns the end of a worker's cold time, 0 if it is not cold.
+instant cold_end(const worker_entry& w, instant read_at)
+{
+    return w.warmup_remaining.count() > 0 ? read_at + w.warmup_remaining : instant{};
+}
+
+/// Decides by the announced end of each worker's cold time, in the order of `read`, whether the end
+/// that was read now is announced, which adds the worker to `touched`. An end that isn't announced
+/// may be later than the announced one by the tolerance at most. An earlier one is replaced in
+/// `read` by the announced one, so that gateways that get the list later are told of no earlier
+/// end.
+std::vector<instant> announce_cold_times(std::vector<worker_entry>& read, const worker_list& before,
+                                         std::vector<std::string>& touched, instant read_at)
+{
+    const std::set<std::string> changed(touched.begin(), touched.end());
+    std::vector<instant> announced;
+    announced.reserve(read.size());
+    std::size_t i = 0;
+    for (auto& w : read) {
+        while (i < before.workers.size() && before.workers[i].instance < w.instance)
+            ++i;
+        const instant end = cold_end(w, read_at);
+        const bool is_known = i < before.workers.size() && before.workers[i].instance == w.instance;
+        const instant earlier = is_known ? before.cold_until[i] : instant{};
+        const bool is_colder = end > earlier + cold_rise_tolerance;
+        if (is_known && is_colder && !changed.contains(w.instance))
+            touched.push_back(w.instance);
+        if (!is_known || is_colder || changed.contains(w.instance)) {
+            announced.push_back(end);
+            continue;
+        }
+        announced.push_back(earlier);
+        w.warmup_remaining = std::max(w.warmup_remaining, earlier - read_at);
+    }
+    return announced;
+}
+
 } // namespace
 
-worker_list with_read_list(worker_list current, std::vector<worker_entry> read, term at_term)
+worker_list with_read_list(worker_list current, std::vector<worker_entry> read, term at_term,
+                           instant read_at)
 {
     std::stable_sort(read.begin(), read.end(), by_instance);
     const auto is_repeated = [](const auto& a, const auto& b) { return a.instance == b.instance; };
     read.erase(std::unique(read.begin(), read.end(), is_repeated), read.end());
     const bool is_first = current.version == 0;
     auto touched = find_differences(current.workers, read);
-    if (!is_first && touched.empty())
+    auto cold_until = announce_cold_times(read, current, touched, read_at);
+    if (!is_first && touched.empty()) {
+        current.workers = std::move(read);
         return current;
+    }
     const std::uint64_t base_version = current.version;
     current.version = std::max(base_version + 1, at_term * max_versions_per_term);
     if (!is_first)
@@ -71,6 +112,7 @@
     if (current.revisions.size() > max_revisions)
         current.revisions.pop_front();
     current.workers = std::move(read);
+    current.cold_until = std::move(cold_until);
     current.hashes.clear();
     current.hashes.reserve(current.workers.size());
     for (const auto& w : current.workers)
--- a/src/libcore/worker_list_test.cpp
+++ b/src/libcore/worker_list_test.cpp
@@ -113,6 +113,7 @@
 BOOST_AUTO_TEST_CASE(a_list_in_another_order_or_with_less_warm_up_is_no_change)
 {
     std::vector<worker_entry> read{worker(1, "engine"), worker(2, "engine")};
+    read[1].warmup_remaining = seconds(3);
     worker_list list = with_read_list({}, read, 1);
     const std::uint64_t version = list.version;
     std::swap(read[0], read[1]);
--- a/src/libcore/worker_table.cpp
+++ b/src/libcore/worker_table.cpp
@@ -96,7 +96,7 @@
     next.standings = without_old(std::move(current.standings), now);
     next.recent_prompts = std::move(current.recent_prompts);
     next.evacuations = std::move(current.evacuations);
-    next.cold_starts = std::move(current.cold_starts);
+    next.cold_starts = without_old(std::move(current.cold_starts), now);
     next.work = std::move(current.work);
     next.list_received = true;
     next.list_received_at = now;
@@ -105,6 +105,8 @@
         worker_record w = old.empty() ? worker_record{} : std::move(old.mapped());
         w.entry = entry;
         w.warmup_until = now + entry.warmup_remaining;
+        next.cold_starts = with_listed_cold(std::move(next.cold_starts), now, entry.instance,
+                                            entry.warmup_remaining);
         next.workers.emplace(entry.instance, std::move(w));
     }
     return next;
@@ -117,12 +119,15 @@
     current.list_received = true;
     current.list_received_at = now;
     current.standings = without_old(std::move(current.standings), now);
+    current.cold_starts = without_old(std::move(current.cold_starts), now);
     for (const auto& instance : removed)
         current.workers.erase(instance);
     for (const auto& entry : changed) {
         worker_record& w = current.workers[entry.instance];
         w.entry = entry;
         w.warmup_until = now + entry.warmup_remaining;
+        current.cold_starts = with_listed_cold(std::move(current.cold_starts), now, entry.instance,
+                                               entry.warmup_remaining);
     }
     return current;
 }
--- a/src/libruntime/worker_channel.cpp
+++ b/src/libruntime/worker_channel.cpp
@@ -81,9 +81,10 @@
 } // namespace
 
 worker_channel::worker_channel(std::weak_ptr<worker_client> client,
+                               std::shared_ptr<event_loop> loop,
                                std::shared_ptr<byte_stream> stream, std::string address)
-    : client_(std::move(client)), stream_(std::move(stream)), address_(std::move(address)),
-      reader_(message_reader::answers(max_answer_head_bytes))
+    : client_(std::move(client)), loop_(std::move(loop)), stream_(std::move(stream)),
+      address_(std::move(address)), reader_(message_reader::answers(max_answer_head_bytes))
 {
 }
 
@@ -107,7 +108,7 @@
     if (!stream)
         return tl::unexpected(stream.error());
     std::shared_ptr<worker_channel> c(
-        new worker_channel(std::move(client), std::move(*stream), address));
+        new worker_channel(std::move(client), loop, std::move(*stream), address));
     c->connect_timer_ = watcher::timer(*loop, [raw = c.get()] { raw->on_connect_timeout(); });
     c->connect_timer_->arm(connect_timeout);
     c->start();
@@ -126,14 +127,24 @@
             channel->on_closed(failure);
     };
     handlers.connected = [self = weak_from_this()] {
-        if (const auto channel = self.lock()) {
-            channel->connected_ = true;
-            channel->connect_timer_.reset();
-        }
+        if (const auto channel = self.lock())
+            channel->on_connected();
     };
     stream_->start(std::move(handlers));
 }
 
+/// Called before a byte is written. A process that stood still may get here late, and before the
+/// timer does.
+void worker_channel::on_connected()
+{
+    if (leave_by_ != core::instant{} && loop_->now() > leave_by_) {
+        fail({error_code::deadline_exceeded, "connect", address_, "too late to send the request"});
+        return;
+    }
+    connected_ = true;
+    connect_timer_.reset();
+}
+
 void worker_channel::run(const core::start_attempt& e,
                          const std::vector<core::header_field>& fields)
 {
@@ -147,6 +158,9 @@
     interim_answers_ = 0;
     unrelated_bytes_ = 0;
     head_timer_.reset();
+    leave_by_ = e.leave_by;
+    if (!connected_ && leave_by_ != core::instant{})
+        connect_timer_->arm(std::clamp(leave_by_ - loop_->now(), microseconds{0}, connect_timeout));
     stream_->pause_reading(false);
     reader_.next(!head_only_);
     stream_->write(encode_head(e.request, fields));
--- a/src/libruntime/worker_channel_pvt.h
+++ b/src/libruntime/worker_channel_pvt.h
@@ -39,9 +39,10 @@
     [[nodiscard]] core::instant usable_until() const { return usable_until_; }
 
 private:
-    worker_channel(std::weak_ptr<worker_client> client, std::shared_ptr<byte_stream> stream,
-                   std::string address);
+    worker_channel(std::weak_ptr<worker_client> client, std::shared_ptr<event_loop> loop,
+                   std::shared_ptr<byte_stream> stream, std::string address);
     void start();
+    void on_connected();
     void on_connect_timeout();
     std::size_t on_data(std::string_view data);
     void on_closed(const core::error* failure);
@@ -52,6 +53,7 @@
     void fail(core::error failure);
 
     std::weak_ptr<worker_client> client_;
+    std::shared_ptr<event_loop> loop_;
     std::shared_ptr<byte_stream> stream_;
     std::string address_;
     message_reader reader_;
@@ -60,6 +62,7 @@
     core::request_id request_;                   ///< answers that name another request are dropped
     std::vector<core::hash64> refused_requests_; ///< hashes of the ids of those refused here
     bool connected_ = false;
+    core::instant leave_by_{};            ///< as start_attempt::leave_by
     bool head_only_ = false;              ///< the request was HEAD
     bool head_handled_ = false;           ///< the head of the current answer was handled
     bool is_other_answer_ = false;        ///< the current answer belongs to another request
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -354,6 +354,7 @@
             query.crash_reports.push_back(get(report));
         query.evacuation_version = from.evacuations();
         query.wants_worker_leases = from.wants_leases();
+        query.sent_at = microseconds(from.sent_at_us());
         for (const auto& demand : from.demands())
             query.service_demands.push_back(get(demand));
         for (const auto& condition : from.conditions())
@@ -424,6 +425,7 @@
         put(*from.crash_list, *to.mutable_crashes());
     if (from.evacuations)
         put(*from.evacuations, *to.mutable_evacuations());
+    to.set_query_sent_at_us(from.query_sent_at.count());
     if (from.worker_leases)
         put(*from.worker_leases, *to.mutable_leases());
     for (const auto& share : from.place_shares)
@@ -451,6 +453,7 @@
         update.crash_list = get(from.crashes());
     if (from.has_evacuations())
         update.evacuations = get(from.evacuations());
+    update.query_sent_at = microseconds(from.query_sent_at_us());
     if (from.has_leases())
         update.worker_leases = get(from.leases());
     for (const auto& share : from.shares())
@@ -503,6 +506,7 @@
                 put(m.crash_causes, *to.mutable_table_query()->mutable_causes());
             to.mutable_table_query()->set_evacuations(m.evacuation_version);
             to.mutable_table_query()->set_wants_leases(m.wants_worker_leases);
+            to.mutable_table_query()->set_sent_at_us(m.sent_at.count());
             for (const auto& demand : m.service_demands)
                 put(demand, *to.mutable_table_query()->add_demands());
             for (const auto& condition : m.worker_conditions)
