--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -130,6 +130,7 @@
         router_state st;
         if (scenario_.pass) {
             st.gateway.enabled = true;
+            st.gateway.workers.cold_starts.tolerance = cold_tolerance;
             st.gateway.table_sync.seeds = {make_node("control-0", node_role::control)};
             st.gateway.retry_config = {retry_permille, 0, max_retry_balance_permille};
         }
@@ -513,7 +514,8 @@
             [&](const workers_stop& f) { workers_->stop_workers(f.service, f.share, f.down_time); },
             [&](const workers_slow& f) {
                 workers_->slow_workers(f.service, f.share, f.factor, f.duration);
-            });
+            },
+            [&](const workers_cold& f) { workers_->cool_workers(f.service, f.share); });
     }
 
     static int agent_number(const node_id& id)
--- a/bench/pass_callers.cpp
+++ b/bench/pass_callers.cpp
@@ -96,6 +96,11 @@
         if (group.runs_models)
             service.engine = engine_config{group.slots, 441'000, true};
     }
+    for (const auto& cold : s.cold) {
+        if (cold.limited)
+            table.services[service_id::from_trusted(cold.service)].cold_start = {
+                cold.requests_per_s, cold.duration};
+    }
     if (s.crashing)
         add_keys(table, s.crashing->change, version);
     return table;
--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -3,9 +3,11 @@
 /// outcome of each request.
 #pragma once
 
+#include <bluebell/core/cold_start.h>
 #include <bluebell/core/time.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -115,6 +117,16 @@
     friend bool operator==(const crashing_request&, const crashing_request&) = default;
 };
 
+/// Workers of a service are cold after a start, and may become cold again.
+struct cold_workers {
+    std::string service;
+    double requests_per_s = 0;
+    microseconds duration{3'000'000};
+    bool limited = true; ///< the routing table states the limit; false: for comparison
+
+    friend bool operator==(const cold_workers&, const cold_workers&) = default;
+};
+
 /// The callers and workers of pass-through requests.
 struct pass_scenario {
     std::vector<request_kind> kinds;
@@ -122,6 +134,7 @@
     std::vector<surge> surges;
     std::vector<hot_session> hot_sessions;
     std::optional<crashing_request> crashing;
+    std::vector<cold_workers> cold;
     double from_s = 0; ///< first request, in seconds
     /// A refused caller comes back this often, after the stated time or, if `impatient`, at once.
     int resends = 1;
@@ -131,6 +144,9 @@
     friend bool operator==(const pass_scenario&, const pass_scenario&) = default;
 };
 
+/// How far the limits of cold workers may be exceeded in any second, as on the users' platform.
+inline constexpr cold_start_tolerance cold_tolerance{1.5, 5, microseconds(800'000)};
+
 enum class pass_outcome : std::uint8_t {
     open,
     served,
@@ -169,6 +185,10 @@
     std::uint64_t runs_in_vain = 0;         ///< runs that were broken off before their end
     std::vector<instant> crashing_arrivals; ///< of the crashing requests at workers
     std::vector<instant> worker_ends;       ///< of workers that ended under them
+    /// Highest number of arrivals at one cold worker in any second, by service, and all arrivals at
+    /// cold workers. Those before gateways could know that the worker is cold don't count.
+    std::map<std::string, std::size_t> highest_cold_rate;
+    std::map<std::string, std::size_t> cold_arrivals;
 
     friend bool operator==(const pass_result&, const pass_result&) = default;
 };
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -63,8 +63,14 @@
     double factor = 2;
     microseconds duration{3'000'000};
 };
-using fault_kind = std::variant<engine_crash, agent_stop, agent_start, agent_drain, router_stop,
-                                control_partition, routers_restart, workers_stop, workers_slow>;
+/// A share of a service's workers becomes cold again without a restart.
+struct workers_cold {
+    std::string service;
+    double share = 0;
+};
+using fault_kind =
+    std::variant<engine_crash, agent_stop, agent_start, agent_drain, router_stop, control_partition,
+                 routers_restart, workers_stop, workers_slow, workers_cold>;
 /// A fault and the second at which it happens.
 struct fault {
     double at_s = 0;
--- a/bench/worker_pool.cpp
+++ b/bench/worker_pool.cpp
@@ -36,6 +36,12 @@
 /// From the begin of a crashing request to the end of its worker.
 constexpr microseconds crash_delay{5'000};
 constexpr std::uint16_t misdirected_request = 421;
+/// Age of what the platform's list shows, while the scenario has cold workers.
+constexpr microseconds list_lag{800'000};
+/// Longest time until the leader reads the list again, with the reading.
+constexpr microseconds list_read_time{800'000};
+/// Longest time until gateways in contact have a change of the list.
+constexpr microseconds list_push_time{300'000};
 
 microseconds from_ms(double ms)
 {
@@ -63,6 +69,7 @@
 {
     if (s.crashing)
         crashing_ = *s.crashing;
+    cold_ = s.cold;
     int number = 0;
     for (const auto& group : s.groups) {
         for (int i = 0; i < group.count; ++i) {
@@ -86,8 +93,15 @@
 {
     std::vector<worker_entry> entries;
     entries.reserve(workers_.size());
-    for (const auto& [address, w] : workers_)
+    // The list shows the workers as they were a moment ago.
+    const instant shown_at = clock_.now() - list_lag;
+    for (const auto& [address, w] : workers_) {
         entries.push_back(w.entry);
+        if (!w.earlier_instance.empty() && shown_at < w.started_at)
+            entries.back().instance = w.earlier_instance;
+        else if (shown_at >= w.cold_from && shown_at < w.cold_until)
+            entries.back().warmup_remaining = w.cold_until - shown_at;
+    }
     return entries;
 }
 
@@ -125,6 +139,7 @@
         return;
     }
     record_arrival(w);
+    record_cold_arrival(w);
     if (w.running >= w.group.slots && w.waiting.size() >= w.group.queue) {
         addresses_.erase(id);
         worker_answer refusal = make_answer(w, e, 503);
@@ -171,6 +186,47 @@
     result_.highest_load_to_mean = std::max(result_.highest_load_to_mean, (load + 1) / (mean + 1));
 }
 
+void worker_pool::record_cold_arrival(worker& w)
+{
+    const instant now = clock_.now();
+    if (now < w.known_cold_from || now >= w.cold_until)
+        return;
+    while (!w.cold_arrivals.empty() && now - w.cold_arrivals.front() >= seconds(1))
+        w.cold_arrivals.pop_front();
+    w.cold_arrivals.push_back(now);
+    std::size_t& highest = result_.highest_cold_rate[w.group.service];
+    highest = std::max(highest, w.cold_arrivals.size());
+    result_.cold_arrivals[w.group.service] += 1;
+}
+
+void worker_pool::begin_cold(worker& w, microseconds until_known)
+{
+    for (const auto& cold : cold_) {
+        if (cold.service != w.group.service)
+            continue;
+        w.cold_from = clock_.now();
+        w.cold_until = w.cold_from + cold.duration;
+        w.known_cold_from = w.cold_from + until_known;
+    }
+}
+
+void worker_pool::start_anew(worker& w)
+{
+    w.earlier_instance = w.entry.instance;
+    w.starts += 1;
+    w.entry.instance = w.group.service + "-" + w.entry.address + "-" + std::to_string(w.starts);
+    w.started_at = clock_.now();
+    w.up = true;
+    // Nobody knows the new instance before the list shows it, with its cold time.
+    begin_cold(w, microseconds{0});
+}
+
+void worker_pool::cool_workers(const std::string& service, double share)
+{
+    for (auto* w : first_workers(service, share))
+        begin_cold(*w, list_lag + list_read_time + list_push_time);
+}
+
 void worker_pool::begin(worker& w, const run_id& id)
 {
     run& r = w.runs.at(id);
@@ -362,7 +418,13 @@
 {
     for (auto* w : first_workers(service, share)) {
         stop(*w);
-        clock_.schedule(clock_.now() + down_time, [w] { w->up = true; });
+        const bool starts_cold = std::any_of(
+            cold_.begin(), cold_.end(), [&](const auto& cold) { return cold.service == service; });
+        clock_.schedule(clock_.now() + down_time, [this, w, starts_cold] {
+            if (starts_cold)
+                start_anew(*w);
+            w->up = true;
+        });
     }
 }
 
--- a/bench/worker_pool.h
+++ b/bench/worker_pool.h
@@ -8,6 +8,7 @@
 
 #include <bluebell/core/worker_table.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
@@ -45,6 +46,8 @@
     /// Slows down the first `share` of the service's workers for this time.
     void slow_workers(const std::string& service, double share, double factor,
                       microseconds duration);
+    /// Makes the first `share` of the service's workers cold.
+    void cool_workers(const std::string& service, double share);
 
 private:
     using run_id = std::pair<node_id, attempt_number>;
@@ -65,11 +68,22 @@
         std::multimap<int, run_id> waiting; ///< by priority, in order of arrival
         instant prefill_free_at{};
         prompt_cache_estimate cache;
+        std::string earlier_instance; ///< that the list still shows
+        instant started_at{};         ///< of this instance
+        instant cold_from{};          ///< the last cold time
+        instant cold_until{};
+        instant known_cold_from{}; ///< gateways in contact know of it
+        std::deque<instant> cold_arrivals;
     };
 
     void arrive(const node_id& gateway, const start_attempt& e);
     void report_failed_connection(const node_id& gateway, const start_attempt& e);
     void record_arrival(const worker& w);
+    void record_cold_arrival(worker& w);
+    /// Begins the worker's cold time if its service has one.
+    void begin_cold(worker& w, microseconds until_known);
+    /// Starts the process of a worker as a new instance.
+    void start_anew(worker& w);
     void begin(worker& w, const run_id& id);
     microseconds prefill(worker& w, const start_attempt& e);
     void send_event(const std::string& address, const run_id& id);
@@ -91,6 +105,7 @@
     sink on_event_;
     pass_result& result_;
     crashing_request crashing_;
+    std::vector<cold_workers> cold_;
     std::map<std::string, worker> workers_; ///< by address
     std::unordered_map<request_id, request_work> works_;
     std::map<run_id, std::string> addresses_; ///< worker of each run
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -451,6 +451,33 @@
     BOOST_TEST(last_update().worker_request_counts.has_value());
 }
 
+// Guards against leases that a new leader gives while those of its predecessor are in force, against
+// leases that nobody has asked for, and against ones that can't be told from those of another query.
+BOOST_FIXTURE_TEST_CASE(a_new_leader_gives_no_leases_at_first, leading_replica)
+{
+    std::vector<worker_entry> workers(1);
+    workers[0].instance = "w1";
+    const context here{now, 5, self, fleet};
+    st = reduce(std::move(st), here, exchange_event(worker_list_received{workers})).next;
+    table_query query;
+    query.sender.id = node_id::from_trusted("router-1");
+    query.sent_at = microseconds(17);
+    auto& leader = std::get<leader_role>(st.replication.role);
+    leader.elected_at = now - min_worker_lease_tenure;
+    receive(fleet_message(query));
+    BOOST_TEST(!last_update().worker_leases.has_value());
+    query.wants_worker_leases = true;
+    leader.elected_at = now - min_worker_lease_tenure + milliseconds(1);
+    receive(fleet_message(query));
+    BOOST_TEST(!last_update().worker_leases.has_value());
+    leader.elected_at = now - min_worker_lease_tenure;
+    receive(fleet_message(query));
+    BOOST_REQUIRE(last_update().worker_leases.has_value());
+    BOOST_TEST(last_update().worker_leases->positions.size() == 1U);
+    BOOST_TEST(last_update().worker_leases->list_version == st.lead.workers.version);
+    BOOST_TEST(last_update().query_sent_at.count() == 17);
+}
+
 // What a gateway is sent regularly must not grow with what hasn't changed.
 BOOST_FIXTURE_TEST_CASE(a_gateway_is_sent_only_what_has_changed, leading_replica)
 {
--- a/src/libruntime/worker_client_test.cpp
+++ b/src/libruntime/worker_client_test.cpp
@@ -417,6 +417,32 @@
     BOOST_TEST(events.size() == 3U); // the head and the end of the first answer
 }
 
+// Guards against requests to a cold worker that leave long after their decision, for instance when
+// the process stood still while their connections were established.
+BOOST_FIXTURE_TEST_CASE(a_request_that_is_too_late_does_not_leave, fixture)
+{
+    core::start_attempt a;
+    a.attempt = 78;
+    a.address = "127.0.0.1:" + std::to_string(port);
+    a.request.method = "GET";
+    a.request.target = "/a";
+    a.request.id = core::request_id::from_trusted("late");
+    a.leave_by = loop->now() - core::milliseconds(1);
+    client->run(a);
+    run();
+    BOOST_REQUIRE(reported<core::attempt_broken>().size() == 1U);
+    BOOST_TEST((reported<core::attempt_broken>()[0].stage == core::attempt_stage::unsent));
+    for (const auto& request : requests)
+        BOOST_TEST(request.empty());
+    a.attempt = 79;
+    a.leave_by = loop->now() + core::seconds(10);
+    client->run(a);
+    run();
+    BOOST_REQUIRE(!requests.empty());
+    BOOST_TEST(!requests.back().empty());
+    BOOST_TEST(reported<core::attempt_broken>().size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(what_marked_the_end_of_an_answer_is_reported, fixture)
 {
     ask("q1");
