--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -132,6 +132,7 @@
         router_state st;
         if (scenario_.pass) {
             st.gateway.enabled = true;
+            st.gateway.workers.cold_starts.tolerance = cold_tolerance;
             st.gateway.table_sync.seeds = {make_node("control-0", node_role::control)};
             st.gateway.retry_config = {retry_permille, 0, max_retry_balance_permille};
         }
@@ -521,7 +522,8 @@
                          table_event(evacuation_called{f.evacuated ? "start" : "end",
                                                        zone_id::from_trusted(f.zone), f.evacuated,
                                                        wall_time(0)}));
-            });
+            },
+            [&](const workers_cold& f) { workers_->cool_workers(f.service, f.share); });
     }
 
     static int agent_number(const node_id& id)
