Hold what clients send and don't read within one budget

client_buffers owns the process's budget and serves all HTTP servers. Sessions report what they hold, wait for room for large bodies, leave pipelined requests unread in the kernel, and start the next request when earlier answers have gone. At the limit of connections an idle one gives way. The operators' API is served by the same server in place of evhttp, which reads on without limit during a response. A body is shared with the worker's connection, not copied, and freed buffers go back to the system (mallopt).

Timeouts go by progress: a body may take as long as something arrives within each idle timeout, an answer as long as its client's system acknowledges something; TCP_USER_TIMEOUT isn't set on callers' connections. A drained router ends when its callers have acknowledged their answers, or 0.6 s before it is killed.

The test connection_closes_when_too_much_data_arrives_before_the_response is replaced: such a connection now stays open, and the test checks that the bytes stay unread and that the client's end is still seen. In descriptors_are_kept_free_of_accepted_connections the fixture's own client now has a request, since an idle connection gives way; the limit of 30 is checked as before.

--- a/src/bluebell/main.cpp
+++ b/src/bluebell/main.cpp
@@ -4,6 +4,7 @@
 
 #include <cxxopts.hpp>
 #include <glog/logging.h>
+#include <malloc.h>
 #include <platform.h>
 
 #include <csignal>
@@ -17,6 +18,12 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cannot_start = 3;
 
+/// Blocks from this size on are returned to the system when they are freed. By default glibc raises
+/// the size with each freed block, and buffers of past large bodies then stay with the process.
+constexpr int min_returned_block_bytes = 128 * 1024;
+/// Free memory at the end of the heap that the process keeps.
+constexpr int max_kept_heap_bytes = 1024 * 1024;
+
 constexpr const char* help_tail =
     "\nThe role is set by node.role in the settings: a router takes callers' requests and chooses\n"
     "agents, an agent stands beside one backend server, a control replica keeps the fleet's\n"
@@ -70,6 +77,8 @@
     }
     initialize_log(loaded->log, program);
     std::signal(SIGPIPE, SIG_IGN);
+    ::mallopt(M_MMAP_THRESHOLD, min_returned_block_bytes);
+    ::mallopt(M_TRIM_THRESHOLD, max_kept_heap_bytes);
     const auto p = process::make(file, *loaded);
     if (!p) {
         std::cerr << "bluebell: " << core::to_string(p.error()) << "\n";
--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -44,6 +44,12 @@
 /// waits for the kernel's SYN retransmissions, which are seconds apart.
 constexpr milliseconds platform_connect_timeout{500};
 
+// Connections to the small servers of a process. Their descriptors are among those that the
+// callers' server keeps free.
+
+constexpr std::size_t max_table_connections = 128;
+constexpr std::size_t max_readiness_connections = 64;
+
 router_state initial_router(const settings::node_settings& s)
 {
     router_state st;
@@ -133,7 +139,8 @@
         return tl::unexpected(node.error());
     node_ = std::move(*node);
     node_->telemetry().set_min_level(settings_.log.min_level);
-    return open_peers()
+    return open_buffers()
+        .and_then([this] { return open_peers(); })
         .and_then([this] { return open_callers(); })
         .and_then([this] { return open_engine(); })
         .and_then([this] { return open_disk(); })
@@ -141,6 +148,21 @@
         .and_then([this] { return open_admin(); });
 }
 
+result<void> process::open_buffers()
+{
+    const std::uint64_t memory_bytes =
+        settings_.from_platform ? settings_.from_platform->memory_bytes : 0;
+    const auto limits =
+        make_client_budget_limits(memory_bytes, settings_.caller_http_limits.max_buffered_bytes);
+    if (!limits)
+        return tl::unexpected(limits.error());
+    buffers_ = runtime::client_buffers::make(loop_, *limits);
+    buffers_->set_metric_sink(
+        [this](const record_metric& sample) { node_->telemetry().record(loop_->now(), sample); });
+    LOG(INFO) << "process: Bytes held for clients are limited. limit=" << limits->total_bytes;
+    return {};
+}
+
 result<void> process::open_peers()
 {
     runtime::peer_bus_options bus;
@@ -188,6 +210,7 @@
     http.max_header_bytes = settings_.caller_http_limits.max_header_bytes;
     http.idle_timeout = seconds(settings_.caller_http_limits.idle_timeout_s);
     http.max_connections = settings_.caller_http_limits.max_connections;
+    http.buffers = buffers_;
     auto callers = runtime::caller_server::make(
         loop_, http, [this](event_body body) { dispatch(std::move(body)); });
     if (!callers)
@@ -270,9 +293,12 @@
     pass_codec_ = platform::make_pass_codec();
     adapters_.parse_table = platform::parse_routing_table;
     if (from_platform.table_endpoint.port != 0) {
-        auto tables = runtime::table_server::make(
-            loop_, {from_platform.table_endpoint.host, from_platform.table_endpoint.port, {}},
-            platform::make_table_codec(), sink);
+        runtime::http_server_options http{
+            from_platform.table_endpoint.host, from_platform.table_endpoint.port, {}};
+        http.max_connections = max_table_connections;
+        http.max_descriptors = from_platform.max_descriptors;
+        http.buffers = buffers_;
+        auto tables = runtime::table_server::make(loop_, http, platform::make_table_codec(), sink);
         if (!tables)
             return tl::unexpected(tables.error());
         adapters_.table_api = std::move(*tables);
@@ -288,6 +314,10 @@
     options.readiness = {
         from_platform.readiness_endpoint.host, from_platform.readiness_endpoint.port, {}};
     options.ready_path = platform::make_table_codec().ready_path;
+    options.callers.max_descriptors = from_platform.max_descriptors;
+    options.callers.buffers = buffers_;
+    options.readiness.max_connections = max_readiness_connections;
+    options.readiness.buffers = buffers_;
     auto pass = runtime::pass_server::make(loop_, options, pass_codec_, sink);
     if (!pass)
         return tl::unexpected(pass.error());
@@ -303,8 +333,8 @@
     auto tokens = read_operator_tokens(settings_.operator_token_file);
     if (!tokens)
         return tl::unexpected(tokens.error());
-    runtime::admin_server_options options{settings_.admin_endpoint.host,
-                                          settings_.admin_endpoint.port, std::move(*tokens)};
+    runtime::admin_server_options options{
+        settings_.admin_endpoint.host, settings_.admin_endpoint.port, std::move(*tokens), buffers_};
     auto admin = runtime::admin_server::make(
         loop_, std::move(options),
         {[this]() -> const node_state& { return node_->state(); },
--- a/src/bluebell/process.h
+++ b/src/bluebell/process.h
@@ -31,6 +31,7 @@
     {
     }
     [[nodiscard]] core::result<void> open();
+    [[nodiscard]] core::result<void> open_buffers();
     [[nodiscard]] core::result<void> open_peers();
     [[nodiscard]] core::result<void> open_callers();
     [[nodiscard]] core::result<void> open_engine();
@@ -52,7 +53,8 @@
     std::shared_ptr<runtime::event_loop> loop_;
     std::unique_ptr<runtime::log_output> log_; ///< null if log lines go to a folder
     std::shared_ptr<runtime::node_runner> node_;
-    runtime::pass_codec pass_codec_; ///< outlives the adapters that refer to it
+    std::shared_ptr<runtime::client_buffers> buffers_; ///< shared by all HTTP servers
+    runtime::pass_codec pass_codec_;                   ///< outlives the adapters that refer to it
     runtime::node_adapters adapters_;
     std::optional<runtime::run_marker> run_marker_; ///< none without a data folder
 };
--- a/src/include/bluebell/runtime/admin_server.h
+++ b/src/include/bluebell/runtime/admin_server.h
@@ -1,30 +1,28 @@
 /// \file
-/// HTTP server for operators, over evhttp: health, readiness, metrics, status, explanations and
+/// HTTP server for operators: health, readiness, metrics, status, explanations and
 /// changes. The request of a change is held open until its operator_reply effect arrives.
 #pragma once
 
 #include <bluebell/admin/operator_api.h>
 #include <bluebell/core/effect.h>
 #include <bluebell/runtime/event_loop.h>
+#include <bluebell/runtime/http_server.h>
 #include <bluebell/runtime/node_telemetry.h>
+#include <bluebell/wire/chat_http.h>
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
 
-struct evhttp;
-struct evhttp_request;
-
 namespace bluebell::runtime {
 
-class admin_session;
-
 /// Address of the server and the tokens of operators.
 struct admin_server_options {
     std::string host = "127.0.0.1";
     std::uint16_t port = 0;
     admin::operator_tokens bearer_tokens;
+    std::shared_ptr<client_buffers> buffers{}; ///< see http_server_options
 
     friend bool operator==(const admin_server_options&, const admin_server_options&) = default;
 };
@@ -45,7 +43,6 @@
 
     admin_server(const admin_server&) = delete;
     admin_server& operator=(const admin_server&) = delete;
-    ~admin_server();
 
     /// Answers all requests that wait for the result of this operation.
     void run(const core::operator_reply& e);
@@ -61,21 +58,21 @@
         : loop_(std::move(loop)), options_(std::move(options)), source_(std::move(source))
     {
     }
-    static void on_request(evhttp_request* request, void* self);
-    void handle_request(evhttp_request* request);
-    void answer(evhttp_request* request, const admin::operator_request& parsed);
-    void start_change(evhttp_request* request, const admin::submit_change& submitted);
+    using session_ptr = std::shared_ptr<http_session>;
 
-    friend class admin_session;
+    void handle_request(const session_ptr& session, const wire::http_request& request);
+    void answer(const session_ptr& session, const admin::operator_request& parsed);
+    void start_change(const session_ptr& session, const admin::submit_change& submitted);
 
     std::shared_ptr<event_loop> loop_;
     admin_server_options options_;
     admin_source source_;
-    evhttp* http_ = nullptr;
     bool ready_ = true;
     /// Requests that wait for the result of a change, by operation; repeated requests of one
     /// operation wait in parallel.
-    std::unordered_multimap<std::string, std::shared_ptr<admin_session>> pending_changes_;
+    std::unordered_multimap<std::string, session_ptr> pending_changes_;
+    /// Last member, so that it is destroyed first: its callbacks use the members above.
+    std::shared_ptr<http_server> http_;
 };
 
 } // namespace bluebell::runtime
--- a/src/include/bluebell/runtime/byte_stream.h
+++ b/src/include/bluebell/runtime/byte_stream.h
@@ -3,9 +3,11 @@
 /// one system call.
 #pragma once
 
+#include <bluebell/core/bytes.h>
 #include <bluebell/core/error.h>
 #include <bluebell/runtime/event_loop.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -39,7 +41,8 @@
     /// below the time that the platform's callers wait.
     static constexpr core::microseconds default_stall_timeout{2'500'000};
 
-    /// Takes ownership of an accepted descriptor.
+    /// Takes ownership of an accepted descriptor. A stall_timeout of 0 leaves it to the owner to
+    /// end connections without progress (see acknowledged_bytes()).
     [[nodiscard]] static std::shared_ptr<byte_stream>
     adopt(std::shared_ptr<event_loop> loop, int descriptor,
           core::microseconds stall_timeout = default_stall_timeout);
@@ -66,12 +69,34 @@
     /// system's buffers hold, and its close is not noticed.
     void pause_reading(bool paused);
 
+    /// Reads on only while fewer bytes than this are read and not consumed. The rest stays in the
+    /// system's buffers.
+    void limit_unread(std::size_t max_bytes);
+
     /// Queues bytes, which are sent before the event loop waits.
     void write(std::string_view data);
+    /// The same without a copy: the bytes are shared until they are sent.
+    void write(const core::bytes& data);
     /// Sends queued bytes now, as far as the socket takes them.
     void flush();
     /// Returns the number of queued bytes not written to the socket yet; 0 after close().
     [[nodiscard]] std::size_t unsent_bytes() const;
+    /// Returns the number of bytes written to the socket so far.
+    [[nodiscard]] std::uint64_t written_bytes() const { return written_bytes_; }
+    /// Returns how many of the written bytes the peer's system has acknowledged. While the peer
+    /// reads, this number grows, however slowly it reads.
+    [[nodiscard]] std::uint64_t acknowledged_bytes() const;
+    /// Returns the number of bytes read from the socket so far.
+    [[nodiscard]] std::uint64_t received_bytes() const { return received_bytes_; }
+    /// Returns whether the peer has closed or reset the connection, even if bytes before that are
+    /// still unread in the system's buffers. To be asked while reading is paused or limited.
+    [[nodiscard]] bool peer_has_closed() const;
+    /// Returns whether bytes that arrive are read now, so that the peer's close will be noticed.
+    [[nodiscard]] bool is_reading() const { return waiting_readable_; }
+    /// Returns whether the connection has not been closed by this side.
+    [[nodiscard]] bool is_open() const { return descriptor_ >= 0; }
+    /// Returns how much memory the bytes take that are read but not consumed.
+    [[nodiscard]] std::size_t unread_capacity() const { return unread_.capacity(); }
     /// Returns whether there are bytes that the data callback has not consumed.
     [[nodiscard]] bool has_unread() const { return !unread_.empty(); }
 
@@ -94,6 +119,7 @@
     void deliver(std::string_view data);
     void schedule_flush();
     void watch_writable(bool enabled);
+    void watch_readable();
     void finish_connect();
     void fail(const core::error* failure);
     void linger_done();
@@ -105,12 +131,16 @@
     ::event* readable_ = nullptr;
     ::event* writable_ = nullptr;
     evbuffer* output_ = nullptr;
-    std::string unread_; ///< bytes read but not consumed
+    std::string unread_;                               ///< bytes read but not consumed
+    std::size_t max_unread_bytes_ = std::string::npos; ///< reading stops at this size of unread_
+    std::uint64_t written_bytes_ = 0;
+    std::uint64_t received_bytes_ = 0;
     /// Error of the first write that failed. The system reports a reset only once, so a read that
     /// follows sees an ordinary end of the connection.
     std::optional<core::error> write_failure_;
     bool connecting_ = false;
     bool reading_paused_ = false;
+    bool waiting_readable_ = false; ///< the read event is registered
     bool flush_scheduled_ = false;
     bool waiting_writable_ = false;         ///< waiting until the socket is writable
     bool closing_ = false;                  ///< closes when all queued bytes are sent
--- a/src/include/bluebell/runtime/caller_server.h
+++ b/src/include/bluebell/runtime/caller_server.h
@@ -26,10 +26,12 @@
     /// Maximum of reply bytes queued for one caller; a slower caller is disconnected.
     std::size_t max_unsent_bytes = std::size_t{2} * 1024 * 1024;
     std::size_t max_connections = 16'000;
-    core::microseconds request_timeout{30'000'000}; ///< from a request's first byte to its last
+    core::microseconds request_timeout{30'000'000}; ///< see http_server_options
     core::microseconds idle_timeout{75'000'000};    ///< between two requests of a connection
-    /// A caller that reads nothing for this time is disconnected.
+    /// A caller whose system acknowledges nothing for this time is disconnected.
     core::microseconds stall_timeout{60'000'000};
+    std::size_t max_descriptors = 0;           ///< see http_server_options
+    std::shared_ptr<client_buffers> buffers{}; ///< see http_server_options
 
     friend bool operator==(const caller_server_options&, const caller_server_options&) = default;
 };
--- a/src/include/bluebell/runtime/http_server.h
+++ b/src/include/bluebell/runtime/http_server.h
@@ -5,10 +5,12 @@
 #pragma once
 
 #include <bluebell/runtime/byte_stream.h>
+#include <bluebell/runtime/client_buffers.h>
 #include <bluebell/runtime/message_reader.h>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -65,13 +67,33 @@
     void reject_request(const core::error& failure);
     void finish_request();
     void write_head(std::uint16_t status, const std::vector<core::header_field>& fields);
+    std::size_t read_request(http_server& server, std::string_view data);
+    void claim_body(http_server& server);
+    void on_body_granted();
+    void update_reading();
+    void report();
+    void give_way();
+    void refuse_for_room(http_server& server);
+    void check(core::instant now);
+    [[nodiscard]] bool may_read_request() const;
+    [[nodiscard]] bool is_without_head() const;
+    [[nodiscard]] bool has_unsent() const;
     [[nodiscard]] bool is_overdue(core::instant now) const;
+    [[nodiscard]] bool is_stalled(core::instant now);
 
     std::weak_ptr<http_server> server_;
     std::shared_ptr<byte_stream> stream_;
     message_reader reader_;
     phase phase_ = phase::reading;
-    std::string body_;                  ///< body of the request that is being read
+    core::connection_number number_ = 0; ///< in the budget
+    std::string body_;                   ///< body of the request that is being read
+    std::size_t request_bytes_ = 0;      ///< of the request in progress
+    std::uint64_t reported_moved_ = 0;   ///< bytes read and written up to the last report
+    std::uint64_t output_mark_ = 0;      ///< acknowledged output at the last check
+    core::instant output_progress_at_{}; ///< when a check last found progress of the output
+    core::instant read_progress_at_{};   ///< when the last byte of the request arrived
+    bool has_claim_ = false;             ///< a claim was made for the body that is being read
+    bool waits_for_room_ = false;        ///< that claim is not granted yet
     core::instant phase_started_at_{};  ///< when the wait for a request or the request itself began
     bool request_started_ = false;      ///< at least one byte of the request was read
     bool is_http_1_0_ = false;          ///< version of the current request
@@ -89,11 +111,16 @@
     core::caller_limits limits;
     /// Fewer if the process has too few file descriptors for them and for its other connections.
     std::size_t max_connections = 3'000;
-    /// Maximum time from a request's first byte to its last. While a body is being read, the idle
-    /// timeout of the limits applies as well.
+    /// Maximum time from a request's first byte to the end of its head, and between two parts of
+    /// its body. The header timeout and the idle timeout of the limits apply as well.
     core::microseconds request_timeout = core::microseconds::max();
-    /// A client that reads nothing for this time is disconnected.
-    core::microseconds stall_timeout = byte_stream::default_stall_timeout;
+    /// A client whose system acknowledges nothing of its answer for this time is disconnected;
+    /// none: the idle timeout of the limits.
+    std::optional<core::microseconds> stall_timeout{};
+    /// File descriptors that the process may open by its settings; 0: only its system limits them.
+    std::size_t max_descriptors = 0;
+    /// The process's budget, shared by its servers; null: one of the server's own.
+    std::shared_ptr<client_buffers> buffers{};
 
     friend bool operator==(const http_server_options&, const http_server_options&) = default;
 };
@@ -131,6 +158,8 @@
     void disable_keep_alive() { keep_alive_disabled_ = true; }
     /// Closes the connections on which no request is in progress.
     void close_idle();
+    /// Returns whether clients have not acknowledged all that was sent to them.
+    [[nodiscard]] bool has_unsent() const;
 
 private:
     friend class http_session;
@@ -140,14 +169,22 @@
     /// Pauses accepting, for example when no file descriptor is free.
     static void on_accept_error(evconnlistener* listener, void* self);
     void remove_session(const std::shared_ptr<http_session>& session);
-    void close_overdue();
+    void keep_until_flushed(const std::shared_ptr<http_session>& session);
+    [[nodiscard]] bool close_for_new();
+    [[nodiscard]] std::size_t connection_count() const
+    {
+        return sessions_.size() + flushing_.size();
+    }
+    void check_connections();
 
     std::shared_ptr<event_loop> loop_;
     http_server_options options_;
     callbacks handlers_;
     evconnlistener* listener_ = nullptr;
     std::unordered_set<std::shared_ptr<http_session>> sessions_;
-    std::unique_ptr<watcher> overdue_timer_;
+    /// Sessions that close when their last response has been sent.
+    std::unordered_set<std::shared_ptr<http_session>> flushing_;
+    std::unique_ptr<watcher> check_timer_;
     std::unique_ptr<watcher> accept_timer_; ///< ends the pause after a connection wasn't accepted
     bool accepting_fails_ = false;          ///< since the last accepted connection
     bool keep_alive_disabled_ = false;
--- a/src/include/bluebell/runtime/node_runner.h
+++ b/src/include/bluebell/runtime/node_runner.h
@@ -66,6 +66,7 @@
     void run_effects(const core::effects& out);
     void arm_tick(core::instant due_at);
     void on_timer();
+    void stop_when_received();
 
     friend struct effect_runner;
 
--- a/src/include/bluebell/runtime/pass_server.h
+++ b/src/include/bluebell/runtime/pass_server.h
@@ -45,10 +45,12 @@
     void set_ready(bool ready) { ready_ = ready; }
     /// Closes idle connections. The other ones close after their responses.
     void close_idle() { http_->close_idle(); }
+    /// Returns whether callers have not acknowledged all that was sent to them.
+    [[nodiscard]] bool has_unsent() const { return http_->has_unsent(); }
 
 private:
-    pass_server(const pass_codec& codec, sink on_event)
-        : codec_(codec), on_event_(std::move(on_event))
+    pass_server(const pass_codec& codec, std::shared_ptr<client_buffers> buffers, sink on_event)
+        : codec_(codec), buffers_(std::move(buffers)), on_event_(std::move(on_event))
     {
     }
     void handle_request(const std::shared_ptr<http_session>& session, const message_head& head,
@@ -60,6 +62,7 @@
                                       const pass_server_options& options);
 
     const pass_codec& codec_;
+    std::shared_ptr<client_buffers> buffers_;
     sink on_event_;
     std::shared_ptr<http_server> http_;
     std::shared_ptr<http_server> readiness_;
--- a/src/include/bluebell/settings/settings.h
+++ b/src/include/bluebell/settings/settings.h
@@ -47,6 +47,8 @@
     std::uint32_t max_header_bytes = 16 * 1024;     ///< all headers of one request
     std::uint32_t idle_timeout_s = 600;             ///< seconds without a byte in either direction
     std::uint32_t max_connections = 20'000;
+    /// Held for all clients of the process; 0: derived from the machine's memory.
+    std::uint32_t max_buffered_bytes = 0;
 
     friend bool operator==(const http_limits&, const http_limits&) = default;
 };
--- a/src/libruntime/byte_stream.cpp
+++ b/src/libruntime/byte_stream.cpp
@@ -5,11 +5,14 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -20,6 +23,8 @@
 
 namespace {
 
+/// Capacity of the buffer of unread bytes that a connection keeps, in bytes.
+constexpr std::size_t max_kept_capacity = 1024;
 constexpr std::size_t read_buffer_size = 64 * 1024; ///< bytes
 /// TCP keep-alive: an idle connection is probed after keepalive_idle_s seconds,
 /// then every keepalive_interval_s seconds, and fails after keepalive_probes unanswered probes.
@@ -39,7 +44,11 @@
 {
     evutil_make_socket_nonblocking(fd);
     set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(stall_timeout.count() / 1000));
+    // The system also ends connections whose window was closed at each of its probes, though the
+    // peer went on reading between them, so owners that know better set no time.
+    if (stall_timeout.count() != 0)
+        set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   static_cast<int>(stall_timeout.count() / 1000));
     set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
@@ -112,7 +121,7 @@
     if (connecting_)
         watch_writable(true);
     else
-        event_add(readable_, nullptr);
+        watch_readable();
 }
 
 void byte_stream::on_ready(int, short events, void* self)
@@ -125,7 +134,7 @@
     }
     if ((events & EV_WRITE) != 0)
         stream->flush();
-    if ((events & EV_READ) != 0 && stream->descriptor_ >= 0 && !stream->reading_paused_)
+    if ((events & EV_READ) != 0 && stream->descriptor_ >= 0 && stream->waiting_readable_)
         stream->read();
 }
 
@@ -141,8 +150,7 @@
         return;
     }
     watch_writable(false);
-    if (!reading_paused_)
-        event_add(readable_, nullptr);
+    watch_readable();
     if (handlers_.connected)
         handlers_.connected();
     flush();
@@ -151,7 +159,12 @@
 void byte_stream::read()
 {
     static std::array<char, read_buffer_size> buf;
-    const ssize_t n = ::recv(descriptor_, buf.data(), buf.size(), 0);
+    const std::size_t room = max_unread_bytes_ - std::min(max_unread_bytes_, unread_.size());
+    if (room == 0) {
+        watch_readable();
+        return;
+    }
+    const ssize_t n = ::recv(descriptor_, buf.data(), std::min(buf.size(), room), 0);
     if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
     if (n < 0) {
@@ -164,6 +177,7 @@
         fail(failure ? &*failure : nullptr);
         return;
     }
+    received_bytes_ += static_cast<std::uint64_t>(n);
     if (!closing_)
         deliver(std::string_view(buf.data(), static_cast<std::size_t>(n)));
 }
@@ -189,8 +203,12 @@
         consumed = handlers_.data(unread_);
         if (descriptor_ >= 0)
             unread_.erase(0, consumed);
+        // Idle connections hold no buffer, and the beginning of a chunk not that of its forerunner.
+        if (unread_.capacity() > max_kept_capacity && unread_.size() <= max_kept_capacity)
+            unread_.shrink_to_fit();
     }
     delivering_ = false;
+    watch_readable();
 }
 
 void byte_stream::redeliver_unread()
@@ -206,15 +224,29 @@
 
 void byte_stream::pause_reading(bool paused)
 {
-    if (paused == reading_paused_)
-        return;
     reading_paused_ = paused;
+    watch_readable();
+}
+
+void byte_stream::limit_unread(std::size_t max_bytes)
+{
+    max_unread_bytes_ = max_bytes;
+    watch_readable();
+}
+
+/// Registers or removes the read event as pauses and the limit of unread bytes ask for.
+void byte_stream::watch_readable()
+{
     if (descriptor_ < 0 || connecting_)
         return;
-    if (paused)
-        event_del(readable_);
-    else
+    const bool enabled = !reading_paused_ && unread_.size() < max_unread_bytes_;
+    if (enabled == waiting_readable_)
+        return;
+    waiting_readable_ = enabled;
+    if (enabled)
         event_add(readable_, nullptr);
+    else
+        event_del(readable_);
 }
 
 void byte_stream::write(std::string_view data)
@@ -225,6 +257,20 @@
     schedule_flush();
 }
 
+void byte_stream::write(const core::bytes& data)
+{
+    if (descriptor_ < 0 || data.empty())
+        return;
+    const auto release = [](const void*, std::size_t, void* shared) {
+        delete static_cast<core::bytes*>(shared);
+    };
+    auto shared = std::make_unique<core::bytes>(data);
+    if (evbuffer_add_reference(output_, data.view().data(), data.size(), release, shared.get()) ==
+        0)
+        (void)shared.release(); // the buffer owns it
+    schedule_flush();
+}
+
 void byte_stream::schedule_flush()
 {
     if (flush_scheduled_ || waiting_writable_ || connecting_)
@@ -258,6 +304,7 @@
                 fail(nullptr);
             return;
         }
+        written_bytes_ += static_cast<std::uint64_t>(n);
         wrote = true;
     }
     watch_writable(evbuffer_get_length(output_) > 0);
@@ -289,6 +336,24 @@
     return descriptor_ < 0 ? 0 : evbuffer_get_length(output_);
 }
 
+std::uint64_t byte_stream::acknowledged_bytes() const
+{
+    int queued = 0;
+    if (descriptor_ < 0 || ::ioctl(descriptor_, SIOCOUTQ, &queued) != 0)
+        return written_bytes_;
+    return written_bytes_ - std::min(written_bytes_, static_cast<std::uint64_t>(queued));
+}
+
+bool byte_stream::peer_has_closed() const
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (descriptor_ < 0 || ::getsockopt(descriptor_, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return descriptor_ < 0;
+    return info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE ||
+           info.tcpi_state == TCP_LAST_ACK;
+}
+
 void byte_stream::close()
 {
     if (descriptor_ < 0)
@@ -299,7 +364,12 @@
     writable_ = nullptr;
     ::close(descriptor_);
     descriptor_ = -1;
-    unread_.clear();
+    waiting_readable_ = false;
+    unread_.clear(); // keeps its memory: the data callback may be reading it
+    if (!delivering_)
+        unread_.shrink_to_fit();
+    // Shared bytes are released now; the stream's owner may keep it for longer.
+    evbuffer_drain(output_, evbuffer_get_length(output_));
     // The callbacks own their targets, and the running callback must outlive its call.
     loop_->defer([handlers = std::exchange(handlers_, {}), self = weak_from_this().lock()] {});
 }
@@ -319,6 +389,8 @@
         return;
     closing_ = true;
     unread_.clear();
+    reading_paused_ = false;
+    limit_unread(std::string::npos);
     // The closed callback keeps the stream alive until the linger time ends.
     callbacks previous = std::exchange(handlers_, {});
     handlers_.written = previous.written;
--- a/src/libruntime/caller_reply.cpp
+++ b/src/libruntime/caller_reply.cpp
@@ -11,6 +11,18 @@
 
 using namespace core;
 
+wire::http_request to_request(const message_head& head, std::string body)
+{
+    wire::http_request r{head.method, head.target, {}, std::move(body)};
+    for (const auto& f : head.headers) {
+        std::string name = f.name;
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        r.headers[std::move(name)] = f.value;
+    }
+    return r;
+}
+
 void reply_json(http_session& session, std::uint16_t status, std::string_view json,
                 std::vector<header_field> fields)
 {
--- a/src/libruntime/caller_reply_pvt.h
+++ b/src/libruntime/caller_reply_pvt.h
@@ -4,6 +4,7 @@
 
 #include <bluebell/core/effect.h>
 #include <bluebell/runtime/http_server.h>
+#include <bluebell/wire/chat_http.h>
 
 #include <cstdint>
 #include <deque>
@@ -13,6 +14,9 @@
 
 namespace bluebell::runtime {
 
+/// Returns a request with the names of its headers in lower case.
+[[nodiscard]] wire::http_request to_request(const message_head& head, std::string body);
+
 /// Sends a response with a JSON body.
 void reply_json(http_session& session, std::uint16_t status, std::string_view json,
                 std::vector<core::header_field> fields = {});
--- a/src/libruntime/caller_server.cpp
+++ b/src/libruntime/caller_server.cpp
@@ -26,18 +26,6 @@
     return n;
 }
 
-wire::http_request to_request(const message_head& head, std::string body)
-{
-    wire::http_request r{head.method, head.target, {}, std::move(body)};
-    for (const auto& f : head.headers) {
-        std::string name = f.name;
-        std::transform(name.begin(), name.end(), name.begin(),
-                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        r.headers[std::move(name)] = f.value;
-    }
-    return r;
-}
-
 http_server_options server_options(const caller_server_options& options)
 {
     http_server_options http;
@@ -50,6 +38,8 @@
     http.max_connections = options.max_connections;
     http.request_timeout = options.request_timeout;
     http.stall_timeout = options.stall_timeout;
+    http.max_descriptors = options.max_descriptors;
+    http.buffers = options.buffers;
     return http;
 }
 
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -5,12 +5,20 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace bluebell::runtime {
 
 using namespace core;
 
-/// Time that a drained process leaves for sending its last answers before it stops.
+/// Time that a drained process leaves at least for sending its last answers before it stops.
 constexpr microseconds final_flush_time{400'000};
+/// Time between two checks whether callers have received their answers.
+constexpr microseconds received_check_interval{50'000};
+/// A process that waits for its callers ends this long before it is killed, as its drain does.
+constexpr microseconds kill_margin{600'000};
+/// A drained process whose platform states no time to its kill waits this long for its callers.
+constexpr microseconds max_receive_time{30'000'000};
 
 /// Executes one effect; one overload per kind of effect.
 struct effect_runner {
@@ -99,9 +107,10 @@
             return;
         const auto stop = [loop = node.loop_] { loop->stop(); };
         if (node.adapters_.pass_through) {
-            // The last answers may not have been written to the sockets yet.
+            // Callers may not have received the last answers yet.
             node.adapters_.pass_through->close_idle();
-            node.stop_timer_ = watcher::timer(*node.loop_, stop);
+            node.stop_timer_ =
+                watcher::timer(*node.loop_, [raw = &node] { raw->stop_when_received(); });
             node.stop_timer_->arm(final_flush_time);
             return;
         }
@@ -139,6 +148,20 @@
     dispatch(clock_event(tick{}));
 }
 
+/// Stops the loop when callers have received all answers, or the process must end.
+void node_runner::stop_when_received()
+{
+    const auto& gateway = std::get<router_state>(state_.role).gateway;
+    const microseconds time = gateway.drain_grace.count() == 0
+                                  ? max_receive_time
+                                  : std::max(microseconds{0}, gateway.drain_grace - kill_margin);
+    const instant ends_at = gateway.drain_started_at + time;
+    if (loop_->now() >= ends_at || !adapters_.pass_through->has_unsent())
+        loop_->stop();
+    else
+        stop_timer_->arm(received_check_interval);
+}
+
 void node_runner::dispatch(event_body body)
 {
     queue_.push_back(std::move(body));
--- a/src/libruntime/pass_server.cpp
+++ b/src/libruntime/pass_server.cpp
@@ -13,10 +13,9 @@
 
 namespace {
 
-/// A caller lags when more bytes of its answer than this wait to be sent, until only
-/// max_caught_up_bytes do.
-constexpr std::size_t max_unsent_bytes = std::size_t{256} * 1024;
-constexpr std::size_t max_caught_up_bytes = std::size_t{64} * 1024;
+/// A caller lags when more bytes of its answer wait to be sent than the budget allows, until only
+/// one in this many of those do.
+constexpr std::size_t caught_up_fraction = 4;
 
 /// Formats a duration as seconds with three decimals.
 std::string format_seconds(microseconds t)
@@ -32,7 +31,13 @@
                                                        const pass_server_options& options,
                                                        const pass_codec& codec, sink on_event)
 {
-    std::shared_ptr<pass_server> s(new pass_server(codec, std::move(on_event)));
+    pass_server_options used = options;
+    if (used.callers.buffers == nullptr)
+        used.callers.buffers = client_buffers::make(loop, {});
+    if (used.readiness.buffers == nullptr)
+        used.readiness.buffers = used.callers.buffers;
+    std::shared_ptr<pass_server> s(
+        new pass_server(codec, used.callers.buffers, std::move(on_event)));
     http_server::callbacks handlers;
     handlers.request = [raw = s.get()](const std::shared_ptr<http_session>& session,
                                        const message_head& head, std::string body) {
@@ -44,11 +49,11 @@
     handlers.written = [raw = s.get()](const std::shared_ptr<http_session>& session) {
         raw->on_written(session);
     };
-    auto http = http_server::make(loop, options.callers, std::move(handlers));
+    auto http = http_server::make(loop, used.callers, std::move(handlers));
     if (!http)
         return tl::unexpected(http.error());
     s->http_ = std::move(*http);
-    if (auto opened = s->open_readiness(loop, options); !opened)
+    if (auto opened = s->open_readiness(loop, used); !opened)
         return tl::unexpected(opened.error());
     return s;
 }
@@ -102,7 +107,8 @@
 
 void pass_server::on_written(const std::shared_ptr<http_session>& session)
 {
-    if (lagging_.empty() || session->unsent_bytes() > max_caught_up_bytes)
+    if (lagging_.empty() ||
+        session->unsent_bytes() > buffers_->max_unsent_answer() / caught_up_fraction)
         return;
     const auto it = exchanges_.find(session.get());
     if (it != exchanges_.end() && lagging_.erase(it->second) != 0)
@@ -134,7 +140,8 @@
     if (it == sessions_.end())
         return;
     it->second->send(e.data);
-    if (it->second->unsent_bytes() > max_unsent_bytes && lagging_.insert(e.exchange).second)
+    if (it->second->unsent_bytes() > buffers_->max_unsent_answer() &&
+        lagging_.insert(e.exchange).second)
         on_event_(exchange_event(pass_caller_lagging{e.exchange, true}));
 }
 
--- a/src/libruntime/worker_channel.cpp
+++ b/src/libruntime/worker_channel.cpp
@@ -150,7 +150,7 @@
     stream_->pause_reading(false);
     reader_.next(!head_only_);
     stream_->write(encode_head(e.request, fields));
-    stream_->write(e.request.body.view());
+    stream_->write(e.request.body);
 }
 
 bool worker_channel::may_carry(const core::request_id& request) const
--- a/src/libsettings/rules.cpp
+++ b/src/libsettings/rules.cpp
@@ -2,6 +2,7 @@
 
 #include "rules_pvt.h"
 
+#include <bluebell/core/client_budget.h>
 #include <bluebell/core/visit.h>
 
 #include <charconv>
@@ -145,6 +146,10 @@
 {
     return s.caller_http_limits.max_connections;
 }
+std::uint32_t& max_buffered_bytes_of(node_settings& s)
+{
+    return s.caller_http_limits.max_buffered_bytes;
+}
 endpoint& backend_endpoint_of(node_settings& s)
 {
     return s.backend_endpoint;
@@ -197,6 +202,7 @@
 {
     constexpr std::uint32_t max_body_bytes_limit = 64 * 1024 * 1024;
     constexpr std::uint32_t max_header_bytes_limit = 1024 * 1024;
+    constexpr std::uint32_t max_buffered_bytes_limit = 2'000'000'000;
     constexpr std::uint32_t max_idle_timeout_s = 86'400;
     const auto set_models = [](auto& s, auto& v) { return parse_ids(s.offer.models, v); };
     const auto set_services = [](auto& s, auto& v) { return parse_ids(s.offer.services, v); };
@@ -210,6 +216,10 @@
          number_value{1, max_idle_timeout_s, idle_timeout_of}, "600"},
         {"http.max_connections", for_router, false, false,
          number_value{1, 1'000'000, max_connections_of}, "20000"},
+        {"http.max_buffered_bytes", for_router, false, false,
+         number_value{core::min_client_budget_bytes, max_buffered_bytes_limit,
+                      max_buffered_bytes_of},
+         "67108864"},
         {"engine.address", for_agent, true, false, endpoint_value{backend_endpoint_of}, ""},
         {"engine.models", for_agent, false, true, custom_value{"words", set_models}, ""},
         {"engine.services", for_agent, false, true, custom_value{"words", set_services}, ""},
