--- a/bench/pass_callers.cpp
+++ b/bench/pass_callers.cpp
@@ -90,6 +90,8 @@
         r.max_workers = kind.max_workers;
         r.services = {{service_id::from_trusted(kind.service), 1}};
         table.routes.emplace(std::pair{r.host, r.path_prefix}, std::move(r));
+        if (!kind.workspace.empty())
+            table.keys[kind.workspace] = {workspace_id::from_trusted(kind.workspace), std::nullopt};
     }
     for (const auto& group : s.groups) {
         auto& service = table.services[service_id::from_trusted(group.service)];
@@ -217,6 +219,7 @@
     r.host = "h";
     r.id = request_id::from_trusted("q" + std::to_string(request_count_));
     r.caller_timeout = timeout;
+    r.credential = k.workspace;
     if (k.has_own_body)
         r.body = bytes::from(r.id.str());
     request_work work;
@@ -247,7 +250,7 @@
     const exchange_id id = last_exchange_;
     for (std::size_t tries = 0; tries < gateways_.size(); ++tries) {
         const node_id& gateway = gateways_[random_() % gateways_.size()];
-        open_[id] = {record, gateway, session, resends_left};
+        open_[id] = {record, gateway, session, resends_left, clock_.now()};
         if (on_event_(gateway, pass_request_received{id, request}))
             break;
     }
@@ -270,6 +273,8 @@
         return;
     const open_request request = it->second;
     open_.erase(it);
+    if (outcome == pass_outcome::refused && clock_.now() - request.sent_at > late_refusal_time)
+        result_.late_refusals += 1;
     pass_record& q = result_.requests[request.record];
     const auto& kind = scenario_.kinds[q.kind];
     const instant resend_at = clock_.now() + (scenario_.impatient ? microseconds{0} : retry_after);
--- a/bench/pass_callers.h
+++ b/bench/pass_callers.h
@@ -37,6 +37,7 @@
         node_id gateway;
         int session = 0;
         int resends_left = 0;
+        instant sent_at{};
     };
 
     using named_part = std::pair<std::string, std::uint32_t>; ///< name and tokens
--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -35,6 +35,7 @@
     std::uint32_t session_tokens = 0;
     std::uint32_t question_tokens = 0; ///< of the last part, which no other request has
     bool has_own_body = false; ///< no other request has its body; else all requests have none
+    std::string workspace{};   ///< holds the key that requests carry; empty: they carry none
 
     friend bool operator==(const request_kind&, const request_kind&) = default;
 };
@@ -155,10 +156,14 @@
     instant at{};
     std::string service;
     bool over_limit = false; ///< the worker held over twice the mean of its service, plus 3
+    bool rejected = false;   ///< its slots and its queue were full
 
     friend bool operator==(const worker_arrival&, const worker_arrival&) = default;
 };
 
+/// A refusal within this time, which covers a retry at another worker, counts as given at once.
+inline constexpr microseconds late_refusal_time{20'000};
+
 /// What a run's pass-through requests came to.
 struct pass_result {
     std::vector<pass_record> requests;
@@ -167,6 +172,8 @@
     std::uint64_t reread_tokens = 0; ///< of shared parts that some worker had already read
     std::uint64_t fetched_tokens = 0;
     std::uint64_t runs_in_vain = 0;         ///< runs that were broken off before their end
+    /// Answers that refused a request later than late_refusal_time after it was sent.
+    std::uint64_t late_refusals = 0;
     std::vector<instant> crashing_arrivals; ///< of the crashing requests at workers
     std::vector<instant> worker_ends;       ///< of workers that ended under them
 
--- a/bench/worker_pool.cpp
+++ b/bench/worker_pool.cpp
@@ -127,6 +127,7 @@
     record_arrival(w);
     if (w.running >= w.group.slots && w.waiting.size() >= w.group.queue) {
         addresses_.erase(id);
+        result_.arrivals.back().rejected = true;
         worker_answer refusal = make_answer(w, e, 503);
         refusal.not_run = true;
         report(gateway, attempt_head{e.attempt, std::move(refusal)});
