Lease places of a plain service under pressure, and queue at the gateways

Cause: gateways send to workers that they could know are full, retry at the next full one, and refuse callers with a time to come back at which nothing has changed.

Change: the leader divides the places among the gateways that report demand (place_share.cpp). A gateway under pressure holds what can be served in time, paces starts by its share, passes over workers that have refused, and refuses the rest at once with the time of their turn (service_queue.cpp, gateway_admission.cpp).

--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -171,7 +171,7 @@
     double highest_load_to_mean = 0; ///< highest number at one worker, over the service's mean + 1
     std::uint64_t reread_tokens = 0; ///< of shared parts that some worker had already read
     std::uint64_t fetched_tokens = 0;
-    std::uint64_t runs_in_vain = 0;         ///< runs that were broken off before their end
+    std::uint64_t runs_in_vain = 0; ///< runs that were broken off before their end
     /// Answers that refused a request later than late_refusal_time after it was sent.
     std::uint64_t late_refusals = 0;
     std::vector<instant> crashing_arrivals; ///< of the crashing requests at workers
--- a/bench/patterns_scarce.cpp
+++ b/bench/patterns_scarce.cpp
@@ -103,12 +103,12 @@
     for (std::size_t kind = 0; kind < s.pass->kinds.size(); ++kind) {
         const auto& k = s.pass->kinds[kind];
         const pass_selection all{kind, load_from_s, s.duration_s - 1};
-        std::printf("    %-10s value %.3f  in target %.3f  served %.3f  refused %.3f  failed %.3f\n",
-                    k.name.c_str(), value_of_kind(s, r.pass, kind),
-                    share_in_target(r.pass, all, k.target),
-                    share_with_outcome(r.pass, all, pass_outcome::served),
-                    share_with_outcome(r.pass, all, pass_outcome::refused),
-                    share_with_outcome(r.pass, all, pass_outcome::failed));
+        std::printf(
+            "    %-10s value %.3f  in target %.3f  served %.3f  refused %.3f  failed %.3f\n",
+            k.name.c_str(), value_of_kind(s, r.pass, kind), share_in_target(r.pass, all, k.target),
+            share_with_outcome(r.pass, all, pass_outcome::served),
+            share_with_outcome(r.pass, all, pass_outcome::refused),
+            share_with_outcome(r.pass, all, pass_outcome::failed));
     }
 }
 
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -7,6 +7,7 @@
 #include <bluebell/core/crash_cases.h>
 #include <bluebell/core/crash_watch.h>
 #include <bluebell/core/dissemination.h>
+#include <bluebell/core/place_share.h>
 #include <bluebell/core/replication.h>
 #include <bluebell/core/request_sums.h>
 #include <bluebell/core/roster.h>
@@ -93,6 +94,7 @@
     std::uint64_t prompt_count = 0; ///< all prompts reported so far, also those no longer stored
     instant next_voter_review_at{};
     request_sums sums;      ///< over all subscribers
+    place_ledger places;    ///< of plain services under pressure, as leased to gateways
     worker_list workers;    ///< the platform's list, as last read
     instant list_read_at{}; ///< when the list was last read; 0: never
     instant next_list_read_at{};
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -365,6 +365,33 @@
     return s;
 }
 
+/// Leases the gateway shares of the services that it names. Answers nothing while the leases of an
+/// earlier leader may be in force, and for a service whose slots the list doesn't state.
+void add_place_shares(control_turn& t, const node_id& from, const table_query& msg,
+                      table_update& update)
+{
+    auto& lead = t.st.lead;
+    if (!lead.places.empty())
+        lead.places = with_contact(std::move(lead.places), t.ctx.now, from);
+    const auto* leader = std::get_if<leader_role>(&t.st.replication.role);
+    if (msg.service_demands.empty() || leader == nullptr ||
+        t.ctx.now - leader->elected_at < place_lease_warmup)
+        return;
+    const auto gateways = static_cast<std::size_t>(
+        std::count_if(lead.subscribers.begin(), lead.subscribers.end(), [&](const auto& entry) {
+            return t.ctx.now - entry.second.last_contact_at < subscriber_timeout;
+        }));
+    for (const auto& demand : msg.service_demands) {
+        const place_supply supply = supply_of(lead.workers.workers, demand.service);
+        if (supply.slots == 0)
+            continue;
+        place_step done = lease_places(std::move(lead.places[demand.service]), t.ctx.now,
+                                       {from, msg.sender.incarnation, demand}, supply, gateways);
+        lead.places[demand.service] = std::move(done.next);
+        update.place_shares.push_back(std::move(done.share));
+    }
+}
+
 void on(control_turn& t, const node_id& from, const table_query& msg)
 {
     table_update update = make_table_update(t, msg.table_version);
@@ -390,6 +417,7 @@
             push_crash_list(t);
         add_crash_list(t, msg.crash_list_hash, update);
         s.last_contact_at = t.ctx.now;
+        add_place_shares(t, from, msg, update);
         s.confirmed_version = msg.table_version;
         const bool recently_sent =
             s.sent_version == update.table_version && t.ctx.now - s.sent_at < document_resend_time;
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -329,6 +329,7 @@
 {
     instant next_at = std::min(st.next_list_read_at, st.table_sync.next_query_at);
     next_at = std::min(next_at, next_watch_at(st.crashes));
+    next_at = std::min(next_at, next_start_at(st.queues, now));
     if (!st.timers.empty())
         next_at = std::min(next_at, st.timers.begin()->first);
     for (const instant due_at : {st.drain_started_at + min_drain_time, drain_ends_at(st)}) {
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -252,8 +252,9 @@
     }
 }
 
-/// Chooses a worker that has not been tried and isn't one of `avoided`.
-worker_choice choose_for(turn& t, exchange_id id, const std::vector<std::string>& avoided)
+/// Chooses a worker that has not been tried and isn't one of `avoided`, whether or not it is known
+/// to be full.
+worker_choice choose_any(turn& t, exchange_id id, const std::vector<std::string>& avoided)
 {
     const exchange& ex = t.st.exchanges.at(id);
     std::vector<std::string> excluded = ex.tried_instances;
@@ -263,6 +264,21 @@
     return choose_worker(t.st.workers, criteria, t.ctx.now, t.ctx.random ^ id);
 }
 
+/// Chooses a worker that has not been tried and isn't one of `avoided`. One that is known to be
+/// full gets no retry, and anything else only if all are full.
+worker_choice choose_for(turn& t, exchange_id id, const std::vector<std::string>& avoided)
+{
+    const exchange& ex = t.st.exchanges.at(id);
+    const service_queue* q = find_queue(t, ex);
+    auto full = q == nullptr ? std::vector<std::string>{} : full_workers(*q, t.ctx.now);
+    if (full.empty())
+        return choose_any(t, id, avoided);
+    full.insert(full.end(), avoided.begin(), avoided.end());
+    worker_choice choice = choose_any(t, id, full);
+    const bool is_retry = !ex.tried_instances.empty();
+    return choice.instance.empty() && !is_retry ? choose_any(t, id, avoided) : choice;
+}
+
 /// Returns whether the attempt could be replaced by one at another worker. One under which workers
 /// may have ended is not risked at a further one.
 bool can_replace_attempt(turn& t, exchange_id id, exchange& ex)
@@ -301,6 +317,11 @@
     t.st.timers.emplace(ex.due_at, id);
 }
 
+bool has_worker(turn& t, exchange_id id, const std::vector<std::string>& avoided)
+{
+    return !choose_any(t, id, avoided).instance.empty();
+}
+
 void remove_exchange(turn& t, exchange_id id)
 {
     const auto it = t.st.exchanges.find(id);
@@ -329,7 +350,7 @@
 /// Returns when the caller of a refused request should come back. While all workers of the service
 /// are paused, that is when the first of them wants requests again, spread over a part of that time
 /// so that not all callers come at once.
-microseconds choose_retry_after(const turn& t, exchange_id id, const exchange& ex)
+microseconds choose_retry_after(turn& t, exchange_id id, const exchange& ex)
 {
     const auto next = next_available_at(t.st.workers, ex.policy.service, t.ctx.now);
     if (next) {
@@ -339,6 +360,8 @@
         return pause + microseconds(static_cast<std::int64_t>(
                            random % static_cast<std::uint64_t>(spread.count() + 1)));
     }
+    if (const auto turn_after = choose_caller_turn(t, id, ex))
+        return *turn_after;
     const microseconds time_left = ex.deadline - t.ctx.now;
     return std::clamp<microseconds>(time_left / 8, min_retry_after, max_retry_after);
 }
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -71,8 +71,21 @@
 /// retry_or_fail does if it may have run or its answer was started.
 void reject(turn& t, exchange_id id, const request_rejected& rejected);
 
+/// Returns whether a worker is eligible that has not been tried and isn't one of `avoided`.
+[[nodiscard]] bool has_worker(turn& t, exchange_id id, const std::vector<std::string>& avoided);
+
 // gateway_admission.cpp
 
+/// Returns the queue of the exchange's service, or null if that has engines.
+[[nodiscard]] service_queue* find_queue(turn& t, const exchange& ex);
+/// Records a sign that the plain service has too few places.
+void record_pressure(turn& t, const service_id& service, std::string_view sign);
+/// Records the end of the exchange's attempt in the queue of its service.
+void record_attempt_end(turn& t, service_queue& q, const exchange& ex);
+/// Returns when the caller of a refused request should come back to a service under pressure; none
+/// if that follows from nothing that the queue knows.
+[[nodiscard]] std::optional<microseconds> choose_caller_turn(turn& t, exchange_id id,
+                                                             const exchange& ex);
 /// Sends the request to a worker, lets it wait for a place, or refuses it.
 void place_request(turn& t, exchange_id id);
 /// Removes what the queues hold of a request that is about to end.
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -61,6 +61,9 @@
         st.crashes = std::move(taken.next);
         query.crash_reports = std::move(taken.reports);
         query.crash_causes = std::move(taken.causes);
+        demand_step wanted = take_demands(std::move(st.queues), ctx.now);
+        st.queues = std::move(wanted.next);
+        query.service_demands = std::move(wanted.demands);
     }
     if (has_table && leader_is_known) {
         out.emplace_back(send_message{sync.contact, fleet_message(query)});
@@ -203,6 +206,23 @@
     return counts;
 }
 
+/// Takes the shares of places that the leader answers to a query with demands.
+void apply_place_shares(gateway_state& st, const context& ctx,
+                        const std::vector<place_share>& shares)
+{
+    if (shares.empty())
+        return;
+    query_step answered = take_open_query(std::move(st.queues), ctx.now);
+    st.queues = std::move(answered.next);
+    if (!answered.sent_at)
+        return;
+    for (const auto& share : shares) {
+        const auto it = st.queues.by_service.find(share.service);
+        if (it != st.queues.by_service.end())
+            it->second = with_share(std::move(it->second), ctx.now, *answered.sent_at, share);
+    }
+}
+
 } // namespace
 
 gateway_step handle_table_update(gateway_state current, const context& ctx, const node_id& from,
@@ -219,6 +239,7 @@
                                             {"table", std::to_string(st.table.version)},
                                             {"newest", std::to_string(update.table_version)}}));
             st.crashes = with_new_leader(std::move(st.crashes), ctx.now);
+            st.queues.open_queries.clear(); // another leader doesn't answer them
         }
         apply_leader_list(st, ctx, update);
         const request_crash_list crash_list = update.crash_list.value_or(st.crashes.fleet);
@@ -233,6 +254,7 @@
     if (update.from_leader && from == st.table_sync.contact) {
         if (const auto counts = counts_by_worker(st.table_sync, update))
             st.workers = with_request_counts(std::move(st.workers), ctx.now, *counts);
+        apply_place_shares(st, ctx, update.place_shares);
     }
     if (update.document && update.document->version > st.table.version) {
         out.emplace_back(make_log_line(log_level::info, gateway::component,
@@ -259,6 +281,7 @@
     gateway::turn t{std::move(st), ctx, std::move(out)};
     gateway::review_watched_workers(t);
     gateway::update_readiness(t);
+    gateway::start_held_requests(t);
     t.out.emplace_back(schedule_tick{t.st.table_sync.next_query_at});
     return {std::move(t.st), std::move(t.out)};
 }
