--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -3,8 +3,8 @@
 /// outcome of each request.
 #pragma once
 
-#include <bluebell/core/ids.h>
 #include <bluebell/core/cold_start.h>
+#include <bluebell/core/ids.h>
 #include <bluebell/core/time.h>
 
 #include <cstdint>
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -98,7 +98,7 @@
     request_sums sums;   ///< over all subscribers
     worker_list workers; ///< the platform's list, as last read
     worker_lease_table worker_leases;
-    place_ledger places; ///< of plain services under pressure, as leased to gateways
+    place_ledger places;    ///< of plain services under pressure, as leased to gateways
     instant list_read_at{}; ///< when the list was last read; 0: never
     instant next_list_read_at{};
     instant list_read_started_at{};
--- a/src/libruntime/admin_server.cpp
+++ b/src/libruntime/admin_server.cpp
@@ -107,7 +107,7 @@
         },
         [&](const admin::read_metrics&) {
             reply_text(*session, source_.telemetry().metrics_page(loop_->now()) +
-                                    admin::evacuation_metrics(st, loop_->now(), wall_now()));
+                                     admin::evacuation_metrics(st, loop_->now(), wall_now()));
         },
         [&](const admin::read_status&) {
             reply_json(*session, 200, admin::to_json(make_node_view(st, loop_->now())));
