--- a/testsuite/soak/soak_evacuations.cpp
+++ b/testsuite/soak/soak_evacuations.cpp
@@ -63,7 +63,7 @@
 void evacuation_caller::run(steady_clock::time_point end)
 {
     while (steady_clock::now() < end) {
-        std::this_thread::sleep_for(milliseconds(500 + random_() % 2'000));
+        std::this_thread::sleep_for(milliseconds(2'000 + random_() % 3'000));
         if (!call("/Evacuations.Start/b", end))
             continue;
         taken_back_ = false;
