Declare the estimates of requests' cost and of expected times

Cause: the shedding of load needs the time at which a request would get its first event and its end at a worker.

--- a/src/include/bluebell/core/worker_table.h
+++ b/src/include/bluebell/core/worker_table.h
@@ -56,6 +56,7 @@
     double error_rate = 0;   ///< moving average of the share of answers that are errors, 0 to 1
     instant answered_at{};   ///< when error_rate was last updated
     prompt_cache_estimate prompt_cache; ///< used for engines only
+    worker_work work;                   ///< remaining work and speed
 
     friend bool operator==(const worker_record&, const worker_record&) = default;
 };
