Choose workers by remaining work over speed

Cause: a request counted 1 whatever its prompt and answer cost, and workers' speeds weren't learned.

Change: a gateway learns what requests of a kind cost, the remaining work of its own requests at each worker, and the time that work takes there, by event gaps, plain answers and what workers state. It reports workers that deviate; the leader merges the reports and lists the outliers. The choice weighs the number of requests by these estimates, within a factor of four and only beyond thresholds; the limit on the number of requests stays beside it. A prompt that leaves its home for its work is reported to the other gateways.

--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -51,6 +51,8 @@
     std::uint64_t next_prompt = 0; ///< position of the next cached prompt to send, see prompt_count
     /// From its last query; part of leadership::sums.
     std::vector<worker_request_count> worker_request_counts;
+    /// From its last query; part of leadership::conditions.
+    std::vector<worker_condition> worker_conditions;
     std::uint64_t list_version = 0; ///< list of workers in its last query
     hash64 sent_controls = 0;       ///< hash of the control processes that it was last sent
     instant controls_sent_at{};
@@ -92,9 +94,10 @@
     crash_cases cases;              ///< what the requests that end workers have in common
     std::uint64_t prompt_count = 0; ///< all prompts reported so far, also those no longer stored
     instant next_voter_review_at{};
-    request_sums sums;      ///< over all subscribers
-    worker_list workers;    ///< the platform's list, as last read
-    instant list_read_at{}; ///< when the list was last read; 0: never
+    request_sums sums;         ///< over all subscribers
+    condition_sums conditions; ///< over all subscribers
+    worker_list workers;       ///< the platform's list, as last read
+    instant list_read_at{};    ///< when the list was last read; 0: never
     instant next_list_read_at{};
     instant list_read_started_at{};
     microseconds list_read_time{0};                  ///< how long the last reading took
--- a/src/include/bluebell/core/work_estimate.h
+++ b/src/include/bluebell/core/work_estimate.h
@@ -30,11 +30,12 @@
 
 /// What a gateway has learned of the requests of one kind.
 struct kind_cost {
-    double run_us = 0;      ///< mean time from the first event to the end, or of a plain answer
-    double first_us = 0;    ///< mean time to the first event beyond the expected reading and wait
+    double run_us = 0;      ///< usual time from the first event to the end, or of a plain answer
+    double first_us = 0;    ///< usual time to the first event beyond the expected reading and wait
     double hint_tokens = 0; ///< mean of the callers' hints, 0: none was seen
     double max_tokens = 0;  ///< mean of the declared maxima, 0: none was seen
-    double samples = 0;     ///< answers seen
+    double samples = 0;     ///< complete answers seen
+    double first_samples = 0;
     instant updated_at{};
 
     friend bool operator==(const kind_cost&, const kind_cost&) = default;
@@ -42,11 +43,14 @@
 
 /// What a gateway has learned of the workers of one service together.
 struct service_cost {
-    double event_gap_us = 0;      ///< median time between two events of a stream
-    double gap_samples = 0;       ///< streams behind event_gap_us
-    double spread = 0;            ///< mean squared deviation of the logarithms of answers' times
+    double event_gap_us = 0; ///< usual time between two events of a stream
+    double gap_samples = 0;  ///< streams behind event_gap_us
+    /// Mean squared deviation of the logarithms of observed times from those of their worker.
+    double spread = 0;
+    double spread_samples = 0;
     double read_us_per_token = 0; ///< of prompts; 0: not learned yet
-    double remaining_us = 0;      ///< mean remaining work of a request in progress
+    double read_samples = 0;
+    double remaining_us = 0; ///< mean remaining work of a request in progress
     double remaining_samples = 0;
 
     friend bool operator==(const service_cost&, const service_cost&) = default;
@@ -78,16 +82,18 @@
 /// The parts of one attempt's remaining work.
 struct attempt_cost {
     std::string instance;
-    double read_us = 0; ///< until the first event
-    double rest_us = 0; ///< until the end
-    double wait_us = 0; ///< work at the worker when the attempt began
-    double expected_run_us = 0;
+    double read_us = 0;              ///< until the first event
+    double rest_us = 0;              ///< until the end
+    double wait_us = 0;              ///< work at the worker when the attempt began
+    std::uint32_t unread_tokens = 0; ///< of the prompt, expected to be read by the worker
 
     friend bool operator==(const attempt_cost&, const attempt_cost&) = default;
 };
 
 /// What this gateway has learned of the cost of requests, and its attempts in progress.
 struct work_estimates {
+    /// False: workers are compared by their number of requests alone. For comparisons.
+    bool enabled = true;
     std::map<hash64, kind_cost> kinds;
     std::map<service_id, service_cost> services;
     std::unordered_map<std::uint64_t, attempt_cost> attempts; ///< by attempt_number
--- a/src/include/bluebell/core/worker_choice.h
+++ b/src/include/bluebell/core/worker_choice.h
@@ -15,6 +15,7 @@
     const engine_config* engine = nullptr;           ///< null: the service has no engines
     const std::vector<std::string>& tried_instances; ///< not to be chosen again
     const zone_id& zone; ///< availability zone of this process; workers in it are preferred
+    hash64 kind = 0;     ///< exchange_policy::kind
 };
 
 /// The worker that was chosen for a request, and the estimates behind the choice.
@@ -23,6 +24,14 @@
     std::string fetch_from;          ///< address of the worker to fetch the prompt from, or empty
     double load = 0;                 ///< estimate of the requests in progress at the worker
     std::uint32_t cached_tokens = 0; ///< estimate of the prompt's tokens in the worker's cache
+    /// Estimate of the prompt's tokens that the worker need not read: cached there or at a worker
+    /// that is known to have them and from which they are fetched.
+    std::uint32_t present_tokens = 0;
+    double weighted_load = 0; ///< `load` by the work of these requests and the worker's speed
+    double time_factor = 1;   ///< time that work takes there as a multiple of the usual time
+    /// The prompt's first home would have taken the request by the number of its requests, but not
+    /// by their work or its speed.
+    bool is_moved_by_work = false;
     instant load_reported_at{}; ///< when the load of other gateways was last reported; 0: never
 
     friend bool operator==(const worker_choice&, const worker_choice&) = default;
@@ -52,4 +61,11 @@
                                           const worker_criteria& criteria, instant now,
                                           std::uint64_t random);
 
+/// Returns the prompt up to its last shared part if it was moved away from its home by work and is
+/// new to the chosen worker, to report it to the other gateways: they would look for it at its
+/// home.
+[[nodiscard]] std::optional<cached_prompt> find_moved_prompt(const worker_table& table,
+                                                             const worker_choice& choice,
+                                                             const engine_demand& demand);
+
 } // namespace bluebell::core
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -173,12 +173,25 @@
     return prompts;
 }
 
-/// Drops the counts of gateways that have been silent for too long.
+/// Replaces what the subscriber reported of workers that deviate.
+void replace_conditions(leadership& lead, table_subscriber& s,
+                        const std::vector<worker_condition>& conditions)
+{
+    if (s.worker_conditions.empty() && conditions.empty())
+        return;
+    lead.conditions =
+        with_conditions_replaced(std::move(lead.conditions), s.worker_conditions, conditions);
+    s.worker_conditions = conditions;
+}
+
+/// Drops the counts and conditions of gateways that have been silent for too long.
 void expire_request_counts(leadership& lead, instant now)
 {
     for (auto& [id, s] : lead.subscribers) {
-        if (s.worker_request_counts.empty() || now - s.last_contact_at < request_count_timeout)
+        if (now - s.last_contact_at < request_count_timeout ||
+            (s.worker_request_counts.empty() && s.worker_conditions.empty()))
             continue;
+        replace_conditions(lead, s, {});
         lead.sums = with_counts_replaced(std::move(lead.sums), s.worker_request_counts, {});
         s.worker_request_counts.clear();
     }
@@ -202,6 +215,12 @@
             listed_counts_without(lead.sums, s.worker_request_counts, lead.workers.hashes)};
     else
         update.worker_request_counts = counts_without(lead.sums, s.worker_request_counts);
+    if (!has_list)
+        return;
+    auto conditions =
+        listed_conditions_without(lead.conditions, s.worker_conditions, lead.workers.hashes);
+    if (!conditions.empty())
+        update.worker_conditions = listed_conditions{lead.workers.version, std::move(conditions)};
 }
 
 /// Returns the present control processes that gateways should query: only a process with a disk can
@@ -360,6 +379,7 @@
     if (s.incarnation == msg.sender.incarnation)
         return s;
     lead.sums = with_counts_replaced(std::move(lead.sums), s.worker_request_counts, {});
+    replace_conditions(lead, s, {});
     s = table_subscriber{};
     s.incarnation = msg.sender.incarnation;
     return s;
@@ -378,6 +398,7 @@
         lead.sums = with_counts_replaced(std::move(lead.sums), s.worker_request_counts,
                                          msg.worker_request_counts);
         s.worker_request_counts = msg.worker_request_counts;
+        replace_conditions(lead, s, msg.worker_conditions);
         if (msg.table_version != 0)
             update.cached_prompts =
                 next_prompts_for(lead, from, s); // a gateway without a table would drop them
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -111,10 +111,13 @@
 
 /// Adds the prompt's parts that are new to the worker's cache to the next report to control, which
 /// tells the other gateways.
-void add_new_cached_prompts(turn& t, const std::string& instance, const engine_demand& demand)
+void add_new_cached_prompts(turn& t, const worker_choice& choice, const engine_demand& demand)
 {
     auto& prompts = t.st.table_sync.new_cached_prompts;
-    for (const auto& p : find_new_cached_prompts(t.st.workers, instance, demand)) {
+    auto found = find_new_cached_prompts(t.st.workers, choice.instance, demand);
+    if (const auto moved = find_moved_prompt(t.st.workers, choice, demand))
+        found.push_back(*moved);
+    for (const auto& p : found) {
         if (prompts.size() < max_new_cached_prompts)
             prompts.push_back(p);
     }
@@ -161,6 +164,10 @@
         {"list_age_ms", format_milliseconds(t.ctx.now - t.st.workers.list_received_at)}};
     if (choice.load_reported_at != instant{})
         fields.push_back({"load_age_ms", format_milliseconds(t.ctx.now - choice.load_reported_at)});
+    if (std::lround(choice.weighted_load) != std::lround(choice.load))
+        fields.push_back({"weighted_load", std::to_string(std::lround(choice.weighted_load))});
+    if (choice.time_factor != 1)
+        fields.push_back({"time_percent", std::to_string(std::lround(choice.time_factor * 100))});
     if (const auto* demand = find_demand(ex)) {
         fields.push_back({"prompt_tokens", std::to_string(demand->prompt_tokens)});
         fields.push_back({"held_tokens", std::to_string(choice.cached_tokens)});
@@ -203,7 +210,7 @@
     ex.must_continue = ex.events.last.has_value();
     effect.fetch_from = choice.fetch_from;
     if (demand != nullptr)
-        add_new_cached_prompts(t, instance, *demand);
+        add_new_cached_prompts(t, choice, *demand);
     t.st.workers = with_attempt_started(std::move(t.st.workers), instance, demand, engine);
     t.out.emplace_back(std::move(effect));
     ex.progressed_at = t.ctx.now;
@@ -258,8 +265,8 @@
     const exchange& ex = t.st.exchanges.at(id);
     std::vector<std::string> excluded = ex.tried_instances;
     excluded.insert(excluded.end(), avoided.begin(), avoided.end());
-    const worker_criteria criteria{ex.policy.service, find_demand(ex), find_engine(t, ex), excluded,
-                                   t.ctx.self.zone};
+    const worker_criteria criteria{ex.policy.service, find_demand(ex), find_engine(t, ex),
+                                   excluded,          t.ctx.self.zone, ex.policy.kind};
     return choose_worker(t.st.workers, criteria, t.ctx.now, t.ctx.random ^ id);
 }
 
--- a/src/libcore/gateway_observations.cpp
+++ b/src/libcore/gateway_observations.cpp
@@ -2,20 +2,76 @@
 // are, which services are under pressure, and whether ranks meet their targets.
 
 #include "gateway_pvt.h"
+#include "worker_work_pvt.h"
 
 namespace bluebell::core::gateway {
 
-void observe_attempt_started(turn&, const exchange&, const worker_choice&) {}
+namespace {
 
-void observe_answer_head(turn&, const exchange&, const worker_answer&) {}
+request_profile profile_of(const turn& t, const exchange& ex)
+{
+    request_profile profile;
+    profile.kind = ex.policy.kind;
+    profile.demand = ex.request.demand ? &*ex.request.demand : nullptr;
+    const auto it = t.st.table.services.find(ex.policy.service);
+    if (it != t.st.table.services.end() && it->second.engine)
+        profile.engine = &*it->second.engine;
+    return profile;
+}
+
+/// Returns the times of the answer that is complete now.
+answer_times times_of(const turn& t, const exchange& ex)
+{
+    answer_times times;
+    const bool is_stream = ex.is_event_stream && ex.events_began_at != instant{};
+    times.run = t.ctx.now - (is_stream ? ex.events_began_at : ex.attempt_started_at);
+    times.event_gaps = is_stream ? ex.events.steps : 0;
+    return times;
+}
+
+/// Returns whether the answer's times are those of its last worker: it gave the whole answer, and
+/// no slow caller paused it.
+bool tells_worker_times(const exchange& ex)
+{
+    const bool is_success = ex.answer_status >= 200 && ex.answer_status < 300;
+    const bool is_resumed = ex.is_event_stream && ex.sent_attempts > 1;
+    return is_success && !is_resumed && !ex.caller_lags;
+}
+
+} // namespace
+
+void observe_attempt_started(turn& t, const exchange& ex, const worker_choice& choice)
+{
+    t.st.workers = with_work_begun(std::move(t.st.workers), ex.attempt, choice.instance,
+                                   profile_of(t, ex), choice.present_tokens, t.ctx.now);
+}
+
+void observe_answer_head(turn& t, const exchange& ex, const worker_answer& head)
+{
+    if (head.load)
+        t.st.workers = with_stated_time(std::move(t.st.workers), ex.tried_instances.back(),
+                                        head.load->time_percent, t.ctx.now);
+}
 
 void observe_rejection(turn&, const exchange&, std::uint16_t) {}
 
-void observe_first_event(turn&, const exchange&) {}
+void observe_first_event(turn& t, const exchange& ex)
+{
+    t.st.workers = with_prompt_read(std::move(t.st.workers), ex.attempt, profile_of(t, ex),
+                                    t.ctx.now - ex.attempt_started_at, t.ctx.now);
+}
 
-void observe_attempt_ended(turn&, const exchange&) {}
+void observe_attempt_ended(turn& t, const exchange& ex)
+{
+    t.st.workers = with_work_ended(std::move(t.st.workers), ex.attempt);
+}
 
-void observe_answer_completed(turn&, const exchange&) {}
+void observe_answer_completed(turn& t, const exchange& ex)
+{
+    if (tells_worker_times(ex))
+        t.st.workers = with_answer_times(std::move(t.st.workers), ex.tried_instances.back(),
+                                         profile_of(t, ex), times_of(t, ex), t.ctx.now);
+}
 
 void observe_request_ended(turn&, const exchange&) {}
 
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -3,6 +3,7 @@
 // the leader's list of workers, the load of other gateways, and the prompts in the workers' caches.
 
 #include "gateway_pvt.h"
+#include "worker_work_pvt.h"
 
 #include <bluebell/core/visit.h>
 
@@ -61,6 +62,7 @@
         st.crashes = std::move(taken.next);
         query.crash_reports = std::move(taken.reports);
         query.crash_causes = std::move(taken.causes);
+        query.worker_conditions = find_deviations(st.workers, ctx.now);
     }
     if (has_table && leader_is_known) {
         out.emplace_back(send_message{sync.contact, fleet_message(query)});
@@ -203,6 +205,23 @@
     return counts;
 }
 
+/// Applies what the leader tells of workers that deviate. Positions are of no use without the list
+/// that they refer to. What was told of a worker before decays if it isn't told again.
+void apply_conditions(gateway_state& st, const context& ctx, const listed_conditions& conditions)
+{
+    if (conditions.list_version != st.table_sync.worker_list_version)
+        return;
+    auto it = st.table_sync.listed_workers.begin();
+    std::size_t position = 0;
+    for (const auto& c : conditions.workers) {
+        if (c.position < position || c.position >= st.table_sync.listed_workers.size())
+            return;
+        std::advance(it, c.position - position);
+        position = c.position;
+        st.workers = with_listed_condition(std::move(st.workers), it->first, c, ctx.now);
+    }
+}
+
 } // namespace
 
 gateway_step handle_table_update(gateway_state current, const context& ctx, const node_id& from,
@@ -233,6 +252,8 @@
     if (update.from_leader && from == st.table_sync.contact) {
         if (const auto counts = counts_by_worker(st.table_sync, update))
             st.workers = with_request_counts(std::move(st.workers), ctx.now, *counts);
+        if (update.worker_conditions)
+            apply_conditions(st, ctx, *update.worker_conditions);
     }
     if (update.document && update.document->version > st.table.version) {
         out.emplace_back(make_log_line(log_level::info, gateway::component,
--- a/src/libcore/worker_choice.cpp
+++ b/src/libcore/worker_choice.cpp
@@ -8,6 +8,11 @@
 // - A loaded engine turns prompts away in proportion to its load, not all at a threshold, so that
 //   not all gateways leave it and come back at the same moment.
 // - Of plain workers, two are drawn at random, so none gets more than twice its share.
+//
+// Requests count by their remaining work and the time that work takes at the worker, where these
+// deviate (work_estimate.cpp). The limit on the number of requests holds beside that.
+
+#include "worker_work_pvt.h"
 
 #include <bluebell/core/worker_choice.h>
 
@@ -31,6 +36,8 @@
 constexpr double accept_all_slack = 1.5;
 constexpr double accept_none_factor = 1.75;
 constexpr double accept_none_slack = 3;
+/// A worker that holds a prompt accepts it at a load that is higher by at most this many requests.
+constexpr double max_saved_load = 4;
 /// A worker whose answers are all errors counts as if it had this many more requests.
 constexpr double error_load = 40;
 /// A worker that is still warming up counts as if it had this many more requests.
@@ -44,6 +51,10 @@
     double load = 0;         ///< estimate of the requests in progress there
     double highest_load = 0; ///< as `load`, but a report of more counts until there is a newer one
     double penalty = 0;      ///< in requests, for errors and warm-up
+    /// `load` by its work and the worker's speed.
+    double weighted_load = 0;
+    double time_factor = 1; ///< time that work takes there as a multiple of the usual time
+    double saved_load = 0;  ///< work that another worker would have to do in addition
 };
 
 bool is_available(const worker_table& table, const worker_record& w, instant now)
@@ -65,6 +76,7 @@
 struct service_view {
     std::vector<candidate> candidates; ///< those that may be chosen
     double mean_load = 0;              ///< of all, with draining and failing ones
+    double mean_weighted_load = 0;     ///< the same of weighted loads
 };
 
 /// Returns the mean of the reported requests of other gateways, over the workers with a report.
@@ -96,22 +108,30 @@
 {
     service_view view;
     const double mean_other = mean_other_requests(table, criteria.service);
+    const service_cost* cost = find_service_cost(table, criteria.service);
     double sum = 0;
+    double weighted_sum = 0;
     double count = 0;
     for (const auto& [id, w] : table.workers) {
         if (w.entry.service != criteria.service)
             continue;
         const double load = estimate_load(w, now, mean_other);
+        weighted_load weighted{load, 1};
+        if (table.work.enabled)
+            weighted = weigh_load(w, cost, load, now);
         sum += load;
+        weighted_sum += weighted.requests;
         count += 1;
         if (!is_eligible(table, w, criteria, now))
             continue;
         const double reported_load = w.own_requests + static_cast<double>(w.other_requests);
         const double penalty =
             expected_error_rate(w, now) * error_load + (w.warmup_until > now ? warmup_load : 0);
-        view.candidates.push_back({&w, load, std::max(load, reported_load), penalty});
+        view.candidates.push_back({&w, load, std::max(load, reported_load), penalty,
+                                   weighted.requests, weighted.time_factor});
     }
     view.mean_load = count > 0 ? sum / count : 0;
+    view.mean_weighted_load = count > 0 ? weighted_sum / count : 0;
     const auto backs_off = [&](const candidate& c) { return c.worker->backoff_until > now; };
     if (!std::all_of(view.candidates.begin(), view.candidates.end(), backs_off))
         std::erase_if(view.candidates, backs_off);
@@ -135,18 +155,34 @@
     const candidate& a = all[first];
     const candidate& b = all[(first + offset) % all.size()];
     const auto cost = [&](const candidate& c) {
-        return c.load + c.penalty + (c.worker->entry.zone == criteria.zone ? 0 : cross_zone_load);
+        return c.weighted_load + c.penalty +
+               (c.worker->entry.zone == criteria.zone ? 0 : cross_zone_load);
     };
     return cost(b) < cost(a) ? b : a;
 }
 
-/// Decides by the candidate's load whether it takes this request.
-bool accepts(const candidate& c, double mean_load, std::uint64_t random)
+/// Returns the load up to which a worker takes a request, for a number from 0 to 1 that is drawn
+/// for both.
+double load_limit(double mean_load, double drawn)
 {
     const double all_below = accept_all_factor * mean_load + accept_all_slack;
     const double none_from = accept_none_factor * mean_load + accept_none_slack;
-    const double limit = none_from - uniform(*c.worker, random) * (none_from - all_below);
-    return c.highest_load + c.penalty < limit;
+    return none_from - drawn * (none_from - all_below);
+}
+
+/// Decides by the number of the candidate's requests, which the platform bounds, whether it takes
+/// this request.
+bool accepts_count(const candidate& c, const service_view& view, std::uint64_t random)
+{
+    const double drawn = uniform(*c.worker, random);
+    return c.highest_load + c.penalty < load_limit(view.mean_load, drawn);
+}
+
+/// As accepts_count, and by the work of the requests.
+bool accepts(const candidate& c, const service_view& view, std::uint64_t random)
+{
+    const double limit = load_limit(view.mean_weighted_load, uniform(*c.worker, random));
+    return accepts_count(c, view, random) && c.weighted_load + c.penalty < limit + c.saved_load;
 }
 
 /// A prompt's first homes.
@@ -154,6 +190,7 @@
     const candidate* primary = nullptr;
     const candidate* secondary = nullptr; ///< the primary home if that did not exist
     const candidate* accepting = nullptr; ///< the first that accepts the request
+    bool is_left_for_work = false; ///< the primary home refuses, but not for its number of requests
 };
 
 /// A candidate and its place in the order of a prompt's homes; the highest weight comes first.
@@ -189,14 +226,15 @@
     homes.primary = order[0].of;
     homes.secondary = order.size() > 1 ? order[1].of : nullptr;
     const std::size_t drawn = spread > 1 ? (random >> 20U) % std::min(spread, order.size()) : 0;
-    if (accepts(*order[drawn].of, view.mean_load, random)) {
+    if (accepts(*order[drawn].of, view, random)) {
         homes.accepting = order[drawn].of;
         return homes;
     }
+    homes.is_left_for_work = spread <= 1 && accepts_count(*homes.primary, view, random);
     hash64 accepting_weight = 0;
     for (const auto& [weight, c] : order) {
         if ((homes.accepting == nullptr || weight > accepting_weight) &&
-            accepts(*c, view.mean_load, random)) {
+            accepts(*c, view, random)) {
             homes.accepting = c;
             accepting_weight = weight;
         }
@@ -265,27 +303,49 @@
     worker_choice choice;
     choice.instance = c.worker->entry.instance;
     choice.load = c.load;
+    choice.weighted_load = c.weighted_load;
+    choice.time_factor = c.time_factor;
     choice.load_reported_at = c.worker->load_reported_at;
     return choice;
 }
 
+/// Lets a worker that holds the prompt accept it up to a higher load, by the work of reading it
+/// elsewhere.
+void set_saved_loads(const worker_table& table, const worker_criteria& criteria, service_view& view)
+{
+    const service_cost* cost = find_service_cost(table, criteria.service);
+    if (!table.work.enabled || cost == nullptr || cost->remaining_us <= 0)
+        return;
+    for (auto& c : view.candidates) {
+        const std::uint32_t cached =
+            estimate_cached_tokens(c.worker->prompt_cache, criteria.demand->prompt);
+        c.saved_load = std::min(max_saved_load, reading_time(cost, cached) / cost->remaining_us);
+    }
+}
+
 worker_choice choose_engine(const worker_table& table, const worker_criteria& criteria, instant now,
-                            std::uint64_t random, const service_view& view)
+                            std::uint64_t random, service_view& view)
 {
     const engine_demand& demand = *criteria.demand;
     const hash64 key = home_hash(demand);
+    set_saved_loads(table, criteria, view);
     const prompt_homes homes =
         find_homes(view, key, share_of(table.recent_prompts, key, now), random);
     const candidate& chosen =
         homes.accepting != nullptr ? *homes.accepting : less_loaded_of_two(view, criteria, random);
     worker_choice choice = make_choice(chosen);
     choice.cached_tokens = estimate_cached_tokens(chosen.worker->prompt_cache, demand.prompt);
+    choice.present_tokens = choice.cached_tokens;
+    choice.is_moved_by_work = homes.is_left_for_work && &chosen != homes.primary;
     if (criteria.engine == nullptr || !criteria.engine->can_fetch_prompts)
         return choice;
     const prompt_holder holder = find_holder(table, criteria, now);
     if (const auto* source =
-            find_fetch_source(*chosen.worker, choice.cached_tokens, demand, holder, homes))
+            find_fetch_source(*chosen.worker, choice.cached_tokens, demand, holder, homes)) {
         choice.fetch_from = source->entry.address;
+        if (source == holder.worker)
+            choice.present_tokens = std::max(choice.cached_tokens, holder.cached_tokens);
+    }
     return choice;
 }
 
@@ -325,7 +385,7 @@
 worker_choice choose_worker(const worker_table& table, const worker_criteria& criteria, instant now,
                             std::uint64_t random)
 {
-    const service_view view = view_service(table, criteria, now);
+    service_view view = view_service(table, criteria, now);
     if (view.candidates.empty())
         return {};
     if (criteria.demand == nullptr)
@@ -333,4 +393,17 @@
     return choose_engine(table, criteria, now, random, view);
 }
 
+std::optional<cached_prompt> find_moved_prompt(const worker_table& table,
+                                               const worker_choice& choice,
+                                               const engine_demand& demand)
+{
+    const auto it = table.workers.find(choice.instance);
+    if (!choice.is_moved_by_work || demand.prompt.size() < 2 || it == table.workers.end())
+        return std::nullopt;
+    const prompt_part& last_shared = demand.prompt[demand.prompt.size() - 2];
+    if (it->second.prompt_cache.parts.contains(last_shared.id))
+        return std::nullopt;
+    return cached_prompt{last_shared.id, hash_of(choice.instance), last_shared.tokens};
+}
+
 } // namespace bluebell::core
