--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -130,6 +130,7 @@
         router_state st;
         if (scenario_.pass) {
             st.gateway.enabled = true;
+            st.gateway.workers.work.enabled = !scenario_.pass->counts_requests;
             st.gateway.table_sync.seeds = {make_node("control-0", node_role::control)};
             st.gateway.retry_config = {retry_permille, 0, max_retry_balance_permille};
         }
@@ -275,6 +276,7 @@
     {
         result_.messages += 1;
         count_attempt(e);
+        count_conditions(e);
         if (control_is_partitioned_ && (from.str() == "control-0" || e.to.str() == "control-0"))
             return;
         if (std::bernoulli_distribution(scenario_.link.drop_probability)(random_))
@@ -312,6 +314,19 @@
         result_.retries += sent->is_retry ? 1 : 0;
     }
 
+    /// Counts the workers that a message between a gateway and the leader says to deviate.
+    void count_conditions(const send_message& e)
+    {
+        const auto* fleet = std::get_if<fleet_message>(&e.payload);
+        if (fleet == nullptr)
+            return;
+        if (const auto* query = std::get_if<table_query>(fleet))
+            result_.pass.reported_conditions += query->worker_conditions.size();
+        const auto* update = std::get_if<table_update>(fleet);
+        if (update != nullptr && update->worker_conditions)
+            result_.pass.listed_conditions += update->worker_conditions->workers.size();
+    }
+
     void apply_effect(const node_id&, simulated_node&, const reply_chunk& e)
     {
         call_record& r = result_.calls[e.request];
@@ -513,6 +528,9 @@
             [&](const workers_stop& f) { workers_->stop_workers(f.service, f.share, f.down_time); },
             [&](const workers_slow& f) {
                 workers_->slow_workers(f.service, f.share, f.factor, f.duration);
+            },
+            [&](const workers_vary& f) {
+                workers_->vary_workers(f.service, f.share, f.factor, f.period, f.duration);
             });
     }
 
--- a/bench/load_patterns.cpp
+++ b/bench/load_patterns.cpp
@@ -2,6 +2,7 @@
 // served, who is refused, and how evenly work is spread. Each pattern has a name that --only takes.
 
 #include "checks.h"
+#include "patterns_work.h"
 #include "scenario.h"
 #include "table_storm.h"
 
@@ -462,6 +463,8 @@
     }
     if (std::string("table_storm").starts_with(args["only"].as<std::string>()))
         bench::run_table_storm(args["seed"].as<std::uint64_t>(), checks);
+    bench::run_work_patterns(args["only"].as<std::string>(), args["seed"].as<std::uint64_t>(),
+                             checks);
     return bench::print_report(checks,
                                bench::read_known_red(args["known-red"].as<std::string>())) == 0
                ? 0
--- a/bench/pass_callers.cpp
+++ b/bench/pass_callers.cpp
@@ -232,7 +232,13 @@
     demand.model = "m";
     demand.prompt = make_prompt(prompt_names(kind, session, r.id));
     demand.prompt_tokens = k.common_tokens + k.session_tokens + k.question_tokens;
-    demand.max_output_tokens = work.events * 6;
+    constexpr std::uint32_t event_tokens = 6;
+    demand.max_output_tokens = static_cast<std::uint32_t>(4 * event_tokens * k.events);
+    // Right in the median and off by a factor of two in a third of the requests. The noise has a
+    // source of its own, so that it changes no other draw.
+    std::mt19937_64 noise(request_count_);
+    const double hint = work.events * event_tokens * std::lognormal_distribution(0.0, 0.7)(noise);
+    demand.expected_output_tokens = static_cast<std::uint32_t>(std::max(1.0, hint));
     r.demand = std::move(demand);
     return r;
 }
--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -46,6 +46,7 @@
     std::uint32_t slots = 1; ///< requests that one worker runs at once
     std::uint32_t queue = 0; ///< requests that wait at one worker; further ones are refused
     bool runs_models = false;
+    double stating_share = 0; ///< share of the workers that state the time that work takes there
 
     friend bool operator==(const worker_group&, const worker_group&) = default;
 };
@@ -126,6 +127,8 @@
     /// A refused caller comes back this often, after the stated time or, if `impatient`, at once.
     int resends = 1;
     bool impatient = false;
+    double tokens_from_s = 0;     ///< tokens read again or fetched before this second don't count
+    bool counts_requests = false; ///< gateways compare workers by their number of requests alone
     double leaving_share = 0; ///< share of the callers that leave after a third of their timeout
 
     friend bool operator==(const pass_scenario&, const pass_scenario&) = default;
@@ -166,6 +169,8 @@
     double highest_load_to_mean = 0; ///< highest number at one worker, over the service's mean + 1
     std::uint64_t reread_tokens = 0; ///< of shared parts that some worker had already read
     std::uint64_t fetched_tokens = 0;
+    std::uint64_t reported_conditions = 0;  ///< of workers, in gateways' queries
+    std::uint64_t listed_conditions = 0;    ///< in the leader's answers
     std::uint64_t runs_in_vain = 0;         ///< runs that were broken off before their end
     std::vector<instant> crashing_arrivals; ///< of the crashing requests at workers
     std::vector<instant> worker_ends;       ///< of workers that ended under them
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -63,8 +63,18 @@
     double factor = 2;
     microseconds duration{3'000'000};
 };
-using fault_kind = std::variant<engine_crash, agent_stop, agent_start, agent_drain, router_stop,
-                                control_partition, routers_restart, workers_stop, workers_slow>;
+/// The first `share` of the service's workers become slower and usual again in turn, each at times
+/// of its own.
+struct workers_vary {
+    std::string service;
+    double share = 0;
+    double factor = 2;
+    microseconds period{2'000'000}; ///< mean time between two changes of one worker
+    microseconds duration{8'000'000};
+};
+using fault_kind =
+    std::variant<engine_crash, agent_stop, agent_start, agent_drain, router_stop, control_partition,
+                 routers_restart, workers_stop, workers_slow, workers_vary>;
 /// A fault and the second at which it happens.
 struct fault {
     double at_s = 0;
--- a/bench/worker_pool.cpp
+++ b/bench/worker_pool.cpp
@@ -63,6 +63,7 @@
 {
     if (s.crashing)
         crashing_ = *s.crashing;
+    tokens_from_ = instant(from_ms(s.tokens_from_s * 1e3));
     int number = 0;
     for (const auto& group : s.groups) {
         for (int i = 0; i < group.count; ++i) {
@@ -75,7 +76,8 @@
             w.entry.address =
                 "10.0." + std::to_string(number / 200) + "." + std::to_string(number % 200) + ":80";
             // Every third engine is slower.
-            w.speed = group.runs_models && i % 3 == 2 ? 1.3 : 1.0;
+            w.speed = w.usual_speed = group.runs_models && i % 3 == 2 ? 1.3 : 1.0;
+            w.states_speed = i < std::lround(group.stating_share * group.count);
             workers_.emplace(w.entry.address, std::move(w));
             number += 1;
         }
@@ -212,12 +214,13 @@
     std::uint32_t position = 0;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const bool is_shared = i + 1 < parts.size();
-        if (is_shared && position >= present && read_parts_.contains(parts[i].id))
+        const bool counts = clock_.now() >= tokens_from_;
+        if (is_shared && counts && position >= present && read_parts_.contains(parts[i].id))
             result_.reread_tokens += parts[i].tokens;
         position += parts[i].tokens;
         read_parts_.insert(parts[i].id);
     }
-    result_.fetched_tokens += fetched;
+    result_.fetched_tokens += clock_.now() >= tokens_from_ ? fetched : 0;
     const std::uint32_t total = e.request.demand->prompt_tokens;
     const double read_ms = (total - std::min(total, present)) / prefill_tokens_per_ms;
     const double fetch_ms = fetched == 0 ? 0 : fetch_setup_ms + fetched / fetched_tokens_per_ms;
@@ -375,6 +378,32 @@
     }
 }
 
+void worker_pool::vary_workers(const std::string& service, double share, double factor,
+                               microseconds period, microseconds duration)
+{
+    for (const auto* w : first_workers(service, share))
+        change_speed(w->entry.address, factor, random_() % 2 == 0, period, clock_.now() + duration);
+}
+
+void worker_pool::change_speed(const std::string& address, double factor, bool slow,
+                               microseconds period, instant until)
+{
+    worker& w = workers_.at(address);
+    w.speed = w.usual_speed * (slow ? factor : 1);
+    const double periods = std::uniform_real_distribution(0.5, 1.5)(random_);
+    const instant next_at =
+        clock_.now() + from_ms(periods * static_cast<double>(period.count()) / 1e3);
+    if (next_at < until) {
+        clock_.schedule(next_at,
+                        [=, this] { change_speed(address, factor, !slow, period, until); });
+        return;
+    }
+    clock_.schedule(until, [this, address] {
+        worker& changed = workers_.at(address);
+        changed.speed = changed.usual_speed;
+    });
+}
+
 void worker_pool::report(const node_id& gateway, exchange_event ev)
 {
     clock_.schedule(clock_.now() + link_delay,
@@ -391,6 +420,9 @@
     a.event_stream = w.group.runs_models;
     a.load = worker_load{static_cast<std::uint32_t>(w.running),
                          static_cast<std::uint32_t>(w.waiting.size()), w.group.slots};
+    if (w.states_speed)
+        a.load->time_percent =
+            static_cast<std::uint32_t>(std::lround(100 * w.speed / w.usual_speed));
     return a;
 }
 
--- a/bench/worker_pool.h
+++ b/bench/worker_pool.h
@@ -45,6 +45,9 @@
     /// Slows down the first `share` of the service's workers for this time.
     void slow_workers(const std::string& service, double share, double factor,
                       microseconds duration);
+    /// See workers_vary.
+    void vary_workers(const std::string& service, double share, double factor, microseconds period,
+                      microseconds duration);
 
 private:
     using run_id = std::pair<node_id, attempt_number>;
@@ -54,10 +57,15 @@
         std::uint32_t next_event = 1;
         bool begun = false;
     };
+    /// Slows the worker down, or ends that, and schedules the next change until `until`.
+    void change_speed(const std::string& address, double factor, bool slow, microseconds period,
+                      instant until);
     struct worker {
         worker_entry entry;
         worker_group group;
-        double speed = 1; ///< factor on all times
+        double speed = 1;          ///< factor on all times
+        double usual_speed = 1;    ///< the factor on its machine's usual times
+        bool states_speed = false; ///< in its answers
         bool up = true;
         int starts = 1;             ///< of its process
         std::map<run_id, run> runs; ///< running and waiting
@@ -91,6 +99,7 @@
     sink on_event_;
     pass_result& result_;
     crashing_request crashing_;
+    instant tokens_from_;
     std::map<std::string, worker> workers_; ///< by address
     std::unordered_map<request_id, request_work> works_;
     std::map<run_id, std::string> addresses_; ///< worker of each run
