--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -133,6 +133,7 @@
         if (scenario_.pass) {
             st.gateway.enabled = true;
             st.gateway.workers.cold_starts.tolerance = cold_tolerance;
+            st.gateway.workers.work.enabled = !scenario_.pass->counts_requests;
             st.gateway.table_sync.seeds = {make_node("control-0", node_role::control)};
             st.gateway.retry_config = {retry_permille, 0, max_retry_balance_permille};
         }
@@ -278,6 +279,7 @@
     {
         result_.messages += 1;
         count_attempt(e);
+        count_conditions(e);
         if (control_is_partitioned_ && (from.str() == "control-0" || e.to.str() == "control-0"))
             return;
         if (std::bernoulli_distribution(scenario_.link.drop_probability)(random_))
@@ -315,6 +317,19 @@
         result_.retries += sent->is_retry ? 1 : 0;
     }
 
+    /// Counts the workers that a message between a gateway and the leader says to deviate.
+    void count_conditions(const send_message& e)
+    {
+        const auto* fleet = std::get_if<fleet_message>(&e.payload);
+        if (fleet == nullptr)
+            return;
+        if (const auto* query = std::get_if<table_query>(fleet))
+            result_.pass.reported_conditions += query->worker_conditions.size();
+        const auto* update = std::get_if<table_update>(fleet);
+        if (update != nullptr && update->worker_conditions)
+            result_.pass.listed_conditions += update->worker_conditions->workers.size();
+    }
+
     void apply_effect(const node_id&, simulated_node&, const reply_chunk& e)
     {
         call_record& r = result_.calls[e.request];
@@ -523,7 +538,10 @@
                                                        zone_id::from_trusted(f.zone), f.evacuated,
                                                        wall_time(0)}));
             },
-            [&](const workers_cold& f) { workers_->cool_workers(f.service, f.share); });
+            [&](const workers_cold& f) { workers_->cool_workers(f.service, f.share); },
+            [&](const workers_vary& f) {
+                workers_->vary_workers(f.service, f.share, f.factor, f.period, f.duration);
+            });
     }
 
     static int agent_number(const node_id& id)
--- a/bench/load_patterns.cpp
+++ b/bench/load_patterns.cpp
@@ -5,6 +5,7 @@
 #include "patterns_cold.h"
 #include "patterns_evacuation.h"
 #include "patterns_scarce.h"
+#include "patterns_work.h"
 #include "scenario.h"
 #include "table_storm.h"
 
@@ -471,6 +472,8 @@
         bench::run_table_storm(args["seed"].as<std::uint64_t>(), checks);
     bench::run_scarce_patterns(args["only"].as<std::string>(), args["seed"].as<std::uint64_t>(),
                                checks);
+    bench::run_work_patterns(args["only"].as<std::string>(), args["seed"].as<std::uint64_t>(),
+                             checks);
     return bench::print_report(checks,
                                bench::read_known_red(args["known-red"].as<std::string>())) == 0
                ? 0
--- a/bench/worker_pool.h
+++ b/bench/worker_pool.h
@@ -48,6 +48,9 @@
                       microseconds duration);
     /// Makes the first `share` of the service's workers cold.
     void cool_workers(const std::string& service, double share);
+    /// See workers_vary.
+    void vary_workers(const std::string& service, double share, double factor, microseconds period,
+                      microseconds duration);
 
 private:
     using run_id = std::pair<node_id, attempt_number>;
@@ -57,10 +60,15 @@
         std::uint32_t next_event = 1;
         bool begun = false;
     };
+    /// Slows the worker down, or ends that, and schedules the next change until `until`.
+    void change_speed(const std::string& address, double factor, bool slow, microseconds period,
+                      instant until);
     struct worker {
         worker_entry entry;
         worker_group group;
-        double speed = 1; ///< factor on all times
+        double speed = 1;          ///< factor on all times
+        double usual_speed = 1;    ///< the factor on its machine's usual times
+        bool states_speed = false; ///< in its answers
         bool up = true;
         int starts = 1;             ///< of its process
         std::map<run_id, run> runs; ///< running and waiting
@@ -106,6 +114,7 @@
     pass_result& result_;
     crashing_request crashing_;
     std::vector<cold_workers> cold_;
+    instant tokens_from_;
     std::map<std::string, worker> workers_; ///< by address
     std::unordered_map<request_id, request_work> works_;
     std::map<run_id, std::string> addresses_; ///< worker of each run
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -53,6 +53,8 @@
     std::uint64_t next_prompt = 0; ///< position of the next cached prompt to send, see prompt_count
     /// From its last query; part of leadership::sums.
     std::vector<worker_request_count> worker_request_counts;
+    /// From its last query; part of leadership::conditions.
+    std::vector<worker_condition> worker_conditions;
     std::uint64_t list_version = 0; ///< list of workers in its last query
     hash64 sent_controls = 0;       ///< hash of the control processes that it was last sent
     instant controls_sent_at{};
@@ -95,7 +97,8 @@
     crash_cases cases;              ///< what the requests that end workers have in common
     std::uint64_t prompt_count = 0; ///< all prompts reported so far, also those no longer stored
     instant next_voter_review_at{};
-    request_sums sums;   ///< over all subscribers
+    request_sums sums;         ///< over all subscribers
+    condition_sums conditions; ///< over all subscribers
     worker_list workers; ///< the platform's list, as last read
     worker_lease_table worker_leases;
     place_ledger places;    ///< of plain services under pressure, as leased to gateways
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -3,6 +3,7 @@
 // the leader's list of workers, the load of other gateways, and the prompts in the workers' caches.
 
 #include "gateway_pvt.h"
+#include "worker_work_pvt.h"
 
 #include <bluebell/core/visit.h>
 
@@ -71,6 +72,7 @@
         demand_step wanted = take_demands(std::move(st.queues), ctx.now);
         st.queues = std::move(wanted.next);
         query.service_demands = std::move(wanted.demands);
+        query.worker_conditions = find_deviations(st.workers, ctx.now);
     }
     if (has_table && leader_is_known) {
         out.emplace_back(send_message{sync.contact, fleet_message(query)});
@@ -231,6 +233,23 @@
     }
 }
 
+/// Applies what the leader tells of workers that deviate. Positions are of no use without the list
+/// that they refer to. What was told of a worker before decays if it isn't told again.
+void apply_conditions(gateway_state& st, const context& ctx, const listed_conditions& conditions)
+{
+    if (conditions.list_version != st.table_sync.worker_list_version)
+        return;
+    auto it = st.table_sync.listed_workers.begin();
+    std::size_t position = 0;
+    for (const auto& c : conditions.workers) {
+        if (c.position < position || c.position >= st.table_sync.listed_workers.size())
+            return;
+        std::advance(it, c.position - position);
+        position = c.position;
+        st.workers = with_listed_condition(std::move(st.workers), it->first, c, ctx.now);
+    }
+}
+
 } // namespace
 
 gateway_step handle_table_update(gateway_state current, const context& ctx, const node_id& from,
@@ -263,6 +282,8 @@
         if (const auto counts = counts_by_worker(st.table_sync, update))
             st.workers = with_request_counts(std::move(st.workers), ctx.now, *counts);
         apply_place_shares(st, ctx, update.place_shares);
+        if (update.worker_conditions)
+            apply_conditions(st, ctx, *update.worker_conditions);
     }
     if (update.document && update.document->version > st.table.version) {
         out.emplace_back(make_log_line(log_level::info, gateway::component,
