--- a/bench/load_patterns.cpp
+++ b/bench/load_patterns.cpp
@@ -2,6 +2,7 @@
 // served, who is refused, and how evenly work is spread. Each pattern has a name that --only takes.
 
 #include "checks.h"
+#include "patterns_shedding.h"
 #include "scenario.h"
 #include "table_storm.h"
 
@@ -460,6 +461,8 @@
         if (p.name.starts_with(args["only"].as<std::string>()))
             bench::run_part_pattern(p, args["seed"].as<std::uint64_t>(), checks);
     }
+    bench::run_shedding_patterns(args["only"].as<std::string>(), args["seed"].as<std::uint64_t>(),
+                                 checks);
     if (std::string("table_storm").starts_with(args["only"].as<std::string>()))
         bench::run_table_storm(args["seed"].as<std::uint64_t>(), checks);
     return bench::print_report(checks,
