Shed load where engines lack capacity, by rank and by deadline

Under pressure runs were cut at their callers' deadlines and urgent requests missed their targets while the least urgent kind was served. Each gateway now lowers the admitted shares of lower ranks in steps while a higher rank misses over a tenth of its targets, and refuses requests that are expected to end after their deadlines where watched requests have confirmed that.

--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -130,6 +130,7 @@
         router_state st;
         if (scenario_.pass) {
             st.gateway.enabled = true;
+            st.gateway.admissions.is_enabled = scenario_.pass->sheds_load;
             st.gateway.table_sync.seeds = {make_node("control-0", node_role::control)};
             st.gateway.retry_config = {retry_permille, 0, max_retry_balance_permille};
         }
--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -127,6 +127,7 @@
     int resends = 1;
     bool impatient = false;
     double leaving_share = 0; ///< share of the callers that leave after a third of their timeout
+    bool sheds_load = true;   ///< gateways shed load where engines lack capacity
 
     friend bool operator==(const pass_scenario&, const pass_scenario&) = default;
 };
--- a/bench/patterns_shedding.cpp
+++ b/bench/patterns_shedding.cpp
@@ -206,8 +206,11 @@
         scenario s = make_busy_fleet(seed);
         p.change(s);
         std::printf("%s: %s\n", p.name.c_str(), p.answers.c_str());
+        s.pass->sheds_load = false;
+        print_figures(s, run(s, real_fleet{}), "without load shedding, for comparison");
+        s.pass->sheds_load = true;
         const run_result r = run(s, real_fleet{});
-        print_figures(s, r, "as built");
+        print_figures(s, r, "with load shedding");
         add_checks(p, s, r, checks);
     }
 }
--- a/src/libcore/gateway_admission.cpp
+++ b/src/libcore/gateway_admission.cpp
@@ -33,9 +33,9 @@
     return request_admitted{};
 }
 
-admission_verdict decide(turn&, exchange_id, const engine_service_policy&)
+admission_verdict decide(turn& t, exchange_id id, const engine_service_policy&)
 {
-    return request_admitted{};
+    return admit_to_engines(t, id);
 }
 
 /// A request that must not run is refused for that reason, whatever room there is.
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -103,9 +103,9 @@
     return std::min(ex.deadline, replaceable_at(ex));
 }
 
-std::uint8_t engine_priority(const exchange& ex)
+std::uint8_t engine_priority(const turn& t, const exchange& ex)
 {
-    const int priority = highest_priority + 2 * ex.policy.priority;
+    const int priority = highest_priority + 2 * engine_rank(t, ex);
     return static_cast<std::uint8_t>(std::min<int>(lowest_priority, priority));
 }
 
@@ -198,7 +198,7 @@
     effect.workspace = ex.workspace;
     effect.time_left = ex.deadline - t.ctx.now;
     if (engine != nullptr)
-        effect.priority = engine_priority(ex);
+        effect.priority = engine_priority(t, ex);
     effect.last_event_id = ex.events.last;
     ex.must_continue = ex.events.last.has_value();
     effect.fetch_from = choice.fetch_from;
@@ -264,10 +264,11 @@
 }
 
 /// Returns whether the attempt could be replaced by one at another worker. One under which workers
-/// may have ended is not risked at a further one.
+/// may have ended is not risked at a further one. Where engines lack capacity, another one would
+/// not be faster, and what the first one has done would be lost.
 bool can_replace_attempt(turn& t, exchange_id id, exchange& ex)
 {
-    return ex.deadline - t.ctx.now > min_retry_time &&
+    return !engines_lack_capacity(t, ex) && ex.deadline - t.ctx.now > min_retry_time &&
            std::holds_alternative<crash_unsuspected>(standing_of(t, ex)) &&
            has_retry(t.st.retry_budgets[ex.policy.service]) &&
            !choose_for(t, id, {}).instance.empty();
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -99,6 +99,22 @@
 /// The request ends, answered or not.
 void observe_request_ended(turn& t, const exchange& ex);
 
+// gateway_shedding.cpp
+
+/// Decides on a request to a service with engines, once: by its deadline and its rank.
+[[nodiscard]] admission_verdict admit_to_engines(turn& t, exchange_id id);
+/// Returns whether most requests of this one's rank miss their targets at its service's engines.
+[[nodiscard]] bool engines_lack_capacity(const turn& t, const exchange& ex);
+/// Returns the rank by which engines are to order the request.
+[[nodiscard]] std::uint8_t engine_rank(const turn& t, const exchange& ex);
+/// As the functions of gateway_observations.cpp. They change nothing at plain services.
+void observe_engine_attempt(turn& t, const exchange& ex, const worker_choice& choice);
+void observe_engine_rejection(turn& t, const exchange& ex, std::uint16_t status);
+void observe_engine_first_event(turn& t, const exchange& ex);
+void observe_engine_attempt_ended(turn& t, const exchange& ex);
+void observe_engine_answer(turn& t, const exchange& ex);
+void observe_engine_request_ended(turn& t, const exchange& ex);
+
 // gateway_crashes.cpp
 
 /// How it was found that a worker's process has ended.
