Begin tests of ranks at a known time

The first advance of time forgets what was recorded before it, so the test of a single miss passed without the rule that it guards. It now fails with a minimum of 0.5 misses (tried).

--- a/src/libcore/rank_admission_test.cpp
+++ b/src/libcore/rank_admission_test.cpp
@@ -21,6 +21,8 @@
 
 /// The ranks of one service at a simulated time.
 struct ranks_fixture {
+    ranks_fixture() { advance(microseconds{0}); }
+
     rank_admission a;
     instant now{seconds(100)};
     std::array<int, 4> refused_in_row{}; ///< by rank
