--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -134,6 +134,7 @@
             st.gateway.enabled = true;
             st.gateway.workers.cold_starts.tolerance = cold_tolerance;
             st.gateway.workers.work.enabled = !scenario_.pass->counts_requests;
+            st.gateway.admissions.is_enabled = scenario_.pass->sheds_load;
             st.gateway.table_sync.seeds = {make_node("control-0", node_role::control)};
             st.gateway.retry_config = {retry_permille, 0, max_retry_balance_permille};
         }
--- a/bench/load_patterns.cpp
+++ b/bench/load_patterns.cpp
@@ -5,6 +5,7 @@
 #include "patterns_cold.h"
 #include "patterns_evacuation.h"
 #include "patterns_scarce.h"
+#include "patterns_shedding.h"
 #include "patterns_work.h"
 #include "scenario.h"
 #include "table_storm.h"
@@ -468,6 +469,8 @@
                                     bench::load_from_s, args["only"].as<std::string>(), checks);
     bench::run_cold_patterns(args["only"].as<std::string>(), args["seed"].as<std::uint64_t>(),
                              bench::make_fleet, checks);
+    bench::run_shedding_patterns(args["only"].as<std::string>(), args["seed"].as<std::uint64_t>(),
+                                 checks);
     if (std::string("table_storm").starts_with(args["only"].as<std::string>()))
         bench::run_table_storm(args["seed"].as<std::uint64_t>(), checks);
     bench::run_scarce_patterns(args["only"].as<std::string>(), args["seed"].as<std::uint64_t>(),
--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -145,6 +145,7 @@
     double tokens_from_s = 0;     ///< tokens read again or fetched before this second don't count
     bool counts_requests = false; ///< gateways compare workers by their number of requests alone
     double leaving_share = 0; ///< share of the callers that leave after a third of their timeout
+    bool sheds_load = true;   ///< gateways shed load where engines lack capacity
 
     friend bool operator==(const pass_scenario&, const pass_scenario&) = default;
 };
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -99,7 +99,7 @@
     instant next_voter_review_at{};
     request_sums sums;         ///< over all subscribers
     condition_sums conditions; ///< over all subscribers
-    worker_list workers; ///< the platform's list, as last read
+    worker_list workers;       ///< the platform's list, as last read
     worker_lease_table worker_leases;
     place_ledger places;    ///< of plain services under pressure, as leased to gateways
     instant list_read_at{}; ///< when the list was last read; 0: never
--- a/src/include/bluebell/core/worker_choice.h
+++ b/src/include/bluebell/core/worker_choice.h
@@ -16,7 +16,7 @@
     const std::vector<std::string>& tried_instances; ///< not to be chosen again
     const zone_id& zone; ///< availability zone of this process; workers in it are preferred
     const cold_start_limit* cold_limit = nullptr; ///< null: the service's workers have no limit
-    hash64 kind = 0;     ///< exchange_policy::kind
+    hash64 kind = 0;                              ///< exchange_policy::kind
 };
 
 /// The worker that was chosen for a request, and the estimates behind the choice.
--- a/src/libcore/gateway_observations.cpp
+++ b/src/libcore/gateway_observations.cpp
@@ -74,6 +74,7 @@
                                    profile_of(t, ex), choice.present_tokens, t.ctx.now);
     if (service_queue* q = find_queue(t, ex))
         *q = with_started(std::move(*q));
+    observe_engine_attempt(t, ex, choice);
 }
 
 void observe_answer_head(turn& t, const exchange& ex, const worker_answer& head)
@@ -85,12 +86,16 @@
                                         head.load->time_percent, t.ctx.now);
 }
 
-void observe_rejection(turn&, const exchange&, std::uint16_t) {}
+void observe_rejection(turn& t, const exchange& ex, std::uint16_t status)
+{
+    observe_engine_rejection(t, ex, status);
+}
 
 void observe_first_event(turn& t, const exchange& ex)
 {
     t.st.workers = with_prompt_read(std::move(t.st.workers), ex.attempt, profile_of(t, ex),
                                     t.ctx.now - ex.attempt_started_at, t.ctx.now);
+    observe_engine_first_event(t, ex);
 }
 
 void observe_attempt_ended(turn& t, const exchange& ex)
@@ -98,6 +103,7 @@
     if (service_queue* q = find_queue(t, ex))
         record_attempt_end(t, *q, ex);
     t.st.workers = with_work_ended(std::move(t.st.workers), ex.attempt);
+    observe_engine_attempt_ended(t, ex);
 }
 
 void observe_answer_completed(turn& t, const exchange& ex)
@@ -105,8 +111,12 @@
     if (tells_worker_times(ex))
         t.st.workers = with_answer_times(std::move(t.st.workers), ex.tried_instances.back(),
                                          profile_of(t, ex), times_of(t, ex), t.ctx.now);
+    observe_engine_answer(t, ex);
 }
 
-void observe_request_ended(turn&, const exchange&) {}
+void observe_request_ended(turn& t, const exchange& ex)
+{
+    observe_engine_request_ended(t, ex);
+}
 
 } // namespace bluebell::core::gateway
