--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -451,8 +451,9 @@
     BOOST_TEST(last_update().worker_request_counts.has_value());
 }
 
-// Guards against leases that a new leader gives while those of its predecessor are in force, against
-// leases that nobody has asked for, and against ones that can't be told from those of another query.
+// Guards against leases that a new leader gives while those of its predecessor are in force,
+// against leases that nobody has asked for, and against ones that can't be told from those of
+// another query.
 BOOST_FIXTURE_TEST_CASE(a_new_leader_gives_no_leases_at_first, leading_replica)
 {
     std::vector<worker_entry> workers(1);
