Play harder schedules in the property test of cold workers

Cause: the plays rarely had three holders within a second, so the property passed without the wait of a new leader and without the limit on departures.

Change: faults of each play are drawn from a seed, demand comes in bursts, processes stand still while connections are being established. A calm fleet checks that requests are sent at all.

--- a/src/libcore/cold_start_test.cpp
+++ b/src/libcore/cold_start_test.cpp
@@ -41,15 +41,28 @@
 /// each gateway sends as much as it may.
 class cold_fleet {
 public:
-    explicit cold_fleet(std::uint64_t seed) : random_(seed)
+    /// In a calm fleet nothing fails, and demand never pauses.
+    explicit cold_fleet(std::uint64_t seed, bool is_calm = false) : random_(seed), is_calm_(is_calm)
     {
+        const auto one_of = [&](std::initializer_list<std::uint64_t> values) {
+            return *(values.begin() + below(values.size()));
+        };
+        rules_.restart_one_in = one_of({60, 200, 2'000});
+        rules_.freeze_one_in = one_of({40, 200, 2'000});
+        rules_.late_one_in = one_of({3, 20});
+        rules_.lost_one_in = one_of({3, 20});
+        rules_.max_lead_ms = static_cast<std::int64_t>(one_of({400, 2'500, 10'000, 60'000}));
+        rules_.max_election_ms = static_cast<std::int64_t>(one_of({1, 1'500}));
         gateways_.resize(1 + below(10));
         for (auto& g : gateways_) {
             g.clock = random_clock();
             start(g);
         }
         leader_clock_ = random_clock();
-        leader_ends_at_ = now_ + random_ms(0, 6'000);
+        leases_ = make_leases(worker_count, leader_clock_.read(now_));
+        leader_ends_at_ = now_ + random_ms(0, rules_.max_lead_ms);
+        if (is_calm_)
+            leader_ends_at_ = instant::max();
     }
 
     void play(microseconds duration)
@@ -77,9 +90,10 @@
         }
         return highest;
     }
-    [[nodiscard]] std::size_t arrival_count() const
+    /// Returns the lowest number of arrivals at a worker.
+    [[nodiscard]] std::size_t lowest_count() const
     {
-        return arrivals_[0].size() + arrivals_[1].size();
+        return std::min(arrivals_[0].size(), arrivals_[1].size());
     }
 
 private:
@@ -118,11 +132,14 @@
         cold_start_state state;
         instant next_query_at{};
         instant frozen_until{};
+        instant demand_changes_at{};
+        bool has_demand = false;
         std::vector<answer> answers;
         std::vector<departure> departures;
     };
 
     std::uint64_t below(std::uint64_t n) { return random_() % n; }
+    bool happens(std::uint64_t one_in) { return !is_calm_ && below(one_in) == 0; }
     microseconds random_ms(std::int64_t from, std::int64_t to)
     {
         return milliseconds(from) + microseconds(static_cast<std::int64_t>(below(
@@ -134,7 +151,10 @@
                 990 + static_cast<std::int64_t>(below(21))};
     }
     /// Mostly soon, at times seconds later.
-    microseconds transit() { return below(6) == 0 ? random_ms(0, 3'000) : random_ms(0, 3); }
+    microseconds transit()
+    {
+        return happens(rules_.late_one_in) ? random_ms(0, 3'000) : random_ms(0, 3);
+    }
 
     static std::string name(std::size_t worker) { return "w" + std::to_string(worker); }
 
@@ -154,12 +174,12 @@
     void lead()
     {
         if (now_ >= leader_ends_at_ && next_elected_at_ == instant{})
-            next_elected_at_ = now_ + random_ms(0, 1'500);
+            next_elected_at_ = now_ + random_ms(0, rules_.max_election_ms);
         if (next_elected_at_ != instant{} && now_ >= next_elected_at_) {
             leader_clock_ = random_clock();
             elected_at_ = leader_clock_.read(now_);
             leases_ = make_leases(worker_count, elected_at_);
-            leader_ends_at_ = now_ + random_ms(0, 6'000);
+            leader_ends_at_ = now_ + random_ms(0, rules_.max_lead_ms);
             next_elected_at_ = instant{};
         }
         const auto arrived = std::stable_partition(
@@ -177,7 +197,7 @@
         lease_step given = give_leases(std::move(leases_), local, q.sender);
         leases_ = std::move(given.next);
         for (int copies = below(5) == 0 ? 2 : 1; copies > 0; --copies) {
-            if (below(8) != 0) // else it is lost
+            if (!happens(rules_.lost_one_in))
                 gateways_[q.from].answers.push_back({now_ + transit(), given.grant, q.sent_at});
         }
     }
@@ -207,11 +227,18 @@
             return true;
         });
         send_query(n, local);
-        for (std::size_t w = 0; w < worker_count; ++w)
+        // Demand comes in bursts, so that a holder may begin with its whole share left.
+        if (is_calm_) {
+            g.has_demand = true;
+        } else if (now_ >= g.demand_changes_at) {
+            g.has_demand = !g.has_demand;
+            g.demand_changes_at = now_ + random_ms(0, g.has_demand ? 100 : 800);
+        }
+        for (std::size_t w = 0; w < worker_count && g.has_demand; ++w)
             send_requests(g, w, local);
-        if (below(400) == 0)
+        if (happens(rules_.restart_one_in))
             start(g);
-        if (below(200) == 0)
+        if (happens(rules_.freeze_one_in))
             g.frozen_until = now_ + random_ms(0, 2'500);
     }
 
@@ -224,7 +251,7 @@
         g.state.leases = with_lease_query(std::move(g.state.leases), local);
         const lease_holder self = holder(static_cast<int>(n), g.incarnation);
         for (int copies = below(5) == 0 ? 2 : 1; copies > 0; --copies) {
-            if (below(8) != 0)
+            if (!happens(rules_.lost_one_in))
                 queries_.push_back({now_ + transit(), n, self, local.time_since_epoch()});
         }
     }
@@ -236,14 +263,30 @@
             const auto* cold = std::get_if<worker_cold>(&warmth);
             return cold == nullptr || cold->may_get;
         };
+        const std::size_t before = g.departures.size();
         while (may_send()) {
             g.state = with_request(std::move(g.state), local, limit, name(worker));
             const auto connect_time = below(3) == 0 ? random_ms(0, 400) : random_ms(0, 2);
             g.departures.push_back({now_ + connect_time, local + cold_departure_time, worker});
         }
+        // A process that stands still while connections are being established.
+        if (g.departures.size() > before && happens(6))
+            g.frozen_until = now_ + random_ms(0, 2'500);
     }
 
+    /// How often things go wrong in this play.
+    struct fault_rules {
+        std::uint64_t restart_one_in = 1; ///< steps of a gateway
+        std::uint64_t freeze_one_in = 1;  ///< steps of a gateway
+        std::uint64_t late_one_in = 1;    ///< messages
+        std::uint64_t lost_one_in = 1;    ///< messages
+        std::int64_t max_lead_ms = 0;     ///< time of one leader
+        std::int64_t max_election_ms = 0; ///< from the end of one leader to the next
+    };
+
     std::mt19937_64 random_;
+    bool is_calm_ = false;
+    fault_rules rules_;
     instant now_{seconds(1)};
     std::vector<gateway> gateways_;
     std::vector<query> queries_;
@@ -269,15 +312,17 @@
 }
 
 // Guards against a bound that holds because nothing is sent.
-BOOST_AUTO_TEST_CASE(cold_workers_get_requests_all_the_same)
+BOOST_AUTO_TEST_CASE(cold_workers_get_most_of_a_holders_share_while_nothing_fails)
 {
-    std::size_t count = 0;
+    constexpr seconds time{20};
+    const std::size_t share = cold_share(limit, tolerance);
+    const auto windows = static_cast<std::size_t>(time / cold_counting_window);
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        cold_fleet fleet(seed);
-        fleet.play(seconds(20));
-        count += fleet.arrival_count();
+        cold_fleet fleet(seed, true);
+        fleet.play(time);
+        // A third is left for connections that take too long, and for the first queries.
+        BOOST_TEST(fleet.lowest_count() >= share * windows * 2 / 3);
     }
-    BOOST_TEST(count > 1'000U);
 }
 
 // Guards against a worker that two gateways hold at once, or that none gets.
