--- a/testsuite/standins/platform.cpp
+++ b/testsuite/standins/platform.cpp
@@ -65,8 +65,9 @@
 class platform_standin {
 public:
     platform_standin(std::shared_ptr<runtime::event_loop> loop, std::uint16_t port,
-                     std::uint16_t listed_port, int engines)
-        : loop_(std::move(loop)), port_(port), listed_port_(listed_port), engines_(engines)
+                     std::uint16_t listed_port, int engines, int plain_cold_ms)
+        : loop_(std::move(loop)), port_(port), listed_port_(listed_port), engines_(engines),
+          plain_cold_ms_(plain_cold_ms)
     {
     }
 
@@ -187,7 +188,8 @@
                         "\",\"service\":\"" + w.service + "\",\"address\":\"127.0.0.1:" +
                         std::to_string(listed_port_ + w.port - port_) +
                         "\",\"zone\":\"a\",\"slots\":4,\"state\":\"" +
-                        (w.draining ? "draining" : "ready") + "\",\"cold-remaining-ms\":0}";
+                        (w.draining ? "draining" : "ready") + "\",\"cold-remaining-ms\":" +
+                        std::to_string(w.service == "plain" ? plain_cold_ms_ : 0) + "}";
             text = "{\"instances\":[" + text + "],\"next\":null}";
         }
         s->reply(200, {}, text);
@@ -358,6 +360,7 @@
     std::uint16_t port_;        ///< of the list; the workers have the next ones
     std::uint16_t listed_port_; ///< the list shows this in place of port_: a proxy's first port
     int engines_;
+    int plain_cold_ms_; ///< for which the list always says that plain workers stay cold
     std::shared_ptr<runtime::http_server> list_server_;
     std::vector<worker> workers_;
     std::vector<std::shared_ptr<stream>> streams_;
@@ -376,13 +379,15 @@
     options.add_options()("port", "first of the ports", cxxopts::value<std::uint16_t>())(
         "shown", "first port as the list shows it, if another", cxxopts::value<std::uint16_t>())(
         "engines", "number of engines", cxxopts::value<int>()->default_value("2"))(
-        "seconds", "stops by itself", cxxopts::value<int>()->default_value("60"));
+        "cold-ms", "plain workers are always cold for this time",
+        cxxopts::value<int>()->default_value("0"))("seconds", "stops by itself",
+                                                   cxxopts::value<int>()->default_value("60"));
     const auto args = options.parse(argc, argv);
     const auto loop = *runtime::event_loop::make();
     const auto port = args["port"].as<std::uint16_t>();
     platform_standin platform(loop, port,
                               args.count("shown") != 0 ? args["shown"].as<std::uint16_t>() : port,
-                              args["engines"].as<int>());
+                              args["engines"].as<int>(), args["cold-ms"].as<int>());
     if (!platform.open()) {
         std::cerr << "standin_platform: can't listen on its ports\n";
         return 1;
