Serve requests in time and of higher ranks first at a scarce plain service

Cause: callers that were refused come back after their target, and took the places of those that could be answered in time; ranks with longer targets filled the queues; falling places left all gateways without a lease for up to a second.

Change: a gateway learns the usual timeout of each workspace and kind, and takes the time that a request states less as waited. Requests that are overdue, or whose rank has had its share, are refused at once for 0.5 s after the refusal of one that could have been in time. Leases in force may be renewed when the places fall. Overcommit rises while less than half of the slots waits at workers. Tests of the division, the queue, the gateway and a new leader; patterns with one heavy workspace, without the leader, without a worker, and with 300 gateways, each compared with the part disabled.

--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -131,6 +131,7 @@
         if (scenario_.pass) {
             st.gateway.enabled = true;
             st.gateway.table_sync.seeds = {make_node("control-0", node_role::control)};
+            st.gateway.queues.enabled = scenario_.pass->queues_plain;
             st.gateway.retry_config = {retry_permille, 0, max_retry_balance_permille};
         }
         start_node(make_node(router_id(n).str(), node_role::router), std::move(st));
--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -127,6 +127,7 @@
     /// A refused caller comes back this often, after the stated time or, if `impatient`, at once.
     int resends = 1;
     bool impatient = false;
+    bool queues_plain = true; ///< gateways queue requests to plain services under pressure
     double leaving_share = 0; ///< share of the callers that leave after a third of their timeout
 
     friend bool operator==(const pass_scenario&, const pass_scenario&) = default;
--- a/bench/patterns_scarce.cpp
+++ b/bench/patterns_scarce.cpp
@@ -62,11 +62,28 @@
         {"", flood_factor, load_from_s + flood_from_s, load_from_s + flood_until_s});
 }
 
+/// Share of the workers that stands for one.
+constexpr double one_worker = 0.1;
+
+/// Half of the unsafe requests come from another workspace, which then sends eight times as many.
+void add_heavy_workspace(scenario& s)
+{
+    constexpr double factor = 8;
+    request_kind& claim = s.pass->kinds[unsafe_kind];
+    claim.per_s /= 2;
+    request_kind heavy = claim;
+    heavy.name = heavy.workspace = "heavy";
+    s.pass->kinds.push_back(heavy);
+    s.pass->surges.push_back(
+        {heavy.name, factor, load_from_s + flood_from_s, load_from_s + flood_until_s});
+}
+
 struct scarce_pattern {
     std::string name;
     std::string answers; ///< the question that it answers
     int gateways = 28;
     std::function<void(scenario&)> change;
+    bool checks_value = true; ///< of the unsafe kind; false: the fault takes away too much
 };
 
 std::vector<scarce_pattern> scarce_patterns()
@@ -75,6 +92,30 @@
         {"scarce_flood", "what do callers get of three workers in a flood with repeats?", 28,
          add_flood},
         {"scarce_flood_51", "the same with 51 gateways", 51, add_flood},
+        {"scarce_one_workspace", "what do others get beside a workspace at eight times its load?",
+         28, add_heavy_workspace},
+        {"scarce_leader_lost", "and if the leader is gone for 3 s of the flood?", 28,
+         [](scenario& s) {
+             add_flood(s);
+             s.faults.push_back({load_from_s + 6, control_partition{true}});
+             s.faults.push_back({load_from_s + 9, control_partition{false}});
+         },
+         false},
+        {"scarce_worker_lost", "and if one of the workers is gone for 3 s of the flood?", 28,
+         [](scenario& s) {
+             add_flood(s);
+             s.faults.push_back(
+                 {load_from_s + 6, workers_stop{"plain", one_worker, milliseconds(3'000)}});
+         },
+         false},
+        {"scarce_300", "and with 300 gateways before 18 workers, at six times the load?", 300,
+         [](scenario& s) {
+             constexpr int scale = 6;
+             s.pass->groups[0].count *= scale;
+             for (auto& kind : s.pass->kinds)
+                 kind.per_s *= scale;
+             add_flood(s);
+         }},
     };
 }
 
@@ -117,10 +158,15 @@
     scenario s = make_scarce(seed, p.gateways);
     p.change(s);
     std::printf("%s: %s\n", p.name.c_str(), p.answers.c_str());
+    s.pass->queues_plain = false;
+    print_run(s, run(s, real_fleet{}), "without queues (for comparison)");
+    s.pass->queues_plain = true;
     const run_result r = run(s, real_fleet{});
-    print_run(s, r, "today");
+    print_run(s, r, "with queues");
     checks.push_back({"load." + p.name + ".rejected", rejected_share(r.pass), relation::at_most,
                       max_rejected_share});
+    if (!p.checks_value)
+        return;
     checks.push_back({"load." + p.name + ".unsafe_value", value_of_kind(s, r.pass, unsafe_kind),
                       relation::at_least, min_unsafe_value});
 }
--- a/src/include/bluebell/core/service_queue.h
+++ b/src/include/bluebell/core/service_queue.h
@@ -89,7 +89,11 @@
     instant next_turn_at{};            ///< the next caller that is refused is told to come then
     std::deque<exchange_id> next;      ///< go before all others
     std::array<rank_queue, rank_count> ranks;
+    /// When a request of the rank was last refused that could have met its target with a place.
+    std::array<instant, rank_count> refused_timely_at{};
     rank_share shares;
+    /// The longest timeout that requests of one workspace and kind stated lately.
+    std::map<hash64, microseconds> usual_timeouts;
     std::map<exchange_id, held_request> held; ///< exactly those in `next` and `ranks`
     std::map<std::string, full_worker> full;  ///< by instance
 
@@ -157,6 +161,14 @@
 /// Returns whether the leader should be asked at once, because pressure has just begun.
 [[nodiscard]] bool wants_query(const service_queues& queues, instant now);
 
+// What callers have waited before.
+
+/// Learns how long requests usually may take from what one states.
+[[nodiscard]] service_queue with_timeout(service_queue q, hash64 kind, microseconds stated);
+/// Returns how long the caller has waited already, at an earlier gateway, by how much less time it
+/// states than usual; 0 if nothing is known.
+[[nodiscard]] microseconds waited_before(const service_queue& q, hash64 kind, microseconds stated);
+
 // Starts and ends.
 
 [[nodiscard]] bool can_start(const service_queue& q, instant now, const start_pace& pace);
@@ -183,7 +195,7 @@
     exchange_id id = 0;
 };
 /// Removes the request that is started next. The queue must not be empty.
-[[nodiscard]] take_step take_next(service_queue q);
+[[nodiscard]] take_step take_next(service_queue q, instant now);
 /// Removes the request if it is in the queue.
 [[nodiscard]] service_queue without_request(service_queue q, exchange_id id);
 
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -543,6 +543,32 @@
     BOOST_TEST(!confirms_list()); // that reading has failed
 }
 
+/// Guards against a new leader that leases places which its predecessor has leased as well, and
+/// against shares of places that are not known.
+BOOST_FIXTURE_TEST_CASE(a_new_leader_leases_no_places_before_earlier_leases_have_expired,
+                        leading_replica)
+{
+    worker_entry listed = test::worker(0, "plain");
+    listed.slots = 6;
+    st.lead.workers.workers = {listed, test::worker(1, "unknown")};
+    table_query wanting = query(0);
+    wanting.service_demands = {{listed.service, 1, 2, 0, 0, 0},
+                               {service_id::from_trusted("unknown"), 1, 2, 0, 0, 0}};
+    const instant elected_at = now;
+    std::get<leader_role>(st.replication.role).elected_at = elected_at;
+    while (now - elected_at < place_lease_warmup) {
+        receive(fleet_message(wanting));
+        BOOST_TEST(last_update().place_shares.empty());
+        advance(milliseconds(100));
+    }
+    receive(fleet_message(wanting));
+    BOOST_REQUIRE(last_update().place_shares.size() == 1U);
+    BOOST_TEST(last_update().place_shares[0].leased_permille >= 1'000U);
+    BOOST_TEST((last_update().place_shares[0].duration == place_lease_time));
+    receive(fleet_message(query(0)));
+    BOOST_TEST(last_update().place_shares.empty()); // nothing is sent that wasn't asked for
+}
+
 BOOST_FIXTURE_TEST_CASE(a_restarted_gateway_gets_all_cached_prompts_again, leading_replica)
 {
     const auto query_prompts = [&](const char* sender, incarnation_number incarnation,
--- a/src/libcore/gateway_admission.cpp
+++ b/src/libcore/gateway_admission.cpp
@@ -80,13 +80,23 @@
         static_cast<std::uint32_t>(std::uint64_t{*share} * workers.usable / workers.listed));
 }
 
+hash64 timeout_kind(const exchange& ex)
+{
+    return hash_of(ex.workspace.str(), ex.policy.kind);
+}
+
 queued_request make_queued(const turn& t, exchange_id id, const exchange& ex)
 {
+    const auto queue = t.st.queues.by_service.find(ex.policy.service);
+    const microseconds waited =
+        queue == t.st.queues.by_service.end()
+            ? microseconds{0}
+            : waited_before(queue->second, timeout_kind(ex), ex.request.caller_timeout);
     queued_request r;
     r.id = id;
     r.workspace = ex.workspace;
     r.priority = ex.policy.priority;
-    r.target_at = std::min(ex.deadline, ex.arrived_at + ex.policy.target_latency);
+    r.target_at = std::min(ex.deadline, ex.arrived_at + ex.policy.target_latency - waited);
     r.deadline = ex.deadline;
     r.is_next = !ex.tried_instances.empty();
     r.random = hash_of(ex.request.id.str(), t.ctx.random ^ id);
@@ -116,6 +126,8 @@
     if (!t.st.queues.enabled || ex.answer_started)
         return request_admitted{};
     service_queue& q = t.st.queues.by_service[ex.policy.service];
+    if (ex.arrived_at == t.ctx.now && ex.request.caller_timeout.count() > 0)
+        q = with_timeout(std::move(q), timeout_kind(ex), ex.request.caller_timeout);
     const plain_workers workers = view_plain_workers(t, ex.policy.service);
     if (workers.all_have_slots &&
         workers.requests * pressed_slots_denominator > workers.slots * pressed_slots_numerator)
@@ -246,7 +258,7 @@
         const bool is_paced = pace && is_pressed(q, t.ctx.now);
         if (is_paced && !can_start(q, t.ctx.now, *pace))
             return;
-        take_step done = take_next(std::move(q));
+        take_step done = take_next(std::move(q), t.ctx.now);
         q = std::move(done.next);
         exchange& ex = t.st.exchanges.at(done.id);
         if (is_paced && has_only_full_workers(t, done.id, q)) {
--- /dev/null
+++ b/src/libcore/gateway_scarce_test.cpp
@@ -0,0 +1,224 @@
+// A gateway before a plain service under pressure: what starts, waits and is refused, and what the
+// leader is told.
+
+#include "gateway_test.h"
+
+#include <algorithm>
+
+using namespace bluebell::core;
+using namespace bluebell::core::test;
+
+namespace {
+
+const service_id plain = service_id::from_trusted("plain");
+
+worker_answer loaded_answer(std::uint32_t running, std::uint32_t waiting)
+{
+    worker_answer a = answer(200);
+    a.load = worker_load{running, waiting, 6};
+    return a;
+}
+
+worker_answer full_answer()
+{
+    worker_answer a = answer(503);
+    a.not_run = true;
+    a.load = worker_load{6, 24, 6};
+    return a;
+}
+
+/// A gateway that queries a leader.
+struct scarce_gateway : ready_gateway {
+    exchange_id last_exchange = 0;
+    node_id leader = node_id::from_trusted("control-1");
+
+    scarce_gateway()
+    {
+        st.table_sync.seeds = {node_info{}};
+        st.table_sync.seeds[0].id = leader;
+        st.table_sync.contact = leader;
+        st.table_sync.control_nodes = st.table_sync.seeds;
+        worker_list_received list;
+        for (int n = 0; n < worker_count; ++n) {
+            list.workers.push_back(worker(n, "plain"));
+            list.workers.back().slots = 6;
+        }
+        handle(exchange_event(list));
+    }
+    exchange_id ask(const char* target = "/unsafe/x")
+    {
+        last_exchange += 1;
+        handle(pass_request_received{last_exchange,
+                                     request(target, "r" + std::to_string(last_exchange))});
+        return last_exchange;
+    }
+    void complete(attempt_number attempt, const worker_answer& head)
+    {
+        handle(attempt_head{attempt, head});
+        if (!head.not_run)
+            handle(attempt_completed{attempt});
+    }
+    /// One request is answered after 20 ms, and its worker reports that others wait.
+    void feel_pressure()
+    {
+        ask();
+        const attempt_number attempt = started_attempt().attempt;
+        now += milliseconds(20);
+        complete(attempt, loaded_answer(6, 3));
+    }
+    /// Sends the query that is due, and answers it with a share.
+    void lease(std::uint32_t permille, std::uint32_t reserved = 100)
+    {
+        advance_time(milliseconds(1));
+        table_update update;
+        update.from_leader = true;
+        update.table_version = 1;
+        update.place_shares = {{plain, permille, reserved, place_lease_time}};
+        apply(handle_table_update(std::move(st), context{now, 1, self, fleet}, leader, update));
+    }
+    [[nodiscard]] const table_query* sent_query() const
+    {
+        const auto* sent = find_effect<send_message>();
+        const auto* msg = sent ? std::get_if<fleet_message>(&sent->payload) : nullptr;
+        return msg ? std::get_if<table_query>(msg) : nullptr;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gateway_scarce)
+
+/// Guards against pacing, or messages, without pressure.
+BOOST_FIXTURE_TEST_CASE(without_pressure_nothing_is_held_and_no_demand_is_sent, scarce_gateway)
+{
+    for (int n = 0; n < 6; ++n) {
+        ask();
+        complete(started_attempt().attempt, loaded_answer(2, 0));
+    }
+    st.table_sync.next_query_at = now;
+    advance_time(milliseconds(1));
+    BOOST_REQUIRE(sent_query() != nullptr);
+    BOOST_TEST(sent_query()->service_demands.empty());
+}
+
+/// Guards against a flood that the leader learns of only with the next regular query.
+BOOST_FIXTURE_TEST_CASE(the_leader_is_asked_at_once_when_pressure_begins, scarce_gateway)
+{
+    feel_pressure();
+    advance_time(milliseconds(1));
+    BOOST_REQUIRE(sent_query() != nullptr);
+    BOOST_REQUIRE(sent_query()->service_demands.size() == 1U);
+    const service_demand& demand = sent_query()->service_demands[0];
+    BOOST_TEST((demand == service_demand{plain, 0, 0, 0, 1, 3}));
+}
+
+/// Guards against requests beyond the share that reach workers, and held ones that never start.
+BOOST_FIXTURE_TEST_CASE(requests_beyond_the_share_wait_for_a_place, scarce_gateway)
+{
+    feel_pressure();
+    lease(2'000);
+    ask();
+    const attempt_number first = started_attempt().attempt;
+    ask();
+    const attempt_number second = started_attempt().attempt;
+    const exchange_id held = ask();
+    BOOST_TEST(find_effect<start_attempt>() == nullptr);
+    BOOST_TEST(st.exchanges.at(held).is_held);
+    now += milliseconds(20);
+    complete(first, loaded_answer(6, 0));
+    BOOST_TEST(started_attempt().request.id.str() == "r" + std::to_string(held));
+    complete(second, loaded_answer(6, 0));
+    BOOST_TEST(st.queues.by_service.at(plain).running == 1U);
+    BOOST_TEST(st.queues.by_service.at(plain).held.empty());
+}
+
+/// Guards against requests that are held though they can't be served in time.
+BOOST_FIXTURE_TEST_CASE(what_cant_be_served_in_time_is_refused_at_once, scarce_gateway)
+{
+    feel_pressure();
+    lease(1'000);
+    std::size_t refused = 0;
+    microseconds previous{0};
+    for (int n = 0; n < 20; ++n) {
+        ask();
+        const auto* reply = find_effect<pass_error_reply>();
+        if (reply == nullptr)
+            continue;
+        refused += 1;
+        BOOST_TEST(reply->status == 503U);
+        BOOST_TEST((reply->retry_after > previous && reply->retry_after <= milliseconds(1'000)));
+        previous = reply->retry_after;
+    }
+    BOOST_TEST((refused >= 14U && refused <= 18U)); // 20 ms each, 100 ms to the target
+}
+
+/// Guards against a caller's leave that leaves its request in the queue.
+BOOST_FIXTURE_TEST_CASE(a_held_request_of_a_caller_that_left_is_forgotten, scarce_gateway)
+{
+    feel_pressure();
+    lease(1'000);
+    ask();
+    const exchange_id held = ask();
+    BOOST_TEST(st.queues.by_service.at(plain).held.contains(held));
+    handle(pass_caller_disconnected{held});
+    BOOST_TEST(st.queues.by_service.at(plain).held.empty());
+    BOOST_TEST(!st.exchanges.contains(held));
+}
+
+/// Guards against retries at workers that are known to be full: the request waits, and goes first.
+BOOST_FIXTURE_TEST_CASE(a_refused_request_waits_for_a_worker_that_isnt_full, scarce_gateway)
+{
+    feel_pressure();
+    lease(4'000);
+    ask();
+    const start_attempt a = started_attempt();
+    ask();
+    const start_attempt b = started_attempt();
+    ask();
+    const start_attempt c = started_attempt();
+    std::set<std::string> instances{a.instance, b.instance, c.instance};
+    now += milliseconds(1);
+    complete(a.attempt, full_answer());
+    complete(started_attempt().attempt, full_answer());
+    // Two workers are full. The third refuses as well, and nothing is tried that is known to be.
+    if (const auto* last = find_effect<start_attempt>())
+        complete(attempt_number{last->attempt}, full_answer());
+    BOOST_TEST(find_effect<start_attempt>() == nullptr);
+    ask();
+    BOOST_TEST(find_effect<start_attempt>() == nullptr); // all are full
+    advance_time(milliseconds(21));
+    BOOST_TEST(find_effect<start_attempt>() != nullptr);
+}
+
+/// Guards against a stop of all service without a leader: the reserved part applies.
+BOOST_FIXTURE_TEST_CASE(without_a_lease_the_reserved_part_applies, scarce_gateway)
+{
+    feel_pressure();
+    lease(3'000, 500);
+    advance_time(milliseconds(1'100));
+    ask();
+    const attempt_number first = started_attempt().attempt;
+    const exchange_id held = ask();
+    BOOST_TEST(st.exchanges.at(held).is_held);
+    now += milliseconds(20);
+    complete(first, loaded_answer(6, 1)); // half a place: a pause as long as the answer took
+    BOOST_TEST(find_effect<start_attempt>() == nullptr);
+    advance_time(milliseconds(21));
+    BOOST_TEST(started_attempt().request.id.str() == "r" + std::to_string(held));
+}
+
+/// Guards against requests that wait on after the pressure has ended.
+BOOST_FIXTURE_TEST_CASE(what_waits_is_sent_when_pressure_ends, scarce_gateway)
+{
+    feel_pressure();
+    lease(1'000);
+    now += milliseconds(1'950);
+    st.queues.by_service.at(plain).lease_until = now + seconds(1);
+    ask();
+    const exchange_id held = ask();
+    BOOST_TEST(st.exchanges.at(held).is_held);
+    advance_time(milliseconds(60));
+    BOOST_TEST(!st.exchanges.at(held).is_held);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libcore/place_share.cpp
+++ b/src/libcore/place_share.cpp
@@ -25,6 +25,12 @@
 constexpr microseconds overcommit_lifetime{10'000'000};
 /// Overcommit changes by one divided by this in one review.
 constexpr std::uint32_t overcommit_step_divisor = 10;
+/// Overcommit falls when more requests wait at a worker than this part of its slots, in
+/// thousandths: answers take that much longer, which shortens the time that is left for waiting at
+/// gateways.
+constexpr std::uint64_t long_queue_permille = 1'000;
+/// It rises when fewer wait than this part: slots are empty now and then.
+constexpr std::uint64_t short_queue_permille = 500;
 /// Overcommit rises only while at least a slot's request waits at gateways for this many slots.
 constexpr std::uint64_t waiting_divisor = 4;
 /// A lease is at most the gateway's wants times this, or an equal part: places that it doesn't use
@@ -89,8 +95,11 @@
         waiting_at_gateways += has_demand(h, now) ? h.demand.waiting : 0;
     const std::uint32_t step = p.overcommit_permille / overcommit_step_divisor;
     const bool rejects = p.rejected * rejected_divisor > p.completed + p.rejected;
-    const bool is_long = p.waiting_at_workers * supply.workers > p.completed * supply.slots;
-    const bool is_short = p.completed != 0 && p.waiting_at_workers * 2 < p.completed;
+    // Mean of the requests that wait at a worker, times the denominators.
+    const std::uint64_t mean_waiting = p.waiting_at_workers * supply.workers * permille;
+    const std::uint64_t mean_slots = p.completed * supply.slots;
+    const bool is_long = mean_waiting > mean_slots * long_queue_permille;
+    const bool is_short = p.completed != 0 && mean_waiting < mean_slots * short_queue_permille;
     if (rejects || is_long)
         p.overcommit_permille = std::max(min_overcommit_permille, p.overcommit_permille - step);
     else if (is_short && waiting_at_gateways * waiting_divisor >= supply.slots)
@@ -163,8 +172,8 @@
     const std::uint64_t fair = std::min(most, fair_part(p, now, own, leasable - kept));
     // What is in force may be renewed, or a fall of the places would leave all gateways without a
     // lease until the earlier ones have expired.
-    const std::uint64_t leased =
-        std::min(fair, std::max<std::uint64_t>(available, leased_to(own, now)));
+    const std::uint64_t free = available - std::min(available, kept);
+    const std::uint64_t leased = std::min(fair, std::max<std::uint64_t>(free, leased_to(own, now)));
     own.reserved_permille = static_cast<std::uint32_t>(
         std::min(reserved / count, reserved - std::min(reserved, others_reserved)));
     if (leased != 0)
--- a/src/libcore/service_queue.cpp
+++ b/src/libcore/service_queue.cpp
@@ -25,6 +25,13 @@
 /// A leader that is asked when pressure begins is expected to answer within this time, the interval
 /// of queries. Requests are not paced until then.
 constexpr microseconds answer_time{300'000};
+/// Time after the refusal of a request that could have met its target in which none of its rank is
+/// started or held that can't: it would take the place of the next one that can.
+constexpr microseconds overdue_hold_off{500'000};
+/// Kinds of requests whose usual timeout is known.
+constexpr std::size_t max_timeout_kinds = 1'024;
+/// The usual timeout approaches a shorter one that is stated by one divided by this.
+constexpr std::int64_t timeout_decay_divisor = 256;
 /// Shortest time after which a refused caller should come back.
 constexpr microseconds min_turn{20'000};
 /// Callers honour a time to come back up to the time that they have left divided by this.
@@ -57,7 +64,9 @@
     const microseconds paused = std::max<microseconds>(microseconds{0}, q.next_start_at - now);
     if (q.running < pace.max_running)
         return paused;
-    const microseconds first_end = q.response_time / (pace.max_running + 1);
+    // The first of those that run ends earlier in the mean. The rest is a margin: a request that is
+    // held and then misses its target costs more than one that is refused at once.
+    const microseconds first_end = q.response_time;
     const microseconds backlog = cycle(q, pace) * (q.running - pace.max_running);
     return std::max(paused, first_end + backlog + pause_after(q.response_time, pace));
 }
@@ -81,6 +90,27 @@
     return defaults;
 }
 
+/// Returns the ranks that want places at present: those that wait, those whose requests were lately
+/// refused though they could have been answered in time, and `own`.
+rank_flags contending_ranks(const service_queue& q, instant now, rank own)
+{
+    rank_flags contending = waiting_ranks(q);
+    for (std::size_t r = 0; r < rank_count; ++r)
+        contending.at(r) = contending.at(r) || now - q.refused_timely_at.at(r) < overdue_hold_off;
+    contending.at(static_cast<std::size_t>(own)) = true;
+    return contending;
+}
+
+/// Returns whether higher ranks, whose requests are being refused, leave the rank its turn.
+bool has_turn(const service_queue& q, instant now, std::size_t own)
+{
+    const rank_flags contending = contending_ranks(q, now, static_cast<rank>(own));
+    const bool is_highest =
+        std::find(contending.begin(), contending.begin() + static_cast<std::ptrdiff_t>(own),
+                  true) == contending.begin() + static_cast<std::ptrdiff_t>(own);
+    return is_highest || choose(q.shares, contending) == static_cast<rank>(own);
+}
+
 /// Returns the expected number of starts before a request that has `ahead` others of its rank ahead
 /// of it.
 std::uint64_t starts_before(const service_queue& q, std::size_t rank_number, std::uint64_t ahead)
@@ -309,22 +339,55 @@
     return q;
 }
 
+service_queue with_timeout(service_queue q, hash64 kind, microseconds stated)
+{
+    const auto it = q.usual_timeouts.find(kind);
+    if (it != q.usual_timeouts.end())
+        it->second = std::max(stated, it->second - (it->second - stated) / timeout_decay_divisor);
+    else if (q.usual_timeouts.size() < max_timeout_kinds)
+        q.usual_timeouts.emplace(kind, stated);
+    return q;
+}
+
+microseconds waited_before(const service_queue& q, hash64 kind, microseconds stated)
+{
+    const auto it = q.usual_timeouts.find(kind);
+    return it == q.usual_timeouts.end() ? microseconds{0}
+                                        : std::max(microseconds{0}, it->second - stated);
+}
+
 queue_step place(service_queue q, instant now, const start_pace& pace,
                  const queued_request& request)
 {
+    const std::size_t own = rank_of(request);
+    const bool is_overdue = !request.is_next && now + run_time(q) > request.target_at;
+    if (is_overdue && now - q.refused_timely_at.at(own) < overdue_hold_off)
+        return refuse(std::move(q), now, pace, request,
+                      "no place: others can still be answered in time");
+    if (!request.is_next && !has_turn(q, now, own)) {
+        if (!is_overdue)
+            q.refused_timely_at.at(own) = now;
+        return refuse(std::move(q), now, pace, request, "no place: higher ranks want them");
+    }
     const bool is_first = request.is_next ? q.next.empty() : q.held.empty();
-    if (is_first && can_start(q, now, pace))
+    if (is_first && can_start(q, now, pace)) {
+        const auto served = static_cast<rank>(own);
+        q.shares = charge(q.shares, served, 1, contending_ranks(q, now, served), policies());
         return {std::move(q), request_admitted{}};
+    }
     if (q.held.size() >= max_held)
         return refuse(std::move(q), now, pace, request, "too many requests wait");
     const microseconds wait = request.is_next ? time_of(q, now, pace, q.next.size())
                                               : expected_wait(q, now, pace, request);
     const instant end = now + wait + run_time(q);
     const bool is_timely = end <= request.target_at;
-    const bool may_be_late = request.is_next || !has_waiting(q.ranks.at(rank_of(request)));
-    if (!is_timely && !(may_be_late && end <= request.deadline))
+    const bool may_be_late = request.is_next || !has_waiting(q.ranks.at(own));
+    if (!is_timely && !(may_be_late && end <= request.deadline)) {
+        if (!is_overdue)
+            q.refused_timely_at.at(own) = now;
         return refuse(std::move(q), now, pace, request,
                       "no place in time: " + std::to_string(q.held.size()) + " wait");
+    }
     q = with_held(std::move(q), request, !is_timely);
     const instant at = review_at(q, now, request);
     return {std::move(q), request_held{at}};
@@ -338,16 +401,19 @@
         q = without_request(std::move(q), id);
         return refuse(std::move(q), now, pace, h.request, "no place in time any more");
     }
-    const bool was_overtaken = now + run_time(q) > h.request.target_at;
+    const bool was_overtaken = now + q.response_time > h.request.target_at;
     if (was_overtaken && !h.is_late && h.item != 0) {
         q = without_request(std::move(q), id);
+        // Behind those that can be answered in time it would wait until its deadline.
+        if (now - q.refused_timely_at.at(rank_of(h.request)) < overdue_hold_off)
+            return refuse(std::move(q), now, pace, h.request, "no place in time any more");
         q = with_held(std::move(q), h.request, true);
     }
     const instant at = review_at(q, now, h.request);
     return {std::move(q), request_held{at}};
 }
 
-take_step take_next(service_queue q)
+take_step take_next(service_queue q, instant now)
 {
     if (!q.next.empty()) {
         const exchange_id id = q.next.front();
@@ -364,7 +430,7 @@
     const workspace_id workspace = from.by_start.begin()->second;
     popped done = pop(std::move(from), workspace);
     from = std::move(done.next);
-    q.shares = charge(q.shares, chosen, 1, waiting, policies());
+    q.shares = charge(q.shares, chosen, 1, contending_ranks(q, now, chosen), policies());
     const exchange_id id = done.item.attempt.nonce;
     q.held.erase(id);
     return {std::move(q), id};
