Draw workers of a paced service evenly where there are many

Cause: with 18 workers each gateway hears of a worker so rarely that all choose the same ones.

Change: with more than 8 workers, a plain service under pressure draws them evenly.

--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -264,17 +264,57 @@
     return choose_worker(t.st.workers, criteria, t.ctx.now, t.ctx.random ^ id);
 }
 
+/// Workers of a plain service under pressure that are chosen by their counts of requests. A gateway
+/// with one request at a time hears of each worker once in as many response times as there are
+/// workers. With more, the counts are so old that all gateways choose the same workers by them and
+/// leave others idle.
+constexpr std::size_t max_compared_workers = 8;
+
+/// Draws a worker at random that is neither tried, avoided nor failing, if there are more than
+/// max_compared_workers.
+worker_choice draw_evenly(turn& t, exchange_id id, const std::vector<std::string>& avoided)
+{
+    const service_id& service = t.st.exchanges.at(id).policy.service;
+    std::vector<std::string> listed;
+    for (const auto& [instance, w] : t.st.workers.workers) {
+        if (w.entry.service == service)
+            listed.push_back(instance);
+    }
+    if (listed.size() <= max_compared_workers)
+        return choose_any(t, id, avoided);
+    const hash64 random = hash_of(t.st.exchanges.at(id).request.id.str(), t.ctx.random ^ id);
+    for (std::size_t n = 0; n < listed.size(); ++n) {
+        const std::size_t drawn = (random + n) % listed.size();
+        if (t.st.workers.workers.at(listed[drawn]).backoff_until > t.ctx.now)
+            continue;
+        std::vector<std::string> others = avoided;
+        for (std::size_t i = 0; i < listed.size(); ++i) {
+            if (i != drawn)
+                others.push_back(listed[i]);
+        }
+        worker_choice choice = choose_any(t, id, others);
+        if (!choice.instance.empty())
+            return choice;
+    }
+    return choose_any(t, id, avoided);
+}
+
 /// Chooses a worker that has not been tried and isn't one of `avoided`. One that is known to be
 /// full gets no retry, and anything else only if all are full.
 worker_choice choose_for(turn& t, exchange_id id, const std::vector<std::string>& avoided)
 {
     const exchange& ex = t.st.exchanges.at(id);
     const service_queue* q = find_queue(t, ex);
+    const bool is_paced =
+        q != nullptr && is_pressed(*q, t.ctx.now) && current_share(*q, t.ctx.now).has_value();
+    const auto choose = [&](const std::vector<std::string>& passed_over) {
+        return is_paced ? draw_evenly(t, id, passed_over) : choose_any(t, id, passed_over);
+    };
     auto full = q == nullptr ? std::vector<std::string>{} : full_workers(*q, t.ctx.now);
     if (full.empty())
-        return choose_any(t, id, avoided);
+        return choose(avoided);
     full.insert(full.end(), avoided.begin(), avoided.end());
-    worker_choice choice = choose_any(t, id, full);
+    worker_choice choice = choose(full);
     const bool is_retry = !ex.tried_instances.empty();
     return choice.instance.empty() && !is_retry ? choose_any(t, id, avoided) : choice;
 }
