--- a/bench/fleet_loop.cpp
+++ b/bench/fleet_loop.cpp
@@ -136,6 +136,7 @@
             st.gateway.workers.work.enabled = !scenario_.pass->counts_requests;
             st.gateway.admissions.is_enabled = scenario_.pass->sheds_load;
             st.gateway.table_sync.seeds = {make_node("control-0", node_role::control)};
+            st.gateway.queues.enabled = scenario_.pass->queues_plain;
             st.gateway.retry_config = {retry_permille, 0, max_retry_balance_permille};
         }
         start_node(make_node(router_id(n).str(), node_role::router), std::move(st));
