--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -44,6 +44,11 @@
 constexpr std::size_t max_reported_prompts = 8'192;
 /// Cached prompts in one update to any other gateway.
 constexpr std::size_t max_prompts_per_update = 512;
+/// Workers in one update that are told to deviate. If more do, the updates take turns with them, so
+/// that a fleet with many slow workers needs no more bytes than one with a few.
+constexpr std::size_t max_conditions_per_update = 32;
+/// Time after which an update has the next ones: gateways query each 0.3 s.
+constexpr microseconds condition_turn{300'000};
 
 std::string leader_address(const control_turn& t)
 {
@@ -197,6 +202,19 @@
     }
 }
 
+/// Returns every so many of the workers that deviate, other ones in the next turn.
+std::vector<listed_condition> conditions_in_turn(const std::vector<listed_condition>& all,
+                                                 instant now)
+{
+    const std::size_t turns = std::max<std::size_t>(
+        1, (all.size() + max_conditions_per_update - 1) / max_conditions_per_update);
+    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / condition_turn);
+    std::vector<listed_condition> chosen;
+    for (std::size_t n = turn % turns; n < all.size(); n += turns)
+        chosen.push_back(all[n]);
+    return chosen;
+}
+
 /// Sets the requests in progress by worker, summed over all gateways except the subscriber. Sends
 /// nothing while a new leader may lack some gateways' counts: such a sum would make busy workers
 /// look idle to all gateways at the same time.
@@ -217,8 +235,9 @@
         update.worker_request_counts = counts_without(lead.sums, s.worker_request_counts);
     if (!has_list)
         return;
-    auto conditions =
-        listed_conditions_without(lead.conditions, s.worker_conditions, lead.workers.hashes);
+    auto conditions = conditions_in_turn(
+        listed_conditions_without(lead.conditions, s.worker_conditions, lead.workers.hashes),
+        t.ctx.now);
     if (!conditions.empty())
         update.worker_conditions = listed_conditions{lead.workers.version, std::move(conditions)};
 }
--- a/src/libcore/work_estimate.cpp
+++ b/src/libcore/work_estimate.cpp
@@ -14,29 +14,10 @@
 
 namespace {
 
-/// Bound of each estimate's effect on the choice of a worker: a factor of 4, as a logarithm.
-const double max_log_effect = std::log(4.0);
-/// A time has no effect up to this ratio to the usual one, and its full effect from the square on.
-const double min_time_log = std::log(1.25);
-/// The same for the remaining work against the number of requests.
+/// Remaining work has no effect up to this ratio to the number of requests, and its full effect
+/// from the square on.
 const double min_work_log = std::log(1.5);
 
-/// Time, in microseconds, in which observations of a worker lose half of their weight. A recovered
-/// worker that gets no requests is tried again after about twice this time.
-constexpr double evidence_half_life_us = 3'000'000;
-/// The same for what a worker states of itself, which may change many times a second.
-constexpr double stated_half_life_us = 500'000;
-/// The same for what the leader lists, which is renewed with each query.
-constexpr double listed_half_life_us = 1'000'000;
-/// Weights against one observation of the gateway's own.
-constexpr double stated_weight = 8;
-constexpr double listed_weight = 4;
-/// Variance of the logarithms of workers' speeds that is assumed before any observation: most
-/// deviate by less than a factor of two.
-constexpr double prior_variance = 0.5;
-/// Spread of observations before it is learned, and its least value.
-constexpr double default_spread = 0.25;
-constexpr double min_spread = 0.01;
 /// Weight of the newest observation in a mean.
 constexpr double mean_step = 0.03;
 /// Largest step of a running median by one observation: logarithm of the ratio, at first and later.
@@ -59,18 +40,6 @@
 /// Kinds of requests that are kept; the one that was not seen for the longest time is dropped.
 constexpr std::size_t max_kinds = 1'024;
 
-/// A worker is reported if its time deviates by this many standard errors of the observations.
-constexpr double min_significance = 3;
-/// Older observations aren't reported.
-constexpr microseconds max_reported_age{1'500'000};
-/// Least excess of work that is reported, in microseconds: less is done before others learn of it.
-constexpr double min_reported_work_us = 150'000;
-
-double decay(instant since, instant now, double half_life_us)
-{
-    return std::exp2(-static_cast<double>((now - since).count()) / half_life_us);
-}
-
 /// Returns 0 for deviations up to `threshold`, all of them from twice that on, and between the two
 /// a value that rises evenly: a threshold alone would let all gateways change their mind at once.
 double effect_of(double log, double threshold)
@@ -96,45 +65,6 @@
     return mean + std::max(mean_step, 1 / (samples + 1)) * (value - mean);
 }
 
-double spread_of(const service_cost* service)
-{
-    if (service == nullptr || service->spread_samples == 0)
-        return default_spread;
-    return std::max(min_spread, service->spread);
-}
-
-/// Returns the logarithm of the worker's time by this gateway's observations alone, without what
-/// the worker states. Few observations of a service whose times vary count little.
-double observed_log(const worker_work& work, double spread, instant now)
-{
-    if (work.observed.weight <= 0)
-        return 0;
-    const double freshness = decay(work.observed.updated_at, now, evidence_half_life_us);
-    return work.observed.sum * freshness /
-           (work.observed.weight * freshness + spread / prior_variance);
-}
-
-double stated_log(const worker_work& work, instant now)
-{
-    return work.stated_at == instant{}
-               ? 0
-               : work.stated_log * decay(work.stated_at, now, stated_half_life_us);
-}
-
-/// Returns the logarithm of the worker's time by all that is known.
-double time_log(const worker_work& work, double spread, instant now)
-{
-    const double own = observed_log(work, spread, now) + stated_log(work, now);
-    if (work.listed_at == instant{} || work.listed_log == 0)
-        return own;
-    double own_weight =
-        work.observed.weight * decay(work.observed.updated_at, now, evidence_half_life_us);
-    if (work.stated_at != instant{})
-        own_weight += stated_weight * decay(work.stated_at, now, stated_half_life_us);
-    const double listed = listed_weight * decay(work.listed_at, now, listed_half_life_us);
-    return (own * own_weight + work.listed_log * listed) / (own_weight + listed + 0.01);
-}
-
 worker_record* find_worker(worker_table& table, const std::string& instance)
 {
     const auto it = table.workers.find(instance);
@@ -195,20 +125,6 @@
     return w.work.own_us + std::max(others, listed);
 }
 
-bool is_learned(const service_cost* service)
-{
-    return service != nullptr && service->remaining_samples > 0 && service->remaining_us > 0;
-}
-
-void add_evidence(worker_work& work, double log, instant now)
-{
-    const double freshness =
-        work.observed.weight <= 0 ? 0 : decay(work.observed.updated_at, now, evidence_half_life_us);
-    work.observed.sum = work.observed.sum * freshness + log;
-    work.observed.weight = work.observed.weight * freshness + 1;
-    work.observed.updated_at = now;
-}
-
 /// Adds the observation that work took `time_us` at the worker where it usually takes `usual_us`.
 void observe_time(worker_work& work, service_cost& service, double time_us, double usual_us,
                   instant now)
@@ -217,14 +133,19 @@
                                   -2 * max_log_effect, 2 * max_log_effect) -
                        stated_log(work, now);
     const double residual = log - observed_log(work, spread_of(&service), now);
-    service.spread = next_mean(service.spread_samples == 0 ? default_spread : service.spread,
-                               residual * residual, service.spread_samples + 4);
+    service.spread =
+        next_mean(spread_of(&service), residual * residual, service.spread_samples + 4);
     service.spread_samples += 1;
     add_evidence(work, log, now);
 }
 
 } // namespace
 
+bool is_learned(const service_cost* service)
+{
+    return service != nullptr && service->remaining_samples > 0 && service->remaining_us > 0;
+}
+
 const service_cost* find_service_cost(const worker_table& table, const service_id& service)
 {
     const auto it = table.work.services.find(service);
@@ -365,69 +286,6 @@
     return current;
 }
 
-worker_table with_stated_time(worker_table current, const std::string& instance,
-                              std::uint32_t percent, instant now)
-{
-    worker_record* w = find_worker(current, instance);
-    if (w == nullptr || percent == 0)
-        return current;
-    w->work.stated_log =
-        std::clamp(std::log(percent / 100.0), -2 * max_log_effect, 2 * max_log_effect);
-    w->work.stated_at = now;
-    return current;
-}
-
-std::vector<worker_condition> find_deviations(const worker_table& table, instant now)
-{
-    std::vector<worker_condition> found;
-    if (!table.work.enabled)
-        return found;
-    for (const auto& [instance, w] : table.workers) {
-        const worker_work& work = w.work;
-        if (work.observed.weight <= 0 && work.stated_at == instant{} && work.own_us == 0)
-            continue;
-        const service_cost* service = find_service_cost(table, w.entry.service);
-        const double spread = spread_of(service);
-        worker_condition c;
-        const double log = observed_log(work, spread, now) + stated_log(work, now);
-        const double weight =
-            work.observed.weight * decay(work.observed.updated_at, now, evidence_half_life_us);
-        const bool is_observed =
-            work.observed.weight > 0 && now - work.observed.updated_at <= max_reported_age &&
-            std::abs(log) * std::sqrt(weight) >= min_significance * std::sqrt(spread);
-        const bool is_stated =
-            work.stated_at != instant{} && now - work.stated_at <= max_reported_age;
-        if (std::abs(log) > min_time_log && (is_observed || is_stated))
-            c.time_permille = static_cast<std::uint32_t>(
-                std::lround(1'000 * std::exp(std::clamp(log, -max_log_effect, max_log_effect))));
-        if (is_learned(service)) {
-            const double usual = w.own_requests * service->remaining_us;
-            if (work.own_us > 1.5 * usual && work.own_us - usual >= min_reported_work_us)
-                c.work_ms = static_cast<std::uint32_t>(work.own_us / 1'000);
-        }
-        if (c.time_permille == 0 && c.work_ms == 0)
-            continue;
-        c.worker_hash = hash_of(instance);
-        found.push_back(c);
-    }
-    return found;
-}
-
-worker_table with_listed_condition(worker_table current, const std::string& instance,
-                                   const listed_condition& condition, instant now)
-{
-    worker_record* w = find_worker(current, instance);
-    if (w == nullptr)
-        return current;
-    w->work.listed_work_us = condition.work_ms * 1'000.0;
-    w->work.listed_log = condition.time_permille == 0
-                             ? 0
-                             : std::clamp(std::log(condition.time_permille / 1'000.0),
-                                          -max_log_effect, max_log_effect);
-    w->work.listed_at = now;
-    return current;
-}
-
 std::optional<time_estimate> expected_times(const worker_table& table, const std::string& instance,
                                             const request_profile& request, instant now)
 {
--- a/src/libcore/worker_work_pvt.h
+++ b/src/libcore/worker_work_pvt.h
@@ -5,11 +5,47 @@
 
 #include <bluebell/core/worker_table.h>
 
+#include <cmath>
 #include <string>
 #include <vector>
 
 namespace bluebell::core {
 
+/// Bound of each estimate's effect on the choice of a worker: a factor of 4, as a logarithm.
+inline const double max_log_effect = std::log(4.0);
+/// A time has no effect up to this ratio to the usual one, and its full effect from the square on.
+inline const double min_time_log = std::log(1.25);
+
+// worker_speed.cpp
+
+/// Returns the spread of the observed times in the service; a default if it isn't learned.
+[[nodiscard]] double spread_of(const service_cost* service);
+/// Returns the logarithm of the worker's time by this gateway's observations alone, without what
+/// the worker states. Few observations of a service whose times vary count little.
+[[nodiscard]] double observed_log(const worker_work& work, double spread, instant now);
+/// Returns the logarithm of the worker's time by its own statement.
+[[nodiscard]] double stated_log(const worker_work& work, instant now);
+/// Returns the logarithm of the worker's time by all that is known.
+[[nodiscard]] double time_log(const worker_work& work, double spread, instant now);
+/// Adds an observation of the gateway's own.
+void add_evidence(worker_work& work, double log, instant now);
+
+/// Records the time that work takes at the worker by its own statement, in percent of the usual.
+[[nodiscard]] worker_table with_stated_time(worker_table current, const std::string& instance,
+                                            std::uint32_t percent, instant now);
+
+/// Returns the workers whose speed or remaining work deviates, to report them to the leader.
+[[nodiscard]] std::vector<worker_condition> find_deviations(const worker_table& table, instant now);
+
+/// Records what the leader tells of a worker.
+[[nodiscard]] worker_table with_listed_condition(worker_table current, const std::string& instance,
+                                                 const listed_condition& condition, instant now);
+
+// work_estimate.cpp
+
+/// Returns whether the mean work of the service's requests is known.
+[[nodiscard]] bool is_learned(const service_cost* service);
+
 /// A worker's remaining work as the choice compares it.
 struct weighted_load {
     /// The requests there, by their remaining work in units of the mean work of a request and by
@@ -60,15 +96,4 @@
                                              const request_profile& request,
                                              const answer_times& times, instant now);
 
-/// Records the time that work takes at the worker by its own statement, in percent of the usual.
-[[nodiscard]] worker_table with_stated_time(worker_table current, const std::string& instance,
-                                            std::uint32_t percent, instant now);
-
-/// Returns the workers whose speed or remaining work deviates, to report them to the leader.
-[[nodiscard]] std::vector<worker_condition> find_deviations(const worker_table& table, instant now);
-
-/// Records what the leader tells of a worker.
-[[nodiscard]] worker_table with_listed_condition(worker_table current, const std::string& instance,
-                                                 const listed_condition& condition, instant now);
-
 } // namespace bluebell::core
