--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -217,6 +217,8 @@
     if (ex.caller_lags)
         t.out.emplace_back(pause_attempt{ex.attempt, true});
     log_attempt(t, ex, choice);
+    if (choice.is_moved_by_work)
+        t.out.emplace_back(record_metric{"requests_moved_by_work", 1, rank::normal, {}});
     observe_attempt_started(t, ex, choice);
     reschedule_timer(t, id, ex);
 }
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -63,6 +63,11 @@
         query.crash_reports = std::move(taken.reports);
         query.crash_causes = std::move(taken.causes);
         query.worker_conditions = find_deviations(st.workers, ctx.now);
+        if (!query.worker_conditions.empty())
+            out.emplace_back(record_metric{"deviating_workers_reported",
+                                           static_cast<double>(query.worker_conditions.size()),
+                                           rank::normal,
+                                           {}});
     }
     if (has_table && leader_is_known) {
         out.emplace_back(send_message{sync.contact, fleet_message(query)});
