--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -73,6 +73,11 @@
         st.queues = std::move(wanted.next);
         query.service_demands = std::move(wanted.demands);
         query.worker_conditions = find_deviations(st.workers, ctx.now);
+        if (!query.worker_conditions.empty())
+            out.emplace_back(record_metric{"deviating_workers_reported",
+                                           static_cast<double>(query.worker_conditions.size()),
+                                           rank::normal,
+                                           {}});
     }
     if (has_table && leader_is_known) {
         out.emplace_back(send_message{sync.contact, fleet_message(query)});
