--- a/src/libcore/gateway_shedding.cpp
+++ b/src/libcore/gateway_shedding.cpp
@@ -190,7 +190,7 @@
     if (a == nullptr || !ex.request.demand)
         return;
     const std::uint32_t prompt_tokens = ex.request.demand->prompt_tokens;
-    const std::uint32_t read_tokens = prompt_tokens - std::min(prompt_tokens, choice.cached_tokens);
+    const std::uint32_t read_tokens = prompt_tokens - std::min(prompt_tokens, choice.present_tokens);
     *a = with_work(std::move(*a), ex.policy.priority,
                    read_tokens + output_token_work * hint_of(ex).tokens);
 }
