--- a/src/libcore/gateway_shedding.cpp
+++ b/src/libcore/gateway_shedding.cpp
@@ -45,6 +45,38 @@
     return {std::max<std::uint32_t>(1, tokens)};
 }
 
+/// Returns the shortest time that the request is expected to take at any worker of its service;
+/// none unless it is known for each of them.
+std::optional<microseconds> shortest_expected_time(const turn& t, const exchange& ex)
+{
+    const auto service = t.st.table.services.find(ex.policy.service);
+    if (service == t.st.table.services.end() || !service->second.engine || !ex.request.demand)
+        return std::nullopt;
+    const request_profile profile{ex.policy.kind, &*ex.request.demand, &*service->second.engine};
+    std::optional<microseconds> shortest;
+    for (const auto& [instance, w] : t.st.workers.workers) {
+        if (w.entry.service != ex.policy.service || w.entry.draining)
+            continue;
+        const auto times = expected_times(t.st.workers, instance, profile, t.ctx.now);
+        if (!times)
+            return std::nullopt;
+        shortest = std::min(shortest.value_or(times->end), times->end);
+    }
+    return shortest;
+}
+
+/// Returns the time that the request is expected to take: by recent requests of its kind, or by the
+/// work at its workers if that tells a shorter time. So it is called late only if both say so, and
+/// at each worker.
+std::optional<microseconds> expected_time(const turn& t, const deadline_admission& d,
+                                          const exchange& ex)
+{
+    const auto by_kind = expected_run_time(d, ex.policy.kind, hint_of(ex), t.ctx.now);
+    if (!by_kind || *by_kind <= ex.deadline - t.ctx.now)
+        return by_kind;
+    return std::min(*by_kind, shortest_expected_time(t, ex).value_or(*by_kind));
+}
+
 rank metric_rank(const exchange& ex)
 {
     return static_cast<rank>(std::min<std::uint8_t>(ex.policy.priority, rank_count - 1));
@@ -149,7 +181,7 @@
     if (a == nullptr)
         return request_admitted{};
     const std::uint8_t rank = ex.policy.priority;
-    const auto expected = expected_run_time(a->deadlines, ex.policy.kind, hint_of(ex), t.ctx.now);
+    const auto expected = expected_time(t, a->deadlines, ex);
     deadline_verdict by_deadline = judge_deadline(std::move(a->deadlines), ex.policy.kind, expected,
                                                   ex.deadline - t.ctx.now, t.ctx.now);
     a->deadlines = std::move(by_deadline.next);
@@ -190,7 +222,8 @@
     if (a == nullptr || !ex.request.demand)
         return;
     const std::uint32_t prompt_tokens = ex.request.demand->prompt_tokens;
-    const std::uint32_t read_tokens = prompt_tokens - std::min(prompt_tokens, choice.present_tokens);
+    const std::uint32_t read_tokens =
+        prompt_tokens - std::min(prompt_tokens, choice.present_tokens);
     *a = with_work(std::move(*a), ex.policy.priority,
                    read_tokens + output_token_work * hint_of(ex).tokens);
 }
