--- a/src/libcore/gateway_observations.cpp
+++ b/src/libcore/gateway_observations.cpp
@@ -93,25 +93,25 @@
 
 void observe_first_event(turn& t, const exchange& ex)
 {
+    observe_engine_first_event(t, ex);
     t.st.workers = with_prompt_read(std::move(t.st.workers), ex.attempt, profile_of(t, ex),
                                     t.ctx.now - ex.attempt_started_at, t.ctx.now);
-    observe_engine_first_event(t, ex);
 }
 
 void observe_attempt_ended(turn& t, const exchange& ex)
 {
     if (service_queue* q = find_queue(t, ex))
         record_attempt_end(t, *q, ex);
-    t.st.workers = with_work_ended(std::move(t.st.workers), ex.attempt);
     observe_engine_attempt_ended(t, ex);
+    t.st.workers = with_work_ended(std::move(t.st.workers), ex.attempt);
 }
 
 void observe_answer_completed(turn& t, const exchange& ex)
 {
+    observe_engine_answer(t, ex);
     if (tells_worker_times(ex))
         t.st.workers = with_answer_times(std::move(t.st.workers), ex.tried_instances.back(),
                                          profile_of(t, ex), times_of(t, ex), t.ctx.now);
-    observe_engine_answer(t, ex);
 }
 
 void observe_request_ended(turn& t, const exchange& ex)
