--- a/bench/pass_scenario.h
+++ b/bench/pass_scenario.h
@@ -144,7 +144,7 @@
     bool impatient = false;
     double tokens_from_s = 0;     ///< tokens read again or fetched before this second don't count
     bool counts_requests = false; ///< gateways compare workers by their number of requests alone
-    bool queues_plain = true; ///< gateways queue requests to plain services under pressure
+    bool queues_plain = true;     ///< gateways queue requests to plain services under pressure
     double leaving_share = 0; ///< share of the callers that leave after a third of their timeout
     bool sheds_load = true;   ///< gateways shed load where engines lack capacity
 
--- a/testsuite/standins/platform.cpp
+++ b/testsuite/standins/platform.cpp
@@ -366,7 +366,7 @@
     std::uint16_t port_;        ///< of the list; the workers have the next ones
     std::uint16_t listed_port_; ///< the list shows this in place of port_: a proxy's first port
     int engines_;
-    int zones_; ///< number of availability zones
+    int zones_;         ///< number of availability zones
     int plain_cold_ms_; ///< for which the list always says that plain workers stay cold
     std::shared_ptr<runtime::http_server> list_server_;
     std::vector<worker> workers_;
@@ -393,10 +393,9 @@
     const auto args = options.parse(argc, argv);
     const auto loop = *runtime::event_loop::make();
     const auto port = args["port"].as<std::uint16_t>();
-    platform_standin platform(loop, port,
-                              args.count("shown") != 0 ? args["shown"].as<std::uint16_t>() : port,
-                              args["engines"].as<int>(), args["zones"].as<int>(),
-                              args["cold-ms"].as<int>());
+    platform_standin platform(
+        loop, port, args.count("shown") != 0 ? args["shown"].as<std::uint16_t>() : port,
+        args["engines"].as<int>(), args["zones"].as<int>(), args["cold-ms"].as<int>());
     if (!platform.open()) {
         std::cerr << "standin_platform: can't listen on its ports\n";
         return 1;
