--- a/src/libcore/worker_choice.cpp
+++ b/src/libcore/worker_choice.cpp
@@ -131,15 +131,17 @@
     double weighted_sum = 0;
     double count = 0;
     for (const auto& [id, w] : table.workers) {
-        if (!counts_for_mean(table, w, criteria.service))
+        if (w.entry.service != criteria.service)
             continue;
         const double load = estimate_load(w, now, mean_other);
         weighted_load weighted{load, 1};
         if (table.work.enabled)
             weighted = weigh_load(w, cost, load, now);
-        sum += load;
-        weighted_sum += weighted.requests;
-        count += 1;
+        if (counts_for_mean(table, w, criteria.service)) {
+            sum += load;
+            weighted_sum += weighted.requests;
+            count += 1;
+        }
         if (!is_eligible(table, w, criteria, now))
             continue;
         const double reported_load = w.own_requests + static_cast<double>(w.other_requests);
