Play faults in the run of real processes with cold workers

Cause: the run had no fault.

Change: a router stands still, another is killed, and the leader restarts while requests go on; refusals must state a time. The samples of damaged messages carry leases.

--- a/src/libwire/damaged_messages_test.cpp
+++ b/src/libwire/damaged_messages_test.cpp
@@ -143,7 +143,11 @@
                       {{{7, milliseconds(3), {{1, parts}, {2, parts}}}},
                        {{parts.front(), milliseconds(5)}},
                        {parts}}};
+    query.wants_worker_leases = true;
+    query.sent_at = seconds(9);
     table_update update;
+    update.query_sent_at = seconds(9);
+    update.worker_leases = worker_lease_grant{1, {0}, worker_lease_time};
     update.from_leader = true;
     update.leader = peer;
     update.control_nodes = {make_info("control-2", node_role::control)};
--- a/testsuite/cold/run.sh
+++ b/testsuite/cold/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Two routers in front of two plain workers that are cold all the time. Together they send each worker no
 # more than the bound in any second, but something; what nobody may run is refused with a time to come back.
+# The bound holds as well while a router stands still and is killed, and the leader restarts.
 . "$(dirname "$0")/../lib.sh"
 reserve_platform_ports
 bound=8 # cold-per-s x cold-over + cold-slack
@@ -29,13 +30,36 @@
     done >"$work/answers-$1" 2>/dev/null
 }
 sleep 1.5 # a new leader gives no leases for 1.25 s
-senders=()
-for n in 1 2; do
-    send "$n" 127.0.0.1 100 &
-    senders+=($!)
-    send "$((n + 2))" 127.0.0.3 100 &
-    senders+=($!)
-done
+start_senders() { # FIRST_NUMBER
+    senders=()
+    local n
+    for n in 0 1; do
+        send "$(($1 + n))" 127.0.0.1 100 &
+        senders+=($!)
+        send "$(($1 + n + 2))" 127.0.0.3 100 &
+        senders+=($!)
+    done
+}
+start_senders 1
+wait "${senders[@]}"
+served=$(cat "$work"/answers-* | grep -c '^200' || true)
+refused=$(cat "$work"/answers-* | grep -c '^503' || true)
+without_time=$(cat "$work"/answers-* | grep -c '^503 *$' || true)
+
+start_senders 5
+sleep 0.6
+kill -STOP "$pid_router"
+sleep 0.7
+kill -CONT "$pid_router"
+{ kill -9 "$pid_router_2" && wait "$pid_router_2"; } 2>/dev/null || true
+start router-2b "$BLUEBELL_BIN/bluebell" --platform --settings "$work/router-2.conf"
+sleep 0.8
+{ kill -9 "$pid_control" && wait "$pid_control"; } 2>/dev/null || true
+start control-b "$BLUEBELL_BIN/bluebell" --platform --settings "$work/control.conf"
+sleep 0.5
+kill -STOP "$pid_router_2b"
+sleep 0.4
+kill -CONT "$pid_router_2b"
 wait "${senders[@]}"
 curl -sSf -m 2 "http://127.0.0.1:$list/arrivals" >"$work/arrivals"
 highest=$(sort -n "$work/arrivals" | awk '{
@@ -43,12 +67,11 @@
     while ($1 - at[$3, first[$3] + 1] >= 1000) first[$3]++
     if (n - first[$3] > highest) highest = n - first[$3]
 } END { print highest + 0 }')
-served=$(cat "$work"/answers-* | grep -c '^200' || true)
-refused=$(cat "$work"/answers-* | grep -c '^503' || true)
 failed=0
 [ "$highest" -le "$bound" ] || { echo "FAILED: a cold worker got $highest requests in a second"; failed=1; }
 [ "$served" -gt 0 ] || { echo "FAILED: no request was served"; failed=1; }
 [ "$refused" -gt 0 ] || { echo "FAILED: no request was refused"; failed=1; }
+[ "$without_time" = 0 ] || { echo "FAILED: $without_time refusals have no Retry-After"; failed=1; }
 [ "$((served + refused))" = 400 ] || { echo "FAILED: $served served and $refused refused of 400"; failed=1; }
 grep -q 'Worker is cold' "$work/router.log" || { echo "FAILED: the log doesn't tell of cold workers"; failed=1; }
 if [ "$failed" != 0 ]; then
