Raise the places of a service faster than they fall

Cause: at a burst that workers have room for, gateways refuse until the places have risen.

Change: overcommit rises by a quarter in a review, and falls by a quarter where over twice as much waits at workers as is allowed.

--- a/src/libcore/place_share.cpp
+++ b/src/libcore/place_share.cpp
@@ -23,8 +23,12 @@
 constexpr microseconds review_interval{300'000};
 /// Overcommit starts anew after this time without demand.
 constexpr microseconds overcommit_lifetime{10'000'000};
-/// Overcommit changes by one divided by this in one review.
-constexpr std::uint32_t overcommit_step_divisor = 10;
+/// In one review, overcommit falls by one divided by the first, or by the second if over twice as
+/// much waits as is allowed, or rises by one divided by the third. It rises fast because gateways
+/// refuse requests meanwhile that workers have room for.
+constexpr std::uint32_t fall_divisor = 10;
+constexpr std::uint32_t fast_fall_divisor = 4;
+constexpr std::uint32_t rise_divisor = 4;
 /// Overcommit falls when more requests wait at a worker than this part of its slots, in
 /// thousandths: answers take that much longer, which shortens the time that is left for waiting at
 /// gateways.
@@ -32,7 +36,7 @@
 /// It rises when fewer wait than this part: slots are empty now and then.
 constexpr std::uint64_t short_queue_permille = 500;
 /// Overcommit rises only while at least a slot's request waits at gateways for this many slots.
-constexpr std::uint64_t waiting_divisor = 4;
+constexpr std::uint64_t waiting_divisor = 8;
 /// A lease is at most the gateway's wants times this, or an equal part: places that it doesn't use
 /// would be missing elsewhere until the lease expires.
 constexpr std::uint64_t max_lease_factor = 2;
@@ -93,17 +97,20 @@
     std::uint64_t waiting_at_gateways = 0;
     for (const auto& [id, h] : p.holders)
         waiting_at_gateways += has_demand(h, now) ? h.demand.waiting : 0;
-    const std::uint32_t step = p.overcommit_permille / overcommit_step_divisor;
     const bool rejects = p.rejected * rejected_divisor > p.completed + p.rejected;
     // Mean of the requests that wait at a worker, times the denominators.
     const std::uint64_t mean_waiting = p.waiting_at_workers * supply.workers * permille;
     const std::uint64_t mean_slots = p.completed * supply.slots;
     const bool is_long = mean_waiting > mean_slots * long_queue_permille;
     const bool is_short = p.completed != 0 && mean_waiting < mean_slots * short_queue_permille;
+    const bool is_very_long = mean_waiting > 2 * mean_slots * long_queue_permille;
+    const std::uint32_t fall =
+        p.overcommit_permille / (is_very_long ? fast_fall_divisor : fall_divisor);
+    const std::uint32_t rise = p.overcommit_permille / rise_divisor;
     if (rejects || is_long)
-        p.overcommit_permille = std::max(min_overcommit_permille, p.overcommit_permille - step);
+        p.overcommit_permille = std::max(min_overcommit_permille, p.overcommit_permille - fall);
     else if (is_short && waiting_at_gateways * waiting_divisor >= supply.slots)
-        p.overcommit_permille = std::min(max_overcommit_permille, p.overcommit_permille + step);
+        p.overcommit_permille = std::min(max_overcommit_permille, p.overcommit_permille + rise);
     p.reviewed_at = now;
     p.rejected = p.completed = p.waiting_at_workers = 0;
     return p;
