Count idle and linger time from the client's acknowledgement

Both counted from the time at which the system had taken an answer, which may be megabytes before its client has it: a kept connection was closed while its client read on, and a drained router took a connection whose linger time was over for one whose client had everything.

--- a/src/include/bluebell/runtime/http_server.h
+++ b/src/include/bluebell/runtime/http_server.h
@@ -91,6 +91,7 @@
     std::uint64_t reported_moved_ = 0;   ///< bytes read and written up to the last report
     std::uint64_t output_mark_ = 0;      ///< acknowledged output at the last check
     core::instant output_progress_at_{}; ///< when a check last found progress of the output
+    bool is_output_pending_ = false;     ///< the last check found unacknowledged output
     core::instant read_progress_at_{};   ///< when the last byte of the request arrived
     bool has_claim_ = false;             ///< a claim was made for the body that is being read
     bool waits_for_room_ = false;        ///< that claim is not granted yet
--- a/src/libruntime/byte_stream.cpp
+++ b/src/libruntime/byte_stream.cpp
@@ -315,7 +315,13 @@
         return;
     if (closing_ && evbuffer_get_length(output_) == 0 && linger_timer_ == nullptr) {
         ::shutdown(descriptor_, SHUT_WR);
-        linger_timer_ = watcher::timer(*loop_, [this] { close(); });
+        linger_timer_ = watcher::timer(*loop_, [this] {
+            // The system may hold much that a slow peer is still to get.
+            if (acknowledged_bytes() < written_bytes_)
+                linger_timer_->arm(linger_time);
+            else
+                close();
+        });
         linger_timer_->arm(linger_time);
     }
 }
--- a/src/libruntime/http_session.cpp
+++ b/src/libruntime/http_session.cpp
@@ -428,7 +428,8 @@
         server->remove_session(shared_from_this());
         return;
     }
-    if (is_overdue(now)) {
+    const bool stalled = is_stalled(now);
+    if (!stalled && is_overdue(now)) {
         if (waits_for_room_)
             refuse_for_room(*server);
         else
@@ -440,7 +441,7 @@
         on_closed();
         return;
     }
-    if (is_stalled(now)) {
+    if (stalled) {
         server->options_.buffers->count("client_answers_stalled");
         LOG(WARNING)
             << "http: Connection closed: its client has taken nothing for too long. unsent="
@@ -460,8 +461,10 @@
     if (phase_ != phase::reading || server == nullptr)
         return false;
     const auto& limits = server->options_.limits;
+    // The wait for a request begins when the client has the earlier responses.
     if (!request_started_)
-        return stream_->unsent_bytes() == 0 && now - phase_started_at_ > limits.idle_timeout;
+        return stream_->unsent_bytes() == 0 &&
+               now - std::max(phase_started_at_, output_progress_at_) > limits.idle_timeout;
     if (reader_.head_done())
         return now - read_progress_at_ >
                std::min(limits.idle_timeout, server->options_.request_timeout);
@@ -473,12 +476,13 @@
 bool http_session::is_stalled(core::instant now)
 {
     const auto server = server_.lock();
-    const bool is_pending =
-        stream_->unsent_bytes() != 0 || stream_->written_bytes() != output_mark_;
-    const std::uint64_t acknowledged = is_pending ? stream_->acknowledged_bytes() : output_mark_;
-    const bool is_complete =
-        acknowledged == stream_->written_bytes() && stream_->unsent_bytes() == 0;
-    if (is_complete || acknowledged != output_mark_ || server == nullptr) {
+    if (stream_->unsent_bytes() == 0 && stream_->written_bytes() == output_mark_) {
+        is_output_pending_ = false;
+        return false;
+    }
+    const std::uint64_t acknowledged = stream_->acknowledged_bytes();
+    if (!is_output_pending_ || acknowledged != output_mark_ || server == nullptr) {
+        is_output_pending_ = true;
         output_mark_ = acknowledged;
         output_progress_at_ = now;
         return false;
--- a/testsuite/standins/clients.cpp
+++ b/testsuite/standins/clients.cpp
@@ -12,6 +12,7 @@
 //   idle      nothing
 //   drip      one request; reads one byte of the answer a second
 //   steady    one request whose body of 40 kB takes eight seconds
+//   paced     one request; reads 8 kB of the answer each 50 ms by a receive buffer of 32 kB
 //   large     one request with a body of 990 kB, as fast as it is taken
 
 #include <arpa/inet.h>
@@ -42,7 +43,7 @@
 constexpr std::string_view id_mark = "@request-number@";
 constexpr std::size_t no_end = std::size_t(-1);
 constexpr int opens_per_connection = 4; ///< bound of the load: further closes aren't replaced
-constexpr milliseconds loop_interval{20};
+constexpr milliseconds loop_interval{10};
 
 /// What one kind of connection sends: the start, then the rest a number of times.
 struct behaviour {
@@ -51,13 +52,18 @@
     std::size_t repeats = 0;
     milliseconds send_interval{0}; ///< between two sends of the rest; 0: as fast as it is taken
     bool reads = true;
-    milliseconds read_interval{0}; ///< between two reads of one byte; 0: reads all
+    milliseconds read_interval{0}; ///< between two reads; 0: reads all
+    std::size_t read_bytes = 1;    ///< of a read after an interval
+    int receive_buffer = 0;        ///< bytes; 0: the system's own size
+    std::size_t expected = 0;      ///< bytes of the answer's body; 0: not counted
 };
 
 struct target {
     sockaddr_in address{};
     std::string path;
     std::string headers;
+    std::size_t answer_bytes = 0;  ///< of paced connections
+    milliseconds read_interval{0}; ///< between two reads of 8 kB of paced connections
 };
 
 behaviour make_behaviour(const std::string& kind, const target& to)
@@ -85,6 +91,16 @@
                 milliseconds{0},
                 true,
                 milliseconds{1'000}};
+    if (kind == "paced") {
+        behaviour b{"GET " + to.path + std::to_string(to.answer_bytes) + " HTTP/1.1\r\n" +
+                        to.headers + "\r\n",
+                    "", 0};
+        b.read_interval = to.read_interval;
+        b.read_bytes = 8'000;
+        b.receive_buffer = 32'768;
+        b.expected = to.answer_bytes;
+        return b;
+    }
     if (kind == "steady")
         return {post + "Content-Length: 40000\r\n\r\n", std::string(1'000, 'x'), 40,
                 milliseconds{200}};
@@ -104,6 +120,8 @@
     steady_clock::time_point next_send{};
     steady_clock::time_point next_read{};
     bool answered = false;
+    std::size_t received = 0;   ///< bytes of the answer, its head included
+    std::size_t whole_size = 0; ///< of the answer, its head included
 };
 
 class crowd {
@@ -129,7 +147,8 @@
             }
             step();
         }
-        std::cout << "clients: opened=" << opened_ << " closed_by_server=" << closed_;
+        std::cout << "clients: opened=" << opened_ << " closed_by_server=" << closed_
+                  << " whole=" << whole_;
         for (const auto& [status, n] : statuses_)
             std::cout << " status_" << status << "=" << n;
         std::cout << std::endl;
@@ -142,11 +161,15 @@
         if (c.fd < 0)
             return;
         ::connect(c.fd, reinterpret_cast<const sockaddr*>(&to_.address), sizeof to_.address);
+        if (c.does->receive_buffer != 0)
+            (void)::setsockopt(c.fd, SOL_SOCKET, SO_RCVBUF, &c.does->receive_buffer,
+                               sizeof c.does->receive_buffer);
         c.opened += 1;
         opened_ += 1;
         c.serial = static_cast<std::size_t>(opened_);
         c.sent = c.piece = 0;
         c.answered = false;
+        c.received = 0;
         c.next_send = c.next_read = steady_clock::now();
     }
 
@@ -172,7 +195,6 @@
             owners.push_back(&c);
         }
         ::poll(polled.data(), polled.size(), static_cast<int>(loop_interval.count()));
-        bool moved = false;
         for (std::size_t n = 0; n < polled.size(); ++n) {
             auto& c = *owners[n];
             if ((polled[n].revents & POLLIN) != 0)
@@ -181,10 +203,7 @@
                 write(c);
             if (c.fd >= 0 && (polled[n].revents & (POLLERR | POLLHUP)) != 0)
                 close(c);
-            moved = moved || (polled[n].revents & (POLLIN | POLLOUT)) != 0;
         }
-        if (!moved)
-            ::poll(nullptr, 0, static_cast<int>(loop_interval.count()));
     }
 
     /// Returns a piece of the connection's text with an id of its own in the place of the mark.
@@ -240,15 +259,22 @@
     {
         static std::array<char, 65'536> buf;
         const bool drips = c.does->read_interval.count() != 0;
-        const ssize_t n = ::recv(c.fd, buf.data(), drips ? 1 : buf.size(), 0);
+        const ssize_t n = ::recv(c.fd, buf.data(),
+                                 drips ? std::min(c.does->read_bytes, buf.size()) : buf.size(), 0);
         if (n < 0 && (errno == EAGAIN || errno == EINTR))
             return;
         if (n <= 0) {
             close(c);
             return;
         }
-        c.next_read = steady_clock::now() + c.does->read_interval;
+        c.next_read += c.does->read_interval;
+        const std::size_t received_before = c.received;
+        c.received += static_cast<std::size_t>(n);
         const std::string_view text(buf.data(), static_cast<std::size_t>(n));
+        if (received_before == 0)
+            c.whole_size = text.find("\r\n\r\n") + 4 + c.does->expected;
+        if (c.does->expected != 0 && received_before < c.whole_size && c.received >= c.whole_size)
+            whole_ += 1;
         if (!c.answered && text.starts_with("HTTP/1.1 ") && text.size() >= 12) {
             c.answered = true;
             statuses_[std::string(text.substr(9, 3))] += 1;
@@ -257,6 +283,8 @@
 
     void close(connection& c)
     {
+        if (c.does->expected != 0 && c.received != 0 && c.received < c.whole_size)
+            std::cout << "clients: cut after " << c.received << " bytes\n";
         ::close(c.fd);
         c.fd = -1;
         closed_ += 1;
@@ -268,6 +296,7 @@
     std::map<std::string, int> statuses_;
     int opened_ = 0;
     int closed_ = 0;
+    int whole_ = 0; ///< answers of paced connections that arrived in whole
 };
 
 } // namespace
@@ -279,7 +308,11 @@
         "path", "path of requests, up to the size of the answer",
         cxxopts::value<std::string>()->default_value("/plain/bytes/"))(
         "crowd", "KIND=COUNT, any number of times", cxxopts::value<std::vector<std::string>>())(
-        "seconds", "stops after this time", cxxopts::value<int>()->default_value("6"));
+        "answer-bytes", "size of a paced answer",
+        cxxopts::value<std::size_t>()->default_value("1200000"))(
+        "pace-ms", "time between two reads of paced connections",
+        cxxopts::value<int>()->default_value("50"))("seconds", "stops after this time",
+                                                    cxxopts::value<int>()->default_value("6"));
     const auto args = options.parse(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     target to;
@@ -287,11 +320,13 @@
     to.address.sin_port = htons(args["port"].as<std::uint16_t>());
     to.address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     to.path = args["path"].as<std::string>();
+    to.answer_bytes = args["answer-bytes"].as<std::size_t>();
+    to.read_interval = milliseconds(args["pace-ms"].as<int>());
     to.headers = "Host: h\r\nBluebellproxy-Credential: key1\r\n"
                  "Bluebellproxy-Request-Id: " +
                  std::string(id_mark) +
                  "\r\n"
-                 "Bluebellproxy-Request-Timeout-Ms: 9000\r\n";
+                 "Bluebellproxy-Request-Timeout-Ms: 30000\r\n";
     crowd clients(to);
     for (const auto& item : args["crowd"].as<std::vector<std::string>>()) {
         const auto equals = item.find('=');
