Play evacuations while disks are lost

Cause: an order must outlive lost disks.

Change: the simulated fleet empties the disk of a killed core machine, one each 12 s at most, in one more test.

--- a/bench/patterns_evacuation.cpp
+++ b/bench/patterns_evacuation.cpp
@@ -1,5 +1,5 @@
-// Plays evacuations of a zone that holds a fifth of the workers, and compares each with the same load
-// without an evacuation.
+// Plays evacuations of a zone that holds a fifth of the workers, and compares each with the same
+// load without an evacuation.
 
 #include "patterns_evacuation.h"
 
@@ -104,8 +104,7 @@
     print_run("evacuated", s, r, load_from_s);
     print_run("without evacuation", fleet, calm, load_from_s);
     const std::string name = "load." + p.name;
-    checks.push_back(
-        {name + ".late_arrivals", static_cast<double>(late), relation::at_most, 0});
+    checks.push_back({name + ".late_arrivals", static_cast<double>(late), relation::at_most, 0});
     checks.push_back({name + ".over_limit",
                       worst_over_limit_share(r.pass, "", load_from_s, s.duration_s),
                       relation::at_most, max_over_limit_share});
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -68,9 +68,9 @@
     std::string zone;
     bool evacuated = true;
 };
-using fault_kind = std::variant<engine_crash, agent_stop, agent_start, agent_drain, router_stop,
-                                control_partition, routers_restart, workers_stop, workers_slow,
-                                zone_evacuation_call>;
+using fault_kind =
+    std::variant<engine_crash, agent_stop, agent_start, agent_drain, router_stop, control_partition,
+                 routers_restart, workers_stop, workers_slow, zone_evacuation_call>;
 /// A fault and the second at which it happens.
 struct fault {
     double at_s = 0;
--- a/src/libcore/table_fleet_test.cpp
+++ b/src/libcore/table_fleet_test.cpp
@@ -404,6 +404,13 @@
     machines_[n].process += 1;
     if (is_core(n))
         core_disturbed_at_ = now_;
+    const bool loses_disk = is_core(n) && plan_.disk_loss_interval.count() != 0 &&
+                            now_ - disk_lost_at_ >= plan_.disk_loss_interval;
+    if (loses_disk) {
+        disk_lost_at_ = now_;
+        counts_.lost_disks += 1;
+        machines_[n].stored = disk();
+    }
     schedule(down_time, [this, n] { start(n); });
 }
 
--- a/src/libcore/table_fleet_test.h
+++ b/src/libcore/table_fleet_test.h
@@ -43,6 +43,9 @@
     bool full_disks = false;
     /// The platform evacuates a zone and takes it back, again and again.
     bool evacuates = false;
+    /// A kill of a core machine empties its disk if the last one that did is this long ago; 0: none
+    /// does.
+    microseconds disk_loss_interval{0};
     /// After the last fault, an operator must have the answer to a change after this time.
     microseconds ack_time{4'000'000};
     microseconds length{60'000'000};
@@ -51,8 +54,9 @@
 struct table_fleet_counts {
     std::uint64_t acknowledged = 0;
     std::uint64_t faults = 0;
-    std::uint64_t checks = 0;            ///< of a machine in touch
-    std::uint64_t reads = 0;             ///< that returned a table
+    std::uint64_t checks = 0; ///< of a machine in touch
+    std::uint64_t reads = 0;  ///< that returned a table
+    std::uint64_t lost_disks = 0;
     std::uint64_t evacuation_calls = 0;  ///< that were acknowledged
     std::uint64_t evacuation_checks = 0; ///< of a machine in touch
     /// Longest time from an acknowledgement until a machine in touch obeyed it.
@@ -197,6 +201,7 @@
     incarnation_number last_incarnation_ = 0;
     instant core_disturbed_at_{};              ///< last event of a core machine
     instant faults_ended_at_ = instant::max(); ///< with full_disks: end of the last fault
+    instant disk_lost_at_{};                   ///< last time at which a disk was emptied
     instant core_lost_at_{}; ///< last time without a connected majority of the core
 
     evacuation_state evacuation_;
--- a/src/libcore/table_propagation_test.cpp
+++ b/src/libcore/table_propagation_test.cpp
@@ -45,6 +45,7 @@
         total.faults += fleet.counts().faults;
         total.checks += fleet.counts().checks;
         total.reads += fleet.counts().reads;
+        total.lost_disks += fleet.counts().lost_disks;
         total.evacuation_calls += fleet.counts().evacuation_calls;
         total.evacuation_checks += fleet.counts().evacuation_checks;
         total.longest_in_force = std::max(total.longest_in_force, fleet.counts().longest_in_force);
@@ -58,7 +59,9 @@
     if (!plan.evacuates)
         return;
     BOOST_TEST_MESSAGE("evacuation calls " << total.evacuation_calls << ", checks "
-                                           << total.evacuation_checks);
+                                           << total.evacuation_checks << ", lost disks "
+                                           << total.lost_disks);
+    BOOST_TEST((plan.disk_loss_interval.count() == 0 || total.lost_disks > 0U));
     BOOST_TEST(total.evacuation_calls > 0U);
     BOOST_TEST(total.evacuation_checks > 0U);
 }
@@ -94,6 +97,15 @@
     play(plan);
 }
 
+// Guards against an order that is lost with the disks that had it.
+BOOST_AUTO_TEST_CASE(an_acknowledged_evacuation_outlives_lost_disks)
+{
+    table_fleet_plan plan;
+    plan.evacuates = true;
+    plan.disk_loss_interval = seconds(12);
+    play(plan);
+}
+
 // Guards against a gateway that starts beside a replica whose disk didn't take the newest entries.
 BOOST_AUTO_TEST_CASE(an_acknowledged_evacuation_is_known_though_disks_are_full)
 {
--- a/testsuite/soak/soak_evacuations.cpp
+++ b/testsuite/soak/soak_evacuations.cpp
@@ -70,7 +70,8 @@
         windows_.push_back({wall_ms(), 0});
         std::this_thread::sleep_for(milliseconds(1'000 + random_() % 9'000));
         windows_.back().end_called_ms = wall_ms();
-        taken_back_ = call("/Evacuations.End/b", std::max(end, steady_clock::now()) + last_call_time);
+        taken_back_ =
+            call("/Evacuations.End/b", std::max(end, steady_clock::now()) + last_call_time);
     }
     // A start that was not acknowledged may have been carried out.
     taken_back_ = call("/Evacuations.End/b", steady_clock::now() + last_call_time);
@@ -82,8 +83,8 @@
         address to = controls_[random_() % controls_.size()];
         for (int hop = 0; hop <= max_redirects; ++hop) {
             const connection c = connection::open(to);
-            if (!c.is_open() || !c.send("POST " + path +
-                                        " HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\n\r\n"))
+            if (!c.is_open() ||
+                !c.send("POST " + path + " HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\n\r\n"))
                 break;
             answer a = read_answer(c, steady_clock::now() + call_timeout);
             if (a.status == 200)
--- a/testsuite/soak/soak_evacuations.h
+++ b/testsuite/soak/soak_evacuations.h
@@ -1,6 +1,6 @@
 /// \file
-/// The soak's evacuations: the platform evacuates a zone and takes it back while faults go on, and no
-/// worker of the zone may get a request in between.
+/// The soak's evacuations: the platform evacuates a zone and takes it back while faults go on, and
+/// no worker of the zone may get a request in between.
 #pragma once
 
 #include "soak_caller.h"
--- a/testsuite/standins/platform.cpp
+++ b/testsuite/standins/platform.cpp
@@ -186,8 +186,8 @@
             for (const auto& w : workers_)
                 text += (text.empty() ? "" : ",") + ("{\"id\":\"" + w.instance) +
                         "\",\"service\":\"" + w.service + "\",\"address\":\"127.0.0.1:" +
-                        std::to_string(listed_port_ + w.port - port_) +
-                        "\",\"zone\":\"" + zone_of(w) + "\",\"slots\":4,\"state\":\"" +
+                        std::to_string(listed_port_ + w.port - port_) + "\",\"zone\":\"" +
+                        zone_of(w) + "\",\"slots\":4,\"state\":\"" +
                         (w.draining ? "draining" : "ready") + "\",\"cold-remaining-ms\":0}";
             text = "{\"instances\":[" + text + "],\"next\":null}";
         }
