Tell apart which workers may be chosen and which count for the mean load

Cause: with the check of the zone taken out of is_available, no test, pattern or soak failed: the rule for the mean load had left the worker out as well.

Change: the rule for the mean load concerns the mean only.

--- a/src/libcore/worker_choice.cpp
+++ b/src/libcore/worker_choice.cpp
@@ -108,11 +108,13 @@
     double sum = 0;
     double count = 0;
     for (const auto& [id, w] : table.workers) {
-        if (!counts_for_mean(table, w, criteria.service))
+        if (w.entry.service != criteria.service)
             continue;
         const double load = estimate_load(w, now, mean_other);
-        sum += load;
-        count += 1;
+        if (counts_for_mean(table, w, criteria.service)) {
+            sum += load;
+            count += 1;
+        }
         if (!is_eligible(table, w, criteria, now))
             continue;
         const double reported_load = w.own_requests + static_cast<double>(w.other_requests);
