Add the pattern of a service whose workers are all cold

Cause: in the other patterns warm workers take nearly everything, so the bound is hardly used.

Change: cold_all restarts all workers. Requests of the cold patterns have bodies of their own, as workers that end together otherwise look as if one request had ended them.

--- a/bench/patterns_cold.cpp
+++ b/bench/patterns_cold.cpp
@@ -44,6 +44,11 @@
              add_fault(s, from_s, workers_cold{"engine", 0.2});
              add_fault(s, from_s, workers_cold{"plain", 0.2});
          }},
+        {"cold_all", "what do workers get if all of their services come back at once?", 1,
+         [](scenario& s, double from_s) {
+             add_fault(s, from_s, workers_stop{"engine", 1, milliseconds(1'500)});
+             add_fault(s, from_s, workers_stop{"plain", 1, milliseconds(1'500)});
+         }},
         {"cold_300", "the same as cold_return with 300 gateways", 4, restart_workers},
     };
 }
@@ -75,6 +80,9 @@
         scenario s = make_fleet(seed, p.scale);
         s.pass->cold = {{"engine", engine_tolerates, seconds(3), limited},
                         {"plain", plain_tolerates, seconds(3), limited}};
+        // Workers that end together must not look as if one request had ended them.
+        for (auto& kind : s.pass->kinds)
+            kind.has_own_body = true;
         const double from_s = s.pass->from_s + fault_from_s;
         s.duration_s = from_s + 8;
         p.change(s, from_s);
--- a/src/libcore/cold_start_test.cpp
+++ b/src/libcore/cold_start_test.cpp
@@ -24,6 +24,7 @@
 worker_lease_table make_leases(int workers, instant now)
 {
     std::vector<hash64> hashes;
+    hashes.reserve(static_cast<std::size_t>(workers));
     for (int n = 0; n < workers; ++n)
         hashes.push_back(hash_of("w" + std::to_string(n)));
     return with_listed_workers({}, now, 7, hashes);
