Pace a scarce service only while no slot is known to be free

Cause: at a burst that workers have room for, gateways with shares below one place refused requests while slots were free. A gateway counted the slots of workers that it sees fail as room.

Change: requests are paced only while those that the gateway knows of fill the slots of the workers that it can use. The tests' other gateways fill the slots, and a test checks that nothing waits while one is free.

--- a/src/libcore/gateway_admission.cpp
+++ b/src/libcore/gateway_admission.cpp
@@ -39,10 +39,11 @@
 
 /// The workers of one plain service, as this gateway sees them.
 struct plain_workers {
-    std::uint64_t requests = 0; ///< that it knows of
-    std::uint64_t slots = 0;
     std::uint32_t listed = 0; ///< that don't drain
     std::uint32_t usable = 0; ///< of these: not failing, paused, leaving or evacuated
+    // Of the usable ones.
+    std::uint64_t requests = 0; ///< that the gateway knows of
+    std::uint64_t slots = 0;
     bool all_have_slots = true;
 };
 
@@ -52,27 +53,31 @@
     for (const auto& [instance, w] : t.st.workers.workers) {
         if (w.entry.service != service || w.entry.draining)
             continue;
-        const bool is_recent = t.ctx.now - w.load_reported_at < known_load_lifetime;
-        view.requests += w.own_requests + (is_recent ? w.other_requests : 0);
-        view.slots += w.entry.slots;
-        view.all_have_slots = view.all_have_slots && w.entry.slots != 0;
         view.listed += 1;
         const bool is_usable = w.backoff_until <= t.ctx.now &&
                                !is_evacuated(t.st.workers.evacuations, w.entry.zone) &&
                                std::holds_alternative<worker_available>(
                                    availability(t.st.workers.standings, instance, t.ctx.now));
-        view.usable += is_usable ? 1 : 0;
+        if (!is_usable)
+            continue;
+        const bool is_recent = t.ctx.now - w.load_reported_at < known_load_lifetime;
+        view.requests += w.own_requests + (is_recent ? w.other_requests : 0);
+        view.slots += w.entry.slots;
+        view.all_have_slots = view.all_have_slots && w.entry.slots != 0;
+        view.usable += 1;
     }
     return view;
 }
 
-/// Returns the gateway's share less the part of workers that it sees fail: the leader learns of
-/// those from the platform's list, which is late.
+/// Returns the gateway's share; none while the requests that it knows of leave a slot free, since a
+/// refusal would be one without need. It is less the part of workers that it sees fail: the leader
+/// learns of those from the platform's list, which is late.
 std::optional<start_pace> find_pace(const turn& t, const service_queue& q,
                                     const plain_workers& workers)
 {
     const auto share = current_share(q, t.ctx.now);
-    if (!share)
+    const bool has_free_slots = workers.all_have_slots && workers.requests < workers.slots;
+    if (!share || has_free_slots)
         return std::nullopt;
     if (workers.usable == 0 || workers.listed == 0)
         return pace_of(*share);
