--- a/src/libcore/gateway_admission.cpp
+++ b/src/libcore/gateway_admission.cpp
@@ -145,8 +145,9 @@
     if (has_only_full_workers(t, id, q))
         q.next_start_at = std::max(q.next_start_at, first_full_until(q, t.ctx.now));
     const bool was_held = q.held.contains(id);
+    const queued_request request = make_queued(t, id, ex); // reads the queue
     queue_step done = was_held ? review(std::move(q), t.ctx.now, *pace, id)
-                               : place(std::move(q), t.ctx.now, *pace, make_queued(t, id, ex));
+                               : place(std::move(q), t.ctx.now, *pace, request);
     q = std::move(done.next);
     const bool is_held = std::holds_alternative<request_held>(done.verdict);
     if (is_held && !was_held)
@@ -241,7 +242,8 @@
     const auto pace = find_pace(t, *q, view_plain_workers(t, ex.policy.service));
     if (!pace)
         return std::nullopt;
-    retry_step done = choose_turn(std::move(*q), t.ctx.now, *pace, make_queued(t, id, ex));
+    const queued_request request = make_queued(t, id, ex); // reads the queue
+    retry_step done = choose_turn(std::move(*q), t.ctx.now, *pace, request);
     *q = std::move(done.next);
     return done.retry_after;
 }
--- a/src/libcore/service_queue.cpp
+++ b/src/libcore/service_queue.cpp
@@ -385,8 +385,8 @@
     if (!is_timely && !(may_be_late && end <= request.deadline)) {
         if (!is_overdue)
             q.refused_timely_at.at(own) = now;
-        return refuse(std::move(q), now, pace, request,
-                      "no place in time: " + std::to_string(q.held.size()) + " wait");
+        std::string reason = "no place in time: " + std::to_string(q.held.size()) + " wait";
+        return refuse(std::move(q), now, pace, request, std::move(reason));
     }
     q = with_held(std::move(q), request, !is_timely);
     const instant at = review_at(q, now, request);
