--- a/src/libcore/worker_work_test.cpp
+++ b/src/libcore/worker_work_test.cpp
@@ -164,10 +164,9 @@
     };
     const std::string home = choose().instance;
     std::vector<worker_request_count> counts;
-    for (int n = 0; n < 4; ++n)
-        counts.push_back({hash_of(worker_name(n) + "engine"), 4});
-    for (auto& c : counts)
-        c.running = c.worker_hash == hash_of(home) ? 20 : 4;
+    counts.reserve(t.workers.size());
+    for (const auto& [instance, w] : t.workers)
+        counts.push_back({hash_of(instance), instance == home ? 20U : 4U});
     t = with_request_counts(std::move(t), start, counts);
     t = with_stated_time(std::move(t), home, 25, start);
     BOOST_TEST(choose().instance != home);
