--- a/src/include/bluebell/core/worker_table.h
+++ b/src/include/bluebell/core/worker_table.h
@@ -18,19 +18,29 @@
 
 namespace bluebell::core {
 
-/// Estimate of the prompt parts in one worker's cache. The least recently used part is evicted
-/// first.
-struct prompt_cache_estimate {
+/// The prompt parts that one worker is assumed to have. A gateway holds hundreds for each engine,
+/// so they are kept in one array: a hash table and a map by use took 167 bytes a part.
+struct cached_parts {
     struct entry {
-        std::uint32_t tokens = 0;
+        hash64 id = 0;
         std::uint64_t used = 0; ///< sequence number of the last use
+        std::uint32_t tokens = 0;
 
         friend bool operator==(const entry&, const entry&) = default;
     };
-    std::unordered_map<hash64, entry> parts;
-    std::map<std::uint64_t, hash64> by_use; ///< has one item for each part, keyed by `entry::used`
-    std::uint64_t uses = 0;                 ///< sequence number of the newest use
-    std::uint64_t tokens = 0;               ///< sum over all parts
+    std::vector<entry> entries; ///< sorted by `id`, without duplicates
+
+    [[nodiscard]] bool contains(hash64 id) const;
+
+    friend bool operator==(const cached_parts&, const cached_parts&) = default;
+};
+
+/// Estimate of the prompt parts in one worker's cache. The least recently used part is evicted
+/// first.
+struct prompt_cache_estimate {
+    cached_parts parts;
+    std::uint64_t uses = 0;   ///< sequence number of the newest use
+    std::uint64_t tokens = 0; ///< sum over all parts
 
     friend bool operator==(const prompt_cache_estimate&, const prompt_cache_estimate&) = default;
 };
--- a/src/libcore/worker_table.cpp
+++ b/src/libcore/worker_table.cpp
@@ -46,27 +46,67 @@
     return "";
 }
 
+namespace {
+
+using part_entries = std::vector<cached_parts::entry>;
+
+template <class Entries>
+auto find_place(Entries& entries, hash64 id)
+{
+    return std::lower_bound(entries.begin(), entries.end(), id,
+                            [](const auto& e, hash64 value) { return e.id < value; });
+}
+
+/// Inserts a part. The array grows by a quarter, because doubling would leave up to half of it
+/// unused.
+void insert_part(part_entries& entries, part_entries::iterator place,
+                 const cached_parts::entry& part)
+{
+    constexpr std::size_t min_growth = 16;
+    const auto position = place - entries.begin();
+    if (entries.size() == entries.capacity())
+        entries.reserve(entries.size() + std::max(min_growth, entries.size() / 4));
+    entries.insert(entries.begin() + position, part);
+}
+
+/// Evicts the least recently used parts above `max_tokens`. A full cache evicts about as many parts
+/// as are new, so a search for each costs less than an index by use would hold.
+void evict_parts(prompt_cache_estimate& cache, std::uint64_t max_tokens)
+{
+    auto& entries = cache.parts.entries;
+    while (cache.tokens > max_tokens && !entries.empty()) {
+        const auto oldest =
+            std::min_element(entries.begin(), entries.end(),
+                             [](const auto& a, const auto& b) { return a.used < b.used; });
+        cache.tokens -= oldest->tokens;
+        entries.erase(oldest);
+    }
+}
+
+} // namespace
+
+bool cached_parts::contains(hash64 id) const
+{
+    const auto it = find_place(entries, id);
+    return it != entries.end() && it->id == id;
+}
+
 prompt_cache_estimate with_cached_parts(prompt_cache_estimate current,
                                         const std::vector<prompt_part>& parts,
                                         std::uint64_t max_tokens)
 {
     for (const auto& part : parts) {
-        auto [it, is_new] = current.parts.try_emplace(part.id);
-        if (is_new)
-            current.tokens += part.tokens;
-        else
-            current.by_use.erase(it->second.used);
         current.uses += 1;
-        it->second = {is_new ? part.tokens : it->second.tokens, current.uses};
-        current.by_use.emplace(current.uses, part.id);
-    }
-    while (current.tokens > max_tokens && !current.by_use.empty()) {
-        const auto oldest = current.by_use.begin();
-        const auto it = current.parts.find(oldest->second);
-        current.tokens -= it->second.tokens;
-        current.parts.erase(it);
-        current.by_use.erase(oldest);
+        auto& entries = current.parts.entries;
+        const auto it = find_place(entries, part.id);
+        if (it != entries.end() && it->id == part.id) {
+            it->used = current.uses;
+            continue;
+        }
+        insert_part(entries, it, {part.id, current.uses, part.tokens});
+        current.tokens += part.tokens;
     }
+    evict_parts(current, max_tokens);
     return current;
 }
 
--- a/src/libcore/worker_table_test.cpp
+++ b/src/libcore/worker_table_test.cpp
@@ -3,6 +3,8 @@
 
 #include "gateway_test.h"
 
+#include <rapidcheck/boost_test.h>
+
 #include <algorithm>
 #include <deque>
 #include <random>
@@ -275,4 +277,31 @@
     BOOST_TEST(overloaded_count < bound * requests);
 }
 
+// Guards against an estimate that evicts other parts than the least recently used ones, or that
+// forgets or doubles parts: prompts would go to workers that don't have them.
+RC_BOOST_PROP(a_cache_estimate_keeps_the_most_recently_used_parts, ())
+{
+    constexpr std::uint64_t max_tokens = 60;
+    prompt_cache_estimate cache;
+    std::vector<prompt_part> expected; // by use, the newest one last
+    const int uses = *rc::gen::inRange(1, 120);
+    for (int n = 0; n < uses; ++n) {
+        prompt_part part;
+        part.id = *rc::gen::inRange<hash64>(0, 20);
+        part.tokens = static_cast<std::uint32_t>(1 + part.id % 7);
+        cache = with_cached_parts(std::move(cache), {part}, max_tokens);
+        std::erase_if(expected, [&](const auto& e) { return e.id == part.id; });
+        expected.push_back(part);
+        std::uint64_t tokens = 0;
+        for (const auto& e : expected)
+            tokens += e.tokens;
+        for (; tokens > max_tokens; expected.erase(expected.begin()))
+            tokens -= expected.front().tokens;
+        RC_ASSERT(cache.tokens == tokens);
+        RC_ASSERT(cache.parts.entries.size() == expected.size());
+        for (const auto& e : expected)
+            RC_ASSERT(cache.parts.contains(e.id));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -81,14 +81,14 @@
     printf '%s\n' "$@"
 }
 
-put_platform_table() {
-    local table='{"version":1,"routes":[
+platform_table='{"version":1,"routes":[
  {"name":"plain","host":"h","path-prefix":"/plain/","kind":"unsafe","timeout-ms":9000,"service":"plain","attempts":1},
  {"name":"stream","host":"h","path-prefix":"/stream/","kind":"streaming","timeout-ms":9000,"service":"engine","attempts":2}],
  "services":[{"name":"plain"},{"name":"engine","engine":{"slots":64,"kv-capacity-tokens":1000}}],
  "limits":{"max-header-bytes":8192,"max-body-bytes":100000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
  "tenants":[{"name":"lenas","api-keys":["key1"]}]}'
-    curl -sSf -m 5 -o /dev/null -H 'Content-Type: application/json' -d "$table" "http://127.0.0.1:$tables/Config.Put"
+put_platform_table() {
+    curl -sSf -m 5 -o /dev/null -H 'Content-Type: application/json' -d "$platform_table" "http://127.0.0.1:$tables/Config.Put"
 }
 platform_ready() { curl -sSf -m 2 "http://127.0.0.1:$((port + 31))/readiness"; }
 
