--- a/testsuite/client_limits/run.sh
+++ b/testsuite/client_limits/run.sh
@@ -118,6 +118,7 @@
         wait_for ordinary "before $name"
         load $name $to $path "${!pid_variable}" chunked=200 endless=30 pipeline=20 heads=60 idle=300
         kill -9 "${!pid_variable}"
+        wait "${!pid_variable}" 2>/dev/null || true
     done
 fi
 if [ -n "$failed" ]; then
--- a/testsuite/standins/clients.cpp
+++ b/testsuite/standins/clients.cpp
@@ -160,7 +160,7 @@
         c.fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
         if (c.fd < 0)
             return;
-        ::connect(c.fd, reinterpret_cast<const sockaddr*>(&to_.address), sizeof to_.address);
+        (void)::connect(c.fd, reinterpret_cast<const sockaddr*>(&to_.address), sizeof to_.address);
         if (c.does->receive_buffer != 0)
             (void)::setsockopt(c.fd, SOL_SOCKET, SO_RCVBUF, &c.does->receive_buffer,
                                sizeof c.does->receive_buffer);
