--- a/src/libcore/worker_work_test.cpp
+++ b/src/libcore/worker_work_test.cpp
@@ -160,7 +160,8 @@
     worker_table t = make_workers("engine");
     const auto d = make_demand(1, 4'000);
     const auto choose = [&] {
-        return choose_worker(t, {engines, &d, &engine, no_instances, zone, kind}, start, 5);
+        return choose_worker(t, {engines, &d, &engine, no_instances, zone, nullptr, kind}, start,
+                             5);
     };
     const std::string home = choose().instance;
     std::vector<worker_request_count> counts;
@@ -179,7 +180,8 @@
     worker_table t = make_workers("engine");
     const auto d = make_demand(1, 4'000);
     const auto choose = [&] {
-        return choose_worker(t, {engines, &d, &engine, no_instances, zone, kind}, start, 5);
+        return choose_worker(t, {engines, &d, &engine, no_instances, zone, nullptr, kind}, start,
+                             5);
     };
     const std::string home = choose().instance;
     BOOST_TEST(!find_moved_prompt(t, choose(), d).has_value());
