Join the thread of a test of signals also when a check fails

Cause: a failed check left the test with its thread running, which ended the whole suite (terminate called without an active exception) and hid what the check printed in a crash.

Change: the thread is a std::jthread. The checks are the same.

--- a/src/libruntime/peer_connection_test.cpp
+++ b/src/libruntime/peer_connection_test.cpp
@@ -14,7 +14,6 @@
 #include <sys/socket.h>
 #include <zmq.hpp>
 
-#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <thread>
@@ -310,10 +309,9 @@
     b.open(loop, "b", port_b);
     connect_b_to_a();
     a.senders.clear();
-    std::atomic<bool> done{false};
     const pthread_t target = ::pthread_self();
-    std::thread sender([&] {
-        while (!done)
+    std::jthread sender([target](const std::stop_token& stop) { // joined if a check below throws
+        while (!stop.stop_requested())
             ::pthread_kill(target, SIGUSR2);
     });
     constexpr std::size_t messages = 5'000;
@@ -324,7 +322,7 @@
             run_for(milliseconds(1));
     }
     run_until([&] { return a.senders.size() >= messages; });
-    done = true;
+    sender.request_stop();
     sender.join();
     ::sigaction(SIGUSR2, &previous, nullptr);
     BOOST_TEST(a.senders.size() == messages);
