Wait for callers until shortly before the kill

Cause: a drained router waited for its callers until 0.6 s before its platform kills it, as its drain does, though only bytes that are buffered are left to send then.

Change: the last wait ends 0.25 s before the kill. A test's long text is built as the linter wants.

--- a/src/libruntime/http_server_test.cpp
+++ b/src/libruntime/http_server_test.cpp
@@ -173,7 +173,9 @@
     run();
     BOOST_REQUIRE(requests.size() == 1U);
     requests[0]->start_response(200, {}, std::nullopt);
-    requests[0]->send(std::string(32'000'000, 'x')); // more than the system's buffers take
+    std::string answer;
+    answer.resize(32'000'000, 'x'); // more than the system's buffers take
+    requests[0]->send(answer);
     for (int n = 0; n < 8; ++n) {
         client->pause_reading(true);
         run();
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -15,8 +15,9 @@
 constexpr microseconds final_flush_time{400'000};
 /// Time between two checks whether callers have received their answers.
 constexpr microseconds received_check_interval{50'000};
-/// A process that waits for its callers ends this long before it is killed, as its drain does.
-constexpr microseconds kill_margin{600'000};
+/// A process that waits for its callers ends this long before it is killed. Shorter than the margin
+/// of the drain, after which only bytes that are buffered already are left to send.
+constexpr microseconds kill_margin{250'000};
 /// A drained process whose platform states no time to its kill waits this long for its callers.
 constexpr microseconds max_receive_time{30'000'000};
 
