--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -17,7 +17,7 @@
 constexpr microseconds received_check_interval{50'000};
 /// A process that waits for its callers ends this long before it is killed. Shorter than the margin
 /// of the drain, after which only bytes that are buffered already are left to send.
-constexpr microseconds kill_margin{250'000};
+constexpr microseconds kill_margin{450'000};
 /// A drained process whose platform states no time to its kill waits this long for its callers.
 constexpr microseconds max_receive_time{30'000'000};
 
