--- a/src/libcore/gateway_test.cpp
+++ b/src/libcore/gateway_test.cpp
@@ -448,4 +448,63 @@
     }
 }
 
+// Guards against a workspace without keys that opens the routes of the others, or closes them.
+BOOST_FIXTURE_TEST_CASE(a_workspace_that_loses_its_last_key_takes_no_other_one_with_it,
+                        ready_gateway)
+{
+    routing_table rest = table(2);
+    rest.keys.clear();
+    rest.keys["k2"] = {workspace_id::from_trusted("barta"), std::nullopt};
+    apply(apply_table(std::move(st), context{now, 1, self, fleet}, rest));
+    for (const char* credential : {"k1", ""}) {
+        pass_request r = request("/unsafe/x");
+        r.credential = credential;
+        handle(exchange_event(pass_request_received{1, r}));
+        BOOST_TEST(refused_status() == 401);
+    }
+    pass_request r = request("/unsafe/x", "r2");
+    r.credential = "k2";
+    handle(exchange_event(pass_request_received{2, r}));
+    BOOST_TEST(started_attempt().workspace.str() == "barta");
+}
+
+// Guards against an anonymous route that closes with the last key, or that names a workspace to
+// which a dropped key belonged.
+BOOST_FIXTURE_TEST_CASE(anonymous_routes_stay_open_beside_routes_that_need_a_key, ready_gateway)
+{
+    routing_table none = table(2);
+    none.keys.clear();
+    none.routes.at({"h", "/safe/"}).anonymous = true;
+    apply(apply_table(std::move(st), context{now, 1, self, fleet}, none));
+    exchange_id id = 0;
+    for (const char* credential : {"k1", "unknown", ""}) {
+        id += 1;
+        pass_request r = request("/safe/x", "open" + std::to_string(id));
+        r.credential = credential;
+        handle(exchange_event(pass_request_received{id, r}));
+        BOOST_TEST(started_attempt().workspace.empty());
+        r.target = "/unsafe/x";
+        handle(exchange_event(pass_request_received{id + 100, r}));
+        BOOST_TEST(refused_status() == 401);
+    }
+}
+
+// Guards against a gateway that starts with a table without keys and lets requests run that waited
+// for it.
+BOOST_FIXTURE_TEST_CASE(requests_that_wait_for_a_first_table_without_keys_are_refused,
+                        gateway_fixture)
+{
+    handle(exchange_event(pass_request_received{1, request("/unsafe/x")}));
+    BOOST_TEST(refused_status() == 0);
+    worker_list_received list;
+    list.workers.push_back(worker(0, "plain"));
+    st.workers.evacuations.received = true;
+    handle(exchange_event(list));
+    routing_table none = table(1);
+    none.keys.clear();
+    apply(apply_table(std::move(st), context{now, 1, self, fleet}, none));
+    BOOST_TEST(refused_status() == 401);
+    BOOST_TEST(find_effect<start_attempt>() == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
