Take operators' tokens away when their file is removed

Operators would have seen: after the file of tokens was removed and the settings reloaded, its tokens stayed valid; the same after a reload of a file with an error, without a line in the log.

Cause: a file that couldn't be read was ignored at a reload. A file that is gone now holds no tokens; one with an error leaves those in force and is logged.

An empty file already took all tokens away.

--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -369,9 +369,7 @@
     const auto reloaded = settings::reload(settings_, *next);
     settings_ = reloaded.settings;
     node_->telemetry().set_min_level(settings_.log.min_level);
-    if (const auto tokens = read_operator_tokens(settings_.operator_token_file);
-        tokens && adapters_.admin)
-        adapters_.admin->set_operator_tokens(*tokens);
+    reload_operator_tokens();
     if (adapters_.engine)
         adapters_.engine->set_offer(settings_.offer);
     for (const auto& key : reloaded.needs_restart)
@@ -380,6 +378,26 @@
     LOG(INFO) << "settings: Reloaded. file=" << file_;
 }
 
+void process::reload_operator_tokens()
+{
+    if (!adapters_.admin)
+        return;
+    const std::string& file = settings_.operator_token_file;
+    std::error_code ec;
+    if (!file.empty() && !std::filesystem::exists(file, ec) && !ec) {
+        LOG(WARNING) << "settings: The file of operators' tokens is gone; none is accepted. file="
+                     << file;
+        adapters_.admin->set_operator_tokens({});
+        return;
+    }
+    const auto tokens = read_operator_tokens(file);
+    if (tokens)
+        adapters_.admin->set_operator_tokens(*tokens);
+    else
+        LOG(ERROR) << "settings: Operators' tokens can't be read; those in force stay. "
+                   << to_string(tokens.error());
+}
+
 void process::run()
 {
     const auto on_stop = [this] { dispatch(operator_event(drain_requested{})); };
--- a/src/bluebell/process.h
+++ b/src/bluebell/process.h
@@ -47,6 +47,9 @@
     void dispatch(core::event_body body) { node_->dispatch(std::move(body)); }
     /// Re-reads the settings file and applies what may change while the process runs.
     void reload();
+    /// Re-reads the operators' tokens. A file that is gone holds none; one with an error leaves
+    /// those in force.
+    void reload_operator_tokens();
 
     std::string file_;
     settings::node_settings settings_;
