Give up processes that were to vote and are gone

Cause: a report of presence that arrives late, after a cut or a freeze of its sender or receiver, makes a core machine that is gone look present. The leader then adds it to the voters to be. It never catches up, and the change of voters waits for it forever; each review of the voters waits for the end of that change. So machines that are gone later are never replaced, and after the next loss there is no quorum.

Change: a silent process that doesn't vote yet is taken out of the target again, and a review of the voters no longer waits for the end of an earlier change.

--- a/src/include/bluebell/core/roster.h
+++ b/src/include/bluebell/core/roster.h
@@ -7,6 +7,7 @@
 
 #include <bluebell/core/effect.h>
 #include <bluebell/core/fleet_message.h>
+#include <bluebell/core/replication.h>
 
 #include <map>
 #include <vector>
@@ -78,12 +79,12 @@
 [[nodiscard]] std::vector<node_info> present_controls(const roster& r, instant now,
                                                       const node_info& self);
 
-/// Returns the replicas that should vote instead of those in `target`: silent voters are replaced
-/// by present processes that have a disk and don't vote yet, preferably of the same zone. Further
+/// Returns the replicas that should vote instead of the present target: silent ones are replaced by
+/// present processes that have a disk and are no target yet, preferably of the same zone. Further
 /// such processes are added up to the maximum number of voters. A silent voter that only makes the
-/// quorum larger is removed. Returns an empty list if nothing should change.
-[[nodiscard]] std::vector<node_info> desired_voters(const roster& r, instant now,
-                                                    const node_info& self,
-                                                    const std::vector<node_info>& target);
+/// quorum larger is removed. So is a silent target that doesn't vote yet: the change of voters
+/// would wait for it. Returns an empty list if nothing should change.
+[[nodiscard]] std::vector<node_info>
+desired_voters(const roster& r, instant now, const node_info& self, const replica_set& replicas);
 
 } // namespace bluebell::core
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -665,9 +665,8 @@
         return;
     t.st.lead.next_voter_review_at = t.ctx.now + voter_interval;
     const replica_set replicas = current_replicas(t.st.replication);
-    const bool settled = replicas.voters.size() == replicas.target.size();
-    auto voters = desired_voters(t.st.peers, t.ctx.now, t.ctx.self, replicas.target);
-    if (voters.empty() || !settled)
+    auto voters = desired_voters(t.st.peers, t.ctx.now, t.ctx.self, replicas);
+    if (voters.empty())
         return;
     proposal_step done = propose_replicas(std::move(t.st.replication), t.ctx, std::move(voters));
     t.st.replication = std::move(done.next);
--- a/src/libcore/roster.cpp
+++ b/src/libcore/roster.cpp
@@ -230,6 +230,11 @@
     return now - contact_at >= voter_silence_timeout;
 }
 
+bool contains(const std::vector<node_info>& nodes, const node_id& id)
+{
+    return std::any_of(nodes.begin(), nodes.end(), [&](const node_info& n) { return n.id == id; });
+}
+
 /// Removes a silent voter from an even number of voters. It only makes the quorum larger: without
 /// it the remaining voters tolerate one more failure. It is added again when it is back.
 void remove_redundant_voter(std::vector<node_info>& voters, const roster& r, instant now,
@@ -248,16 +253,16 @@
 } // namespace
 
 std::vector<node_info> desired_voters(const roster& r, instant now, const node_info& self,
-                                      const std::vector<node_info>& target)
+                                      const replica_set& replicas)
 {
-    const auto is_voter = [&](const node_id& id) {
-        return std::any_of(target.begin(), target.end(),
-                           [&](const node_info& n) { return n.id == id; });
-    };
     const auto is_silent_node = [&](const node_info& n) { return is_silent(r, now, self, n.id); };
-    std::vector<node_info> voters = target;
+    std::vector<node_info> voters = replicas.target;
+    std::erase_if(voters, [&](const node_info& n) {
+        return !contains(replicas.voters, n.id) && is_silent_node(n);
+    });
     for (const auto& [id, m] : r.members) {
-        if (!m.presence.has_disk || now - m.last_contact_at >= presence_timeout || is_voter(id))
+        if (!m.presence.has_disk || now - m.last_contact_at >= presence_timeout ||
+            contains(replicas.target, id))
             continue;
         node_info node = m.presence.node;
         const auto same_zone = std::find_if(voters.begin(), voters.end(), [&](const auto& n) {
@@ -274,7 +279,7 @@
             voters.push_back(std::move(node));
     }
     remove_redundant_voter(voters, r, now, self);
-    return voters == target ? std::vector<node_info>{} : voters;
+    return voters == replicas.target ? std::vector<node_info>{} : voters;
 }
 
 } // namespace bluebell::core
--- a/src/libcore/roster_test.cpp
+++ b/src/libcore/roster_test.cpp
@@ -223,10 +223,10 @@
     receive_report(1, microseconds{0}, true);
     receive_report(2, seconds(5), true);
     const std::vector<node_info> target{control(0), control(1), control(2)};
-    BOOST_TEST(desired_voters(r, now, control(0), target).empty());
+    BOOST_TEST(desired_voters(r, now, control(0), {target, target}).empty());
     receive_report(4, microseconds{0}, true);
     receive_report(5, microseconds{0}, false);
-    const auto voters = desired_voters(r, now, control(0), target);
+    const auto voters = desired_voters(r, now, control(0), {target, target});
     BOOST_REQUIRE(voters.size() == 3U);
     BOOST_TEST(voters[2].id.str() == "control-4");
 }
@@ -239,7 +239,8 @@
         r = handle_presence(std::move(r), now, control(0),
                             presence_report{{{control(n), true, false, microseconds{0}}}})
                 .next;
-    const auto voters = desired_voters(r, now, control(0), {control(0), control(1), control(2)});
+    const std::vector<node_info> three{control(0), control(1), control(2)};
+    const auto voters = desired_voters(r, now, control(0), {three, three});
     BOOST_TEST(voters.size() == 4U);
 }
 
@@ -259,13 +260,61 @@
     receive_report(2, seconds(2));
     receive_report(3, microseconds{0});
     const std::vector<node_info> four{control(0), control(1), control(2), control(3)};
-    BOOST_TEST(desired_voters(r, now, control(0), four).empty()); // silent for only two seconds
+    BOOST_TEST(
+        desired_voters(r, now, control(0), {four, four}).empty()); // silent for only two seconds
     r.members.at(control(2).id).last_contact_at = now - seconds(3);
-    const auto voters = desired_voters(r, now, control(0), four);
+    const auto voters = desired_voters(r, now, control(0), {four, four});
     BOOST_REQUIRE(voters.size() == 3U);
     BOOST_TEST(voters[2].id.str() == "control-3");
     r.tolerated_failures = 2; // five voters tolerate two failures, three don't
-    BOOST_TEST(desired_voters(r, now, control(0), four).empty());
+    BOOST_TEST(desired_voters(r, now, control(0), {four, four}).empty());
+}
+
+// Guards against a change of voters that waits forever for a process that is gone, so that the ones
+// that are gone later are never replaced.
+BOOST_AUTO_TEST_CASE(a_silent_process_that_does_not_vote_yet_is_given_up)
+{
+    const instant now{seconds(100)};
+    roster r;
+    r.started_at = instant{seconds(1)};
+    const auto receive_report = [&](int n, microseconds time_since_contact) {
+        r = handle_presence(std::move(r), now, control(0),
+                            presence_report{{{control(n), true, false, time_since_contact}}})
+                .next;
+    };
+    receive_report(1, microseconds{0});
+    receive_report(2, seconds(9)); // was to vote next
+    const std::vector<node_info> two{control(0), control(1)};
+    const std::vector<node_info> three{control(0), control(1), control(2)};
+    BOOST_TEST(desired_voters(r, now, control(0), {two, three}) == two);
+    receive_report(3, microseconds{0});
+    const auto voters = desired_voters(r, now, control(0), {two, three});
+    BOOST_REQUIRE(voters.size() == 3U);
+    BOOST_TEST(voters[2].id.str() == "control-3");
+}
+
+// Guards against a change of voters that begins only once an earlier one has ended: the earlier one
+// may wait for a process that isn't silent, but doesn't catch up.
+BOOST_AUTO_TEST_CASE(a_silent_voter_is_replaced_during_an_earlier_change)
+{
+    const instant now{seconds(100)};
+    roster r;
+    r.started_at = instant{seconds(1)};
+    const auto receive_report = [&](int n, microseconds time_since_contact) {
+        r = handle_presence(std::move(r), now, control(0),
+                            presence_report{{{control(n), true, false, time_since_contact}}})
+                .next;
+    };
+    receive_report(1, microseconds{0});
+    receive_report(2, seconds(9));
+    receive_report(3, microseconds{0}); // was to vote next
+    receive_report(4, microseconds{0});
+    const std::vector<node_info> three{control(0), control(1), control(2)};
+    const std::vector<node_info> four{control(0), control(1), control(2), control(3)};
+    const auto voters = desired_voters(r, now, control(0), {three, four});
+    BOOST_REQUIRE(voters.size() == 4U);
+    BOOST_TEST(voters[2].id.str() == "control-4");
+    BOOST_TEST(voters[3].id.str() == "control-3");
 }
 
 BOOST_AUTO_TEST_CASE(no_voter_is_silent_immediately_after_a_start)
@@ -273,8 +322,8 @@
     roster r;
     r.started_at = instant{seconds(100)};
     const std::vector<node_info> four{control(0), control(1), control(2), control(3)};
-    BOOST_TEST(desired_voters(r, instant{seconds(101)}, control(0), four).empty());
-    BOOST_TEST(desired_voters(r, instant{seconds(103)}, control(0), four).size() == 3U);
+    BOOST_TEST(desired_voters(r, instant{seconds(101)}, control(0), {four, four}).empty());
+    BOOST_TEST(desired_voters(r, instant{seconds(103)}, control(0), {four, four}).size() == 3U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libcore/table_fleet_evacuations_test.cpp
+++ b/src/libcore/table_fleet_evacuations_test.cpp
@@ -25,7 +25,7 @@
 {
     evacuation_.evacuated = !evacuation_.evacuated;
     evacuation_.acknowledged = false;
-    evacuation_.target = random_below(plan_.voters + plan_.diskless);
+    evacuation_.target = random_target();
     send_evacuation_call();
 }
 
@@ -42,7 +42,7 @@
     schedule(resend_time, [this, attempt = evacuation_.attempt] {
         if (evacuation_.acknowledged || evacuation_.attempt != attempt)
             return;
-        evacuation_.target = random_below(plan_.voters + plan_.diskless);
+        evacuation_.target = random_target();
         send_evacuation_call();
     });
 }
--- a/src/libcore/table_fleet_test.cpp
+++ b/src/libcore/table_fleet_test.cpp
@@ -24,6 +24,11 @@
 constexpr hash64 operator_source = 1'000;
 /// Number of times that a disk is full.
 constexpr std::size_t max_full_disks = 12;
+constexpr std::size_t max_seeds = 3;
+/// Time from the end of a core machine until an empty one takes its place.
+constexpr microseconds replacement_time{1'000'000};
+/// Time after which operators and settings name the new machine.
+constexpr microseconds operator_list_lag{3'000'000};
 /// Longest time, in microseconds, that a process takes to read what arrived during its freeze.
 constexpr std::uint64_t max_wake_up_us = 2'000;
 
@@ -31,7 +36,9 @@
 
 table_fleet::table_fleet(std::uint64_t seed, table_fleet_plan plan) : plan_(plan), random_(seed)
 {
-    machines_.resize(plan_.voters + plan_.diskless + plan_.gateways);
+    const std::size_t first_machines = plan_.voters + plan_.diskless + plan_.gateways;
+    const std::size_t spares = plan_.replace_interval.count() == 0 ? 0 : plan_.voters;
+    machines_.resize(first_machines + spares);
     for (std::size_t n = 0; n < machines_.size(); ++n) {
         const std::string number = std::to_string(100 + n);
         machines_[n].control.id = node_id::from_trusted("c" + number);
@@ -39,8 +46,13 @@
         machines_[n].control.address = "c" + number;
         machines_[n].gateway.id = node_id::from_trusted("g" + number);
         machines_[n].gateway.role = node_role::router;
+        machines_[n].stores = n < plan_.voters || n >= first_machines;
+        machines_[n].serves_control = machines_[n].stores || n < plan_.voters + plan_.diskless;
+        machines_[n].gone = n >= first_machines;
+        if (n < plan_.voters + plan_.diskless)
+            operator_targets_.push_back(n);
     }
-    for (std::size_t n = 0; n < machines_.size(); ++n)
+    for (std::size_t n = 0; n < first_machines; ++n)
         schedule(random_time(0, 300), [this, n] { start(n); });
 }
 
@@ -60,9 +72,19 @@
     return static_cast<std::size_t>(std::stoul(id.str().substr(1))) - 100;
 }
 
+std::vector<std::size_t> table_fleet::core() const
+{
+    std::vector<std::size_t> members;
+    for (std::size_t n = 0; n < machines_.size(); ++n) {
+        if (is_core(n))
+            members.push_back(n);
+    }
+    return members;
+}
+
 std::optional<std::size_t> table_fleet::leader() const
 {
-    for (std::size_t n = 0; n < plan_.voters; ++n) {
+    for (const std::size_t n : core()) {
         if (runs(n) && has_leader_lease(machines_[n].replica.replication, clock_of(n)))
             return n;
     }
@@ -116,6 +138,8 @@
         schedule(warm_up, [this] { fill_disks(max_full_disks); });
     else
         schedule(warm_up, [this] { inject_faults(); });
+    if (plan_.replace_interval.count() != 0)
+        schedule(warm_up + plan_.replace_interval, [this] { replace_oldest(); });
     schedule(warm_up, [this] { read(); });
     if (plan_.evacuates)
         schedule(warm_up, [this] { call_evacuation(); });
@@ -150,8 +174,8 @@
     m.version_in_force = 0;
     m.evacuation_version = 0;
     std::vector<node_info> seeds;
-    for (std::size_t s = 0; s < std::min<std::size_t>(3, plan_.voters); ++s)
-        seeds.push_back(machines_[s].control);
+    for (std::size_t s = 0; s < std::min<std::size_t>(max_seeds, plan_.voters); ++s)
+        seeds.push_back(machines_[operator_targets_[s]].control);
     m.router.table_sync.seeds = seeds;
     if (is_control(n)) {
         m.replica = control_state();
@@ -398,7 +422,7 @@
 
 void table_fleet::kill(std::size_t n, microseconds down_time)
 {
-    if (!machines_[n].up)
+    if (!machines_[n].up || machines_[n].gone)
         return;
     machines_[n].up = false;
     machines_[n].process += 1;
@@ -411,7 +435,10 @@
         counts_.lost_disks += 1;
         machines_[n].stored = disk();
     }
-    schedule(down_time, [this, n] { start(n); });
+    schedule(down_time, [this, n] {
+        if (!machines_[n].gone)
+            start(n);
+    });
 }
 
 void table_fleet::freeze(std::size_t n, microseconds time)
@@ -450,8 +477,8 @@
 {
     counts_.faults += 1;
     const std::size_t count = machines_.size();
-    const std::size_t n =
-        core ? random_below(plan_.voters) : plan_.voters + random_below(count - plan_.voters);
+    const std::size_t n = core ? random_below(plan_.voters)
+                               : plan_.voters + random_below(plan_.diskless + plan_.gateways);
     const std::size_t victim = core && random_below(2) == 0 ? leader().value_or(n) : n;
     switch (random_below(core ? 6 : 3)) {
     case 0:
@@ -487,11 +514,37 @@
 {
     inject_fault(false);
     const std::int64_t in_cycle = (now_ - instant{}).count() / 1'000'000 % 12;
-    if (in_cycle < 4 || random_below(20) == 0)
+    const bool replaces = plan_.replace_interval.count() != 0;
+    if (!replaces && (in_cycle < 4 || random_below(20) == 0))
         inject_fault(true);
     schedule(random_time(200, 2'000), [this] { inject_faults(); });
 }
 
+void table_fleet::replace_oldest()
+{
+    if (replaced_ == plan_.voters)
+        return;
+    const std::size_t n = replaced_;
+    const std::size_t successor = plan_.voters + plan_.diskless + plan_.gateways + n;
+    replaced_ += 1;
+    counts_.faults += 1;
+    machines_[n].up = false;
+    machines_[n].gone = true;
+    machines_[n].process += 1;
+    core_disturbed_at_ = now_;
+    schedule(replacement_time, [this, successor] { start_replacement(successor); });
+    schedule(operator_list_lag, [this, n, successor] {
+        std::replace(operator_targets_.begin(), operator_targets_.end(), n, successor);
+    });
+    schedule(plan_.replace_interval, [this] { replace_oldest(); });
+}
+
+void table_fleet::start_replacement(std::size_t n)
+{
+    machines_[n].gone = false;
+    start(n);
+}
+
 void table_fleet::fill_disks(std::size_t spells)
 {
     if (spells == 0) {
@@ -518,7 +571,7 @@
         text += copy == 0 ? " first" : " second";
         submissions_[number].made_at = now_;
         submissions_[number].document = {last_version_, bytes::from(text)};
-        submissions_[number].target = random_below(plan_.voters + plan_.diskless);
+        submissions_[number].target = random_target();
         submit(number);
     }
     schedule(plan_.change_interval, [this] { change(); });
@@ -542,7 +595,7 @@
         submission& late = submissions_[number];
         if (late.done || late.attempt != attempt)
             return;
-        late.target = random_below(plan_.voters + plan_.diskless);
+        late.target = random_target();
         submit(number);
     });
 }
@@ -551,7 +604,7 @@
 {
     last_read_ += 1;
     reads_[last_read_] = acknowledged_at_.empty() ? 0 : acknowledged_at_.rbegin()->first;
-    const std::size_t n = random_below(plan_.voters + plan_.diskless);
+    const std::size_t n = random_target();
     const std::string operation = "read/" + std::to_string(last_read_);
     schedule(link_delay, [this, n, operation] {
         run_on_arrival(n, operator_source, [this, n, operation] {
@@ -593,7 +646,7 @@
             schedule(operator_pause, [this, number] { submit(number); });
         },
         [&](const auto&) {
-            s.target = random_below(plan_.voters + plan_.diskless);
+            s.target = random_target();
             schedule(operator_pause, [this, number] { submit(number); });
         });
 }
@@ -612,9 +665,10 @@
 {
     const std::size_t majority = plan_.voters / 2 + 1;
     std::set<std::size_t> connected; // core machines that reach more than half of the core
-    for (std::size_t n = 0; n < plan_.voters; ++n) {
+    const std::vector<std::size_t> members = core();
+    for (const std::size_t n : members) {
         std::size_t reached = 0;
-        for (std::size_t other = 0; other < plan_.voters; ++other)
+        for (const std::size_t other : members)
             reached += runs(n) && runs(other) && !is_cut(n, other) ? 1 : 0;
         if (reached >= majority)
             connected.insert(n);
--- a/src/libcore/table_fleet_test.h
+++ b/src/libcore/table_fleet_test.h
@@ -43,6 +43,10 @@
     bool full_disks = false;
     /// The platform evacuates a zone and takes it back, again and again.
     bool evacuates = false;
+    /// In place of faults of the core, each of its machines in turn is gone for good, and an empty
+    /// one at a new address takes its place, until none of the first ones is left; 0: none is
+    /// replaced.
+    microseconds replace_interval{0};
     /// A kill of a core machine empties its disk if the last one that did is this long ago; 0: none
     /// does.
     microseconds disk_loss_interval{0};
@@ -87,6 +91,9 @@
     struct machine {
         node_info control;
         node_info gateway;
+        bool stores = false;         ///< it has a disk, so it is part of the core
+        bool serves_control = false; ///< it has a control process
+        bool gone = false;           ///< for good, or not started yet
         bool up = false;
         std::uint64_t process = 0; ///< increases with each kill; events of earlier ones are void
         instant paused_until{};
@@ -94,7 +101,7 @@
         instant disturbed_at{};         ///< last time at which it was down, frozen, or changed
         instant path_lost_at{}; ///< last time at which it could not reach the connected core
         disk stored;
-        control_state replica; ///< used if the machine has a control process
+        control_state replica; ///< used if serves_control
         gateway_state router;
         instant control_tick_at = instant::max();
         instant gateway_tick_at = instant::max();
@@ -134,6 +141,13 @@
     void isolate(std::size_t n, std::size_t from_first, std::size_t from_end, microseconds time);
     void inject_fault(bool core);
     void inject_faults();
+    void replace_oldest();
+    void start_replacement(std::size_t n);
+    /// Returns a control process that operators know of.
+    [[nodiscard]] std::size_t random_target()
+    {
+        return operator_targets_[random_below(operator_targets_.size())];
+    }
     /// Fills the disks of the core one after another, a leader's every other time.
     void fill_disks(std::size_t spells);
 
@@ -151,8 +165,12 @@
     void put_in_force(std::size_t n, const routing_document& document);
     void send(std::size_t n, const node_id& from, const send_message& e);
     void deliver(std::size_t n, const node_id& from, const send_message& e);
-    [[nodiscard]] bool is_control(std::size_t n) const { return n < plan_.voters + plan_.diskless; }
-    [[nodiscard]] bool is_core(std::size_t n) const { return n < plan_.voters; }
+    [[nodiscard]] bool is_control(std::size_t n) const { return machines_[n].serves_control; }
+    [[nodiscard]] bool is_core(std::size_t n) const
+    {
+        return machines_[n].stores && !machines_[n].gone;
+    }
+    [[nodiscard]] std::vector<std::size_t> core() const;
     [[nodiscard]] context make_context(std::size_t n, const node_info& self);
     /// Returns the time by the machine's own clock.
     [[nodiscard]] instant clock_of(std::size_t n) const
@@ -196,6 +214,8 @@
     std::map<std::pair<instant, std::uint64_t>, std::function<void()>> queue_;
     std::vector<machine> machines_;
     follower_state fleet_;
+    std::vector<std::size_t> operator_targets_; ///< control processes that operators know of
+    std::size_t replaced_ = 0;                  ///< core machines that were replaced
     /// Pairs of machines without a connection until the given time.
     std::map<std::pair<std::size_t, std::size_t>, instant> cuts_;
     incarnation_number last_incarnation_ = 0;
--- a/src/libcore/table_propagation_test.cpp
+++ b/src/libcore/table_propagation_test.cpp
@@ -87,6 +87,20 @@
     play(plan);
 }
 
+// Guards against a core that stays without a quorum, or a gateway without a leader, once each of
+// the core's first machines is gone for good: other machines are cut off and frozen meanwhile, and
+// tell late of machines that are gone.
+BOOST_AUTO_TEST_CASE(tables_are_in_force_in_time_though_every_core_machine_is_replaced)
+{
+    table_fleet_plan plan;
+    plan.voters = 3;
+    plan.diskless = 3;
+    plan.gateways = 3;
+    plan.change_interval = milliseconds(250);
+    plan.replace_interval = seconds(9);
+    play(plan);
+}
+
 // Guards against an order that is lost with its leader, that a late copy of an earlier call undoes,
 // that a gateway learns of too late, and against a gateway that goes back to an older set or has a
 // table without one. Machines are killed, frozen and cut off, and acknowledgements are lost.
