Count an empty core machine as lost until it had time to catch up

The simulated fleet counted a core machine whose disk was emptied as a member from its start.

Now an empty machine is a member again once a majority of members that hold data has reached it for 4 s. While such a majority exists nothing is judged less strictly.

--- a/src/libcore/table_fleet_test.cpp
+++ b/src/libcore/table_fleet_test.cpp
@@ -434,6 +434,7 @@
         disk_lost_at_ = now_;
         counts_.lost_disks += 1;
         machines_[n].stored = disk();
+        machines_[n].is_empty = true;
     }
     schedule(down_time, [this, n] {
         if (!machines_[n].gone)
@@ -542,6 +543,7 @@
 void table_fleet::start_replacement(std::size_t n)
 {
     machines_[n].gone = false;
+    machines_[n].is_empty = true;
     start(n);
 }
 
@@ -660,20 +662,42 @@
 
 // Checks.
 
-/// Updates what is known of the core and of the machines' paths, and checks each machine.
-void table_fleet::observe()
+std::set<std::size_t> table_fleet::connected_core() const
 {
-    const std::size_t majority = plan_.voters / 2 + 1;
-    std::set<std::size_t> connected; // core machines that reach more than half of the core
+    const auto counts = [&](std::size_t n) { return runs(n) && !machines_[n].is_empty; };
     const std::vector<std::size_t> members = core();
+    std::set<std::size_t> connected;
     for (const std::size_t n : members) {
-        std::size_t reached = 0;
-        for (const std::size_t other : members)
-            reached += runs(n) && runs(other) && !is_cut(n, other) ? 1 : 0;
-        if (reached >= majority)
+        const auto reached = std::count_if(members.begin(), members.end(), [&](std::size_t other) {
+            return counts(n) && counts(other) && !is_cut(n, other);
+        });
+        if (static_cast<std::size_t>(reached) > plan_.voters / 2)
             connected.insert(n);
     }
-    if (connected.size() < majority) {
+    return connected;
+}
+
+void table_fleet::observe_empty_machines(const std::set<std::size_t>& connected)
+{
+    const bool has_majority = connected.size() > plan_.voters / 2;
+    for (const std::size_t n : core()) {
+        machine& m = machines_[n];
+        const bool can_catch_up =
+            has_majority && runs(n) &&
+            std::none_of(connected.begin(), connected.end(), [&](auto c) { return is_cut(n, c); });
+        if (!m.is_empty || !can_catch_up)
+            m.catching_up_since = now_;
+        if (now_ - m.catching_up_since >= plan_.catch_up_time)
+            m.is_empty = false;
+    }
+}
+
+/// Updates what is known of the core and of the machines' paths, and checks each machine.
+void table_fleet::observe()
+{
+    const std::set<std::size_t> connected = connected_core();
+    observe_empty_machines(connected);
+    if (connected.size() <= plan_.voters / 2) {
         core_disturbed_at_ = now_;
         core_lost_at_ = now_;
     }
--- a/src/libcore/table_fleet_test.h
+++ b/src/libcore/table_fleet_test.h
@@ -50,6 +50,9 @@
     /// A kill of a core machine empties its disk if the last one that did is this long ago; 0: none
     /// does.
     microseconds disk_loss_interval{0};
+    /// An empty core machine counts as lost until it has reached a majority of the others for this
+    /// time.
+    microseconds catch_up_time{4'000'000};
     /// After the last fault, an operator must have the answer to a change after this time.
     microseconds ack_time{4'000'000};
     microseconds length{60'000'000};
@@ -94,6 +97,8 @@
         bool stores = false;         ///< it has a disk, so it is part of the core
         bool serves_control = false; ///< it has a control process
         bool gone = false;           ///< for good, or not started yet
+        bool is_empty = false;       ///< its disk was emptied, and it counts as lost
+        instant catching_up_since = instant::max();
         bool up = false;
         std::uint64_t process = 0; ///< increases with each kill; events of earlier ones are void
         instant paused_until{};
@@ -198,6 +203,10 @@
     [[nodiscard]] bool is_cut(std::size_t a, std::size_t b) const;
     [[nodiscard]] bool runs(std::size_t n) const;
     void observe();
+    /// Returns the core machines that count as running and reach a majority of those.
+    [[nodiscard]] std::set<std::size_t> connected_core() const;
+    /// Counts the empty core machines as running again that had time to catch up.
+    void observe_empty_machines(const std::set<std::size_t>& connected);
     void check(std::size_t n);
     /// Checks that operators have the answers to the changes that they made after the last fault.
     void check_acknowledgements();
