Number reports of presence

The time for which the report itself is held up, by a cut or while its sender or receiver is suspended, isn't counted.

Change: each report has a number that its sender counts from its start, and reports on a process count only if they tell of a newer one than is known.

A report of an earlier version has no number and counts as before.

--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -26,6 +26,9 @@
     bool bootstrapping = false;         ///< it is configured for the fleet's first start
     microseconds time_since_contact{0}; ///< estimated by the sender, partly from other reports
     bool initialized = false; ///< its log names the replicas: the fleet's first election is over
+    /// Number of its newest report that the sender knows, counted from its start. It tells late
+    /// news from new ones. 0: not stated.
+    std::uint64_t report_number = 0;
 
     friend bool operator==(const control_presence&, const control_presence&) = default;
 };
--- a/src/include/bluebell/core/roster.h
+++ b/src/include/bluebell/core/roster.h
@@ -48,6 +48,7 @@
     instant started_at{};
     instant last_discovery_at{}; ///< newest first contact with a process
     instant next_report_at{};
+    std::uint64_t last_report = 0;           ///< number of the last own report
     std::vector<node_info> initial_replicas; ///< as chosen or accepted; empty: none known
 
     friend bool operator==(const roster&, const roster&) = default;
--- a/src/libcore/roster.cpp
+++ b/src/libcore/roster.cpp
@@ -67,8 +67,17 @@
     return !takes_over || (2 * present_seeds > r.seeds.size() && !knows_fleet);
 }
 
-/// Adds or updates the process that a presence report describes, unless the recorded contact or
-/// incarnation is newer.
+/// Returns true if the second of two reports on a process tells of a newer one. The age that a
+/// report states doesn't count the time for which the report was held up, by a cut or while its
+/// sender or receiver was suspended.
+bool is_news(const control_presence& known, const control_presence& reported)
+{
+    if (reported.node.incarnation != known.node.incarnation)
+        return reported.node.incarnation > known.node.incarnation;
+    return reported.report_number == 0 || reported.report_number > known.report_number;
+}
+
+/// Adds or updates the process that a presence report describes, unless what is recorded is as new.
 void update_member(roster& r, instant now, const control_presence& presence, effects& out)
 {
     const instant contact_at = now - presence.time_since_contact;
@@ -84,8 +93,7 @@
                                         {"stores", presence.has_disk ? "yes" : "no"},
                                         {"life", std::to_string(presence.node.incarnation)}}));
     }
-    if (!is_new &&
-        (contact_at < m.last_contact_at || presence.node.incarnation < m.presence.node.incarnation))
+    if (!is_new && (contact_at < m.last_contact_at || !is_news(m.presence, presence)))
         return;
     m.presence = presence;
     m.last_contact_at = contact_at;
@@ -94,7 +102,8 @@
 presence_report make_report(const roster& r, instant now, const node_info& self)
 {
     presence_report report;
-    report.processes.push_back({self, r.has_disk, r.bootstrapping, microseconds{0}, r.initialized});
+    report.processes.push_back(
+        {self, r.has_disk, r.bootstrapping, microseconds{0}, r.initialized, r.last_report});
     for (const auto& [id, m] : r.members) {
         if (m.last_contact_at == instant{})
             continue;
@@ -179,6 +188,7 @@
         remove_silent_members(r, now, out);
         if (is_bootstrap_leader(r, now, self))
             choose_initial_replicas(r, now, self, out);
+        r.last_report += 1;
         const presence_report report = make_report(r, now, self);
         // Repeated by all that know it until the first election is over: others may start later,
         // miss a message, or be restarted.
--- a/src/libcore/roster_test.cpp
+++ b/src/libcore/roster_test.cpp
@@ -270,6 +270,39 @@
     BOOST_TEST(desired_voters(r, now, control(0), {four, four}).empty());
 }
 
+// Guards against a process that is gone and counts as present, because reports on it were held up
+// by a cut or a freeze and are read as new ones.
+BOOST_AUTO_TEST_CASE(a_report_that_arrives_late_does_not_make_a_process_present)
+{
+    instant now{seconds(100)};
+    roster r;
+    r.started_at = instant{seconds(1)};
+    const auto receive_report = [&](std::uint64_t number, microseconds time_since_contact,
+                                    incarnation_number incarnation = 1) {
+        control_presence presence{control(1), true, false, time_since_contact, true, number};
+        presence.node.incarnation = incarnation;
+        r = handle_presence(std::move(r), now, control(0), presence_report{{presence}}).next;
+    };
+    const auto is_present = [&] { return present_controls(r, now, control(0)).size() == 2U; };
+    receive_report(7, microseconds{0});
+    BOOST_TEST(is_present());
+    now += seconds(3);
+    BOOST_TEST(!is_present());
+    receive_report(7, milliseconds(200)); // by another process, which heard the same report
+    receive_report(6, microseconds{0});   // its own, held up
+    BOOST_TEST(!is_present());
+    receive_report(8, milliseconds(200));
+    BOOST_TEST(is_present());
+    now += seconds(3);
+    receive_report(1, microseconds{0}, 2); // it was restarted
+    BOOST_TEST(is_present());
+    now += seconds(3);
+    receive_report(9, microseconds{0}, 1);
+    BOOST_TEST(!is_present());
+    receive_report(0, microseconds{0}, 2); // of a version that doesn't number its reports
+    BOOST_TEST(is_present());
+}
+
 // Guards against a change of voters that waits forever for a process that is gone, so that the ones
 // that are gone later are never replaced.
 BOOST_AUTO_TEST_CASE(a_silent_process_that_does_not_vote_yet_is_given_up)
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -88,6 +88,7 @@
         b.set_founding(process.bootstrapping);
         b.set_silence_us(process.time_since_contact.count());
         b.set_initialized(process.initialized);
+        b.set_report(process.report_number);
     }
 }
 
@@ -99,7 +100,7 @@
         if (!node)
             return tl::unexpected(node.error());
         report.processes.push_back({std::move(*node), b.stores(), b.founding(),
-                                    microseconds(b.silence_us()), b.initialized()});
+                                    microseconds(b.silence_us()), b.initialized(), b.report()});
     }
     return report;
 }
