--- a/src/libcore/table_fleet_test.cpp
+++ b/src/libcore/table_fleet_test.cpp
@@ -544,6 +544,7 @@
 {
     machines_[n].gone = false;
     machines_[n].is_empty = true;
+    machines_[n].catching_up_since = now_;
     start(n);
 }
 
--- a/src/libcore/table_fleet_test.h
+++ b/src/libcore/table_fleet_test.h
@@ -98,7 +98,7 @@
         bool serves_control = false; ///< it has a control process
         bool gone = false;           ///< for good, or not started yet
         bool is_empty = false;       ///< its disk was emptied, and it counts as lost
-        instant catching_up_since = instant::max();
+        instant catching_up_since{}; ///< if it is empty
         bool up = false;
         std::uint64_t process = 0; ///< increases with each kill; events of earlier ones are void
         instant paused_until{};
