Find control again though each control process that was known is gone

Cause: a gateway knows the control processes that it was last told of, and the seeds that its settings had at its start. While it is cut off, each of them may be replaced at another address; after the cut it asks only machines that are gone, and the leader, which may be a new one, doesn't know the gateway. Control processes had the same gap: after 15 s they forgot each other, and seeds that the settings name later were never read.

Change: a long search for the leader also asks other gateways and diskless control processes, which the leader names in advance, and reads the seeds again; SIGHUP takes new seeds, too. Control processes try silent ones for ten minutes. A leader's list of control processes replaces the known ones, and connections to the others are closed: they were kept, and tried, for good.

--- a/src/bluebell/process.cpp
+++ b/src/bluebell/process.cpp
@@ -295,6 +295,7 @@
     const auto sink = [this](event_body body) { dispatch(std::move(body)); };
     pass_codec_ = platform::make_pass_codec();
     adapters_.parse_table = platform::parse_routing_table;
+    adapters_.read_seeds = [this] { return read_seeds(); };
     if (from_platform.table_endpoint.port != 0) {
         runtime::http_server_options http{
             from_platform.table_endpoint.host, from_platform.table_endpoint.port, {}};
@@ -356,6 +357,15 @@
     return {};
 }
 
+std::optional<std::vector<node_info>> process::read_seeds() const
+{
+    auto next = platform::load_settings(file_);
+    if (next && next->from_platform)
+        return std::move(next->from_platform->seeds);
+    LOG(WARNING) << "settings: The seeds can't be read again. file=" << file_;
+    return std::nullopt;
+}
+
 void process::reload()
 {
     const auto next =
@@ -370,6 +380,8 @@
     settings_ = reloaded.settings;
     node_->telemetry().set_min_level(settings_.log.min_level);
     reload_operator_tokens();
+    if (next->from_platform)
+        dispatch(table_event(seeds_read{next->from_platform->seeds}));
     if (adapters_.engine)
         adapters_.engine->set_offer(settings_.offer);
     for (const auto& key : reloaded.needs_restart)
--- a/src/bluebell/process.h
+++ b/src/bluebell/process.h
@@ -47,6 +47,8 @@
     void dispatch(core::event_body body) { node_->dispatch(std::move(body)); }
     /// Re-reads the settings file and applies what may change while the process runs.
     void reload();
+    /// Reads the seeds from the settings file; nothing if it can't be read.
+    [[nodiscard]] std::optional<std::vector<core::node_info>> read_seeds() const;
     /// Re-reads the operators' tokens. A file that is gone holds none; one with an error leaves
     /// those in force.
     void reload_operator_tokens();
--- a/src/include/bluebell/core/control.h
+++ b/src/include/bluebell/core/control.h
@@ -58,6 +58,10 @@
     std::uint64_t list_version = 0; ///< list of workers in its last query
     hash64 sent_controls = 0;       ///< hash of the control processes that it was last sent
     instant controls_sent_at{};
+    node_info node;               ///< the gateway, as it describes itself
+    hash64 sent_fallbacks = 0;    ///< hash of the fallback nodes that it was last sent
+    instant fallbacks_drawn_at{}; ///< when they were last compared
+    instant fallbacks_sent_at{};
     instant sent_at{}; ///< when sent_version was sent
 
     friend bool operator==(const table_subscriber&, const table_subscriber&) = default;
--- a/src/include/bluebell/core/effect.h
+++ b/src/include/bluebell/core/effect.h
@@ -156,6 +156,11 @@
     routing_document document;
     friend bool operator==(const decode_table&, const decode_table&) = default;
 };
+/// Reads the seed addresses from the settings again. Answered by seeds_read unless the settings
+/// can't be read.
+struct read_seeds {
+    friend bool operator==(const read_seeds&, const read_seeds&) = default;
+};
 /// The submitted table, or a newer one, is stored durably.
 struct table_accepted {
     friend bool operator==(const table_accepted&, const table_accepted&) = default;
@@ -240,7 +245,7 @@
                  set_ready, drain_complete, start_attempt, cancel_attempt, recall_attempt,
                  probe_worker, pause_attempt, pass_head, pass_data, pass_end, pass_abort,
                  pass_error_reply, disable_keep_alive, read_worker_list, set_caller_limits,
-                 decode_table, table_reply>;
+                 decode_table, read_seeds, table_reply>;
 using effects = std::vector<effect>;
 
 } // namespace bluebell::core
--- a/src/include/bluebell/core/event.h
+++ b/src/include/bluebell/core/event.h
@@ -273,8 +273,14 @@
     wall_time requested_at{0};
     friend bool operator==(const evacuation_called&, const evacuation_called&) = default;
 };
+/// The control processes that the settings name at present. Answers read_seeds; also sent when the
+/// settings are reloaded.
+struct seeds_read {
+    std::vector<node_info> seeds;
+    friend bool operator==(const seeds_read&, const seeds_read&) = default;
+};
 using table_event =
-    std::variant<table_submitted, table_requested, table_decoded, evacuation_called>;
+    std::variant<table_submitted, table_requested, table_decoded, evacuation_called, seeds_read>;
 
 // From the clock.
 
--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -146,6 +146,7 @@
     std::vector<worker_condition> worker_conditions{}; ///< of workers that deviate only
     /// Time of sending by the sender's clock, which the answer repeats; 0: leases aren't asked for.
     microseconds sent_at{};
+    bool wants_fallback_nodes = false; ///< the sender knows none
 
     friend bool operator==(const table_query&, const table_query&) = default;
 };
@@ -175,6 +176,9 @@
     std::vector<place_share> place_shares{};           ///< of the services in the query
     std::optional<listed_conditions> worker_conditions{}; ///< absent: not known, as by a new leader
     microseconds query_sent_at{}; ///< table_query::sent_at of the answered query; 0: not stated
+    /// Other gateways, and control processes that can't lead, which know control_nodes, too. Empty:
+    /// as in an earlier update to the receiver.
+    std::vector<node_info> fallback_nodes{};
 
     friend bool operator==(const table_update&, const table_update&) = default;
 };
--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -104,6 +104,11 @@
 struct table_sync_state {
     std::vector<node_info> seeds;         ///< control processes from the settings
     std::vector<node_info> control_nodes; ///< as last reported, sorted by id; includes the seeds
+    /// Asked for the control processes once none of control_nodes has answered for some time.
+    std::vector<node_info> fallback_nodes;
+    bool asks_fallback_nodes = false; ///< they are connected
+    instant search_began_at{};        ///< since when no leader is known
+    instant seeds_due_at{};           ///< when to read the seeds again during a search
     node_id contact; ///< control process that is queried; empty: all, as no leader is known
     instant query_sent_at{};
     instant next_query_at{};
@@ -174,6 +179,15 @@
 [[nodiscard]] gateway_step handle_table_update(gateway_state current, const context& ctx,
                                                const node_id& from, const table_update& update);
 
+/// Answers another gateway that doesn't find the leader: with the control processes that this one
+/// knows, while it knows a leader.
+[[nodiscard]] gateway_step handle_table_query(gateway_state current, const context& ctx,
+                                              const node_id& from);
+
+/// Takes the control processes that the settings name now.
+[[nodiscard]] gateway_step apply_seeds(gateway_state current, const context& ctx,
+                                       const std::vector<node_info>& seeds);
+
 /// Replaces the routing table if the given one has a higher version; else the table stays.
 [[nodiscard]] gateway_step apply_table(gateway_state current, const context& ctx,
                                        routing_table table);
--- a/src/include/bluebell/core/roster.h
+++ b/src/include/bluebell/core/roster.h
@@ -24,8 +24,13 @@
 inline constexpr microseconds bootstrap_takeover_time{5'000'000};
 /// A process counts as present if its last contact is less than this long ago.
 inline constexpr microseconds presence_timeout{1'600'000};
-/// A process without contact for this time is removed, unless it is a seed.
-inline constexpr microseconds member_expiry_time{15'000'000};
+/// A process without contact for this time is removed, unless it is a seed. Until then the others
+/// try to connect to it, so that one that is cut off for minutes is found again although each
+/// process that it knows was replaced meanwhile.
+inline constexpr microseconds member_expiry_time{600'000'000};
+/// Time without contact to any other process after which the seeds are read again, and between two
+/// readings.
+inline constexpr microseconds seeds_interval{2'000'000};
 
 /// Another control process.
 struct roster_member {
@@ -50,6 +55,10 @@
     instant next_report_at{};
     std::uint64_t last_report = 0;           ///< number of the last own report
     std::vector<node_info> initial_replicas; ///< as chosen or accepted; empty: none known
+    /// From the settings as they were read later. They don't count for the fleet's first start,
+    /// for which all processes must have the same seeds.
+    std::vector<node_info> later_seeds;
+    instant seeds_due_at{}; ///< when to read them while no other process is in contact
 
     friend bool operator==(const roster&, const roster&) = default;
 };
@@ -67,9 +76,13 @@
                                           const presence_report& report);
 
 /// Removes silent processes and sends presence reports and the choice of initial replicas when due.
-/// Schedules the next tick.
+/// Reads the seeds again while no other process is in contact. Schedules the next tick.
 [[nodiscard]] roster_step run_roster_timers(roster current, instant now, const node_info& self);
 
+/// Connects to control processes that the settings name now and this process doesn't know.
+[[nodiscard]] roster_step apply_later_seeds(roster current, instant now, const node_info& self,
+                                            const std::vector<node_info>& seeds);
+
 /// Accepts a choice of the initial replicas, the first one that arrives, if this process is not
 /// initialized. A process that isn't bootstrapping accepts only a choice that names it:
 /// it has lost its disk during the first start. Returns the roster unchanged otherwise.
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -31,6 +31,11 @@
 constexpr microseconds request_count_warmup{1'200'000};
 /// Time after which a gateway is sent the control processes again, though they are the same.
 constexpr microseconds controls_interval{3'000'000};
+/// Time between two draws of the other processes that a gateway is told of, which are sent if they
+/// have changed, and after which they are sent again though they are the same.
+constexpr microseconds fallback_draw_interval{10'000'000};
+constexpr microseconds fallback_resend_interval{60'000'000};
+constexpr std::size_t max_fallback_nodes = 6;
 /// Time between two readings of the platform's list of workers.
 constexpr microseconds list_interval{700'000};
 /// Updates to gateways contain the platform's list of workers only while the leader's last reading
@@ -130,6 +135,15 @@
 
 void on(control_turn&, const table_decoded&) {}
 
+void on(control_turn& t, const seeds_read& ev)
+{
+    if (t.st.peers.seeds.empty())
+        return;
+    roster_step done = apply_later_seeds(std::move(t.st.peers), t.ctx.now, t.ctx.self, ev.seeds);
+    t.st.peers = std::move(done.next);
+    t.add(std::move(done.out));
+}
+
 bool list_is_fresh(const control_turn& t)
 {
     return t.st.lead.list_read_at != instant{} &&
@@ -276,13 +290,19 @@
     return nodes;
 }
 
-/// Adds the present control processes, unless the subscriber was sent the same ones lately.
-void add_control_nodes(control_turn& t, table_subscriber& s, table_update& update)
+hash64 hash_of_nodes(const std::vector<node_info>& nodes)
 {
-    auto nodes = queryable_controls(t);
     hash64 hash = 0;
     for (const auto& n : nodes)
         hash = hash_of(n.address, hash_of(n.id.str(), hash));
+    return hash;
+}
+
+/// Adds the present control processes, unless the subscriber was sent the same ones lately.
+void add_control_nodes(control_turn& t, table_subscriber& s, table_update& update)
+{
+    auto nodes = queryable_controls(t);
+    const hash64 hash = hash_of_nodes(nodes);
     if (hash == s.sent_controls && t.ctx.now - s.controls_sent_at < controls_interval)
         return;
     s.sent_controls = hash;
@@ -290,6 +310,47 @@
     update.control_nodes = std::move(nodes);
 }
 
+/// Draws some other gateways and control processes without a disk for the subscriber: those with
+/// the lowest hashes, so that most stay the same from draw to draw.
+std::vector<node_info> draw_fallback_nodes(const control_turn& t, const node_id& to)
+{
+    std::map<hash64, const node_info*> drawn;
+    const auto consider = [&](const node_info& n) {
+        drawn.emplace(hash_of(n.id.str(), hash_of(to.str())), &n);
+        if (drawn.size() > max_fallback_nodes)
+            drawn.erase(std::prev(drawn.end()));
+    };
+    for (const auto& [id, m] : t.st.peers.members) {
+        if (!m.presence.has_disk && t.ctx.now - m.last_contact_at < presence_timeout)
+            consider(m.presence.node);
+    }
+    for (const auto& [id, other] : t.st.lead.subscribers) {
+        if (id != to && t.ctx.now - other.last_contact_at < subscriber_timeout)
+            consider(other.node);
+    }
+    std::vector<node_info> nodes;
+    for (const auto& [hash, node] : drawn)
+        nodes.push_back(*node);
+    return nodes;
+}
+
+/// Adds the processes that the subscriber asks if it finds no control process.
+void add_fallback_nodes(const control_turn& t, const node_id& to, bool has_none,
+                        table_subscriber& s, table_update& update)
+{
+    if (!has_none && t.ctx.now - s.fallbacks_drawn_at < fallback_draw_interval)
+        return;
+    s.fallbacks_drawn_at = t.ctx.now;
+    auto nodes = draw_fallback_nodes(t, to);
+    const hash64 hash = hash_of_nodes(nodes);
+    const bool is_recent = t.ctx.now - s.fallbacks_sent_at < fallback_resend_interval;
+    if (!has_none && hash == s.sent_fallbacks && is_recent)
+        return;
+    s.sent_fallbacks = hash;
+    s.fallbacks_sent_at = t.ctx.now;
+    update.fallback_nodes = std::move(nodes);
+}
+
 /// Adds the list of workers if it is fresh: what has changed since the subscriber's.
 void add_worker_list(const control_turn& t, const table_subscriber& s, table_update& update)
 {
@@ -492,7 +553,9 @@
         if (msg.table_version != 0)
             update.cached_prompts =
                 next_prompts_for(lead, from, s); // a gateway without a table would drop them
+        s.node = msg.sender;
         add_control_nodes(t, s, update);
+        add_fallback_nodes(t, from, msg.wants_fallback_nodes, s, update);
         add_worker_list(t, s, update);
         add_request_counts(t, s, update);
         add_worker_leases(t, from, msg, update);
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -546,6 +546,26 @@
 
 // A list of thousands of workers is read in many pages. If the leader's list looked old meanwhile,
 // all gateways would read the platform's list themselves, for which the platform has no calls.
+BOOST_FIXTURE_TEST_CASE(gateways_are_told_of_others_that_know_control, leading_replica)
+{
+    const auto query_of = [&](const std::string& name, bool wants_nodes) {
+        table_query q = query(1);
+        q.sender.id = node_id::from_trusted(name);
+        q.sender.address = name;
+        q.wants_fallback_nodes = wants_nodes;
+        receive(fleet_message(q), name.c_str());
+        return last_update().fallback_nodes;
+    };
+    BOOST_TEST(query_of("router-1", true).empty()); // there is no other one
+    BOOST_REQUIRE(query_of("router-2", true).size() == 1U);
+    BOOST_TEST(last_update().fallback_nodes[0].address == "router-1");
+    BOOST_TEST(query_of("router-2", false).empty());     // as before
+    BOOST_TEST(query_of("router-2", true).size() == 1U); // the first answer was lost
+    for (int n = 3; n < 40; ++n)
+        (void)query_of("router-" + std::to_string(n), true);
+    BOOST_TEST(query_of("router-2", true).size() == 6U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_list_that_takes_long_to_read_stays_fresh_during_the_next_reading,
                         leading_replica)
 {
--- a/src/libcore/gateway_tables.cpp
+++ b/src/libcore/gateway_tables.cpp
@@ -30,12 +30,39 @@
 /// network link for seconds.
 constexpr microseconds first_table_timeout{1'000'000};
 
+/// A search for the leader that takes this long also asks other gateways for the control processes,
+/// and reads the seeds from the settings again: each process that is known may have been replaced.
+constexpr microseconds fallback_time{1'000'000};
+/// Time between two readings of the seeds.
+constexpr microseconds seeds_interval{2'000'000};
+/// Control processes that are known during a search; further ones are ignored.
+constexpr std::size_t max_control_nodes = 64;
+
 /// Returns the version of the leader's list that is in use, or 0 to ask for a complete list.
 std::uint64_t known_list_version(const table_sync_state& sync)
 {
     return sync.uses_leader_list ? sync.worker_list_version : 0;
 }
 
+/// Asks others than the known control processes if the search has taken long.
+void widen_search(table_sync_state& sync, const context& ctx, effects& out)
+{
+    if (ctx.now - sync.search_began_at < fallback_time)
+        return;
+    if (ctx.now >= sync.seeds_due_at) {
+        sync.seeds_due_at = ctx.now + seeds_interval;
+        out.emplace_back(read_seeds{});
+    }
+    table_query query;
+    query.sender = ctx.self;
+    query.version_only = true;
+    for (const auto& n : sync.fallback_nodes) {
+        out.emplace_back(connect_peer{n.id, n.address});
+        out.emplace_back(send_message{n.id, fleet_message(query)});
+    }
+    sync.asks_fallback_nodes = !sync.fallback_nodes.empty();
+}
+
 /// Queries the contact. All control processes are queried at once if the leader isn't known, as one
 /// after the other could take longer than a table may take to come into force; and for the first
 /// table, of which they then send only the version.
@@ -64,6 +91,7 @@
         query.wants_worker_leases = true;
         query.sent_at = ctx.now.time_since_epoch();
     }
+    query.wants_fallback_nodes = sync.fallback_nodes.empty();
     if (leader_is_known) {
         crash_reports_step taken = take_reports(std::move(st.crashes), ctx.now);
         st.crashes = std::move(taken.next);
@@ -87,13 +115,16 @@
         out.emplace_back(connect_peer{n.id, n.address});
         out.emplace_back(send_message{n.id, fleet_message(query)});
     }
+    if (!leader_is_known)
+        widen_search(sync, ctx, out);
 }
 
 /// From now on all control processes are queried, until one answers that it leads.
-void start_search(table_sync_state& sync, std::string_view reason, effects& out)
+void start_search(table_sync_state& sync, instant now, std::string_view reason, effects& out)
 {
     if (sync.contact.empty())
         return;
+    sync.search_began_at = now;
     out.emplace_back(make_log_line(log_level::info, gateway::component,
                                    "No leader is known; all control processes are queried.",
                                    request_id(),
@@ -112,22 +143,52 @@
     return max_tokens;
 }
 
-/// Replaces the list of control processes, unless `controls` is empty. The seeds from the settings
-/// are always included, so that the gateway can't lose its last connection to control.
-void update_controls(table_sync_state& sync, const std::vector<node_info>& controls)
+bool contains(const std::vector<node_info>& nodes, const node_id& id)
 {
-    if (controls.empty())
-        return;
-    std::vector<node_info> nodes = controls;
-    for (const auto& seed : sync.seeds) {
-        const bool is_listed = std::any_of(nodes.begin(), nodes.end(),
-                                           [&](const node_info& n) { return n.id == seed.id; });
-        if (!is_listed)
-            nodes.push_back(seed);
+    return std::any_of(nodes.begin(), nodes.end(), [&](const node_info& n) { return n.id == id; });
+}
+
+/// Adds the control processes that are not known yet.
+void add_controls(table_sync_state& sync, const std::vector<node_info>& controls)
+{
+    for (const auto& n : controls) {
+        if (sync.control_nodes.size() < max_control_nodes && !contains(sync.control_nodes, n.id))
+            sync.control_nodes.push_back(n);
     }
-    std::sort(nodes.begin(), nodes.end(),
+    std::sort(sync.control_nodes.begin(), sync.control_nodes.end(),
               [](const node_info& a, const node_info& b) { return a.id < b.id; });
-    sync.control_nodes = std::move(nodes);
+}
+
+/// Replaces the control processes by those that a leader knows, and disconnects from the others.
+/// The seeds from the settings are always included, so that the gateway can't lose its last
+/// connection to control.
+void replace_controls(table_sync_state& sync, const std::vector<node_info>& controls, effects& out)
+{
+    const auto previous = std::exchange(sync.control_nodes, {});
+    add_controls(sync, controls);
+    add_controls(sync, sync.seeds);
+    for (const auto& n : previous) {
+        if (!contains(sync.control_nodes, n.id) && n.id != sync.contact)
+            out.emplace_back(disconnect_peer{n.id});
+    }
+}
+
+/// Takes the control processes and other nodes that an update names. Only a leader's list is
+/// complete: what another process knows may be older.
+void apply_nodes(table_sync_state& sync, const table_update& update, effects& out)
+{
+    if (!update.from_leader) {
+        add_controls(sync, update.control_nodes);
+        return;
+    }
+    if (!update.control_nodes.empty())
+        replace_controls(sync, update.control_nodes, out);
+    if (std::exchange(sync.asks_fallback_nodes, false)) {
+        for (const auto& n : sync.fallback_nodes)
+            out.emplace_back(disconnect_peer{n.id});
+    }
+    if (!update.fallback_nodes.empty())
+        sync.fallback_nodes = update.fallback_nodes;
 }
 
 } // namespace
@@ -137,10 +198,12 @@
     table_sync_state& sync = t.st.table_sync;
     if (sync.seeds.empty() || t.ctx.now < sync.next_query_at)
         return;
-    if (sync.control_nodes.empty())
-        update_controls(sync, sync.seeds);
+    if (sync.control_nodes.empty()) {
+        add_controls(sync, sync.seeds);
+        sync.search_began_at = t.ctx.now;
+    }
     if (sync.awaits_reply)
-        start_search(sync, "no answer", t.out);
+        start_search(sync, t.ctx.now, "no answer", t.out);
     send_query(t.st, t.ctx, t.out);
 }
 
@@ -257,6 +320,39 @@
 
 } // namespace
 
+gateway_step handle_table_query(gateway_state current, const context& ctx, const node_id& from)
+{
+    gateway_state st = std::move(current);
+    effects out;
+    if (!st.table_sync.contact.empty() && ctx.now - st.table_sync.query_sent_at < query_timeout) {
+        table_update update;
+        update.leader = st.table_sync.contact;
+        update.control_nodes = st.table_sync.control_nodes;
+        out.emplace_back(send_message{from, fleet_message(std::move(update))});
+    }
+    return {std::move(st), std::move(out)};
+}
+
+gateway_step apply_seeds(gateway_state current, const context& ctx,
+                         const std::vector<node_info>& seeds)
+{
+    gateway_state st = std::move(current);
+    effects out;
+    table_sync_state& sync = st.table_sync;
+    if (seeds.empty() || seeds == sync.seeds)
+        return {std::move(st), std::move(out)};
+    out.emplace_back(make_log_line(
+        log_level::info, gateway::component, "The settings name other control processes.",
+        request_id(),
+        {{"processes", std::to_string(seeds.size())}, {"first", seeds.front().id.str()}}));
+    sync.seeds = seeds;
+    add_controls(sync, seeds);
+    if (sync.contact.empty())
+        sync.next_query_at = ctx.now;
+    out.emplace_back(schedule_tick{sync.next_query_at});
+    return {std::move(st), std::move(out)};
+}
+
 gateway_step handle_table_update(gateway_state current, const context& ctx, const node_id& from,
                                  const table_update& update)
 {
@@ -280,7 +376,7 @@
     gateway::apply_evacuations(st, ctx, from, update, out);
     if (update.evacuations)
         st.workers.cold_starts.review_at = instant{}; // workers of zones taken back are cold
-    update_controls(st.table_sync, update.control_nodes);
+    apply_nodes(st.table_sync, update, out);
     st.workers = with_cached_prompts(std::move(st.workers), update.cached_prompts,
                                      max_cache_capacity(st.table));
     if (update.from_leader && from == st.table_sync.contact) {
@@ -308,7 +404,7 @@
         st.table_sync.next_query_at =
             ctx.now + (needs_first_table ? first_query_interval : query_interval);
         if (!update.from_leader) {
-            start_search(st.table_sync, "it does not lead", out);
+            start_search(st.table_sync, ctx.now, "it does not lead", out);
             st.table_sync.next_query_at = ctx.now; // after the received table is decoded
         }
     }
--- a/src/libcore/gateway_test.cpp
+++ b/src/libcore/gateway_test.cpp
@@ -424,6 +424,124 @@
     BOOST_TEST((receive("control-3", 2'100) == std::pair(0, 1)));
 }
 
+namespace {
+
+node_info other_node(const char* name)
+{
+    node_info n;
+    n.id = node_id::from_trusted(name);
+    n.address = name;
+    return n;
+}
+
+/// A gateway that has a table and whose only seed is control-1.
+struct seeded_gateway : ready_gateway {
+    seeded_gateway()
+    {
+        st.table_sync.seeds = {other_node("control-1")};
+        st.table_sync.next_query_at = now;
+    }
+    void receive(const char* sender, const table_update& update)
+    {
+        apply(handle_table_update(std::move(st), context{now, 1, self, fleet},
+                                  node_id::from_trusted(sender), update));
+    }
+    /// Lets the time of so many queries pass, and returns who was sent one.
+    std::set<std::string> receivers_of_queries(int count)
+    {
+        std::set<std::string> receivers;
+        for (int n = 0; n < count; ++n) {
+            now = std::max(now, st.table_sync.next_query_at);
+            advance_time(microseconds{0});
+            for (const auto& e : out) {
+                if (const auto* sent = std::get_if<send_message>(&e))
+                    receivers.insert(sent->to.str());
+                reads_seeds = reads_seeds || std::holds_alternative<read_seeds>(e);
+            }
+        }
+        return receivers;
+    }
+    [[nodiscard]] std::set<std::string> known_controls() const
+    {
+        std::set<std::string> names;
+        for (const auto& n : st.table_sync.control_nodes)
+            names.insert(n.id.str());
+        return names;
+    }
+    bool reads_seeds = false;
+};
+
+using names = std::set<std::string>;
+
+} // namespace
+
+// Guards against a gateway that asks only control processes that are gone: those that it knew were
+// all replaced while it was cut off.
+BOOST_FIXTURE_TEST_CASE(a_long_search_for_the_leader_asks_other_gateways_too, seeded_gateway)
+{
+    table_update update;
+    update.from_leader = true;
+    update.control_nodes = {other_node("control-1"), other_node("control-2")};
+    update.fallback_nodes = {other_node("router-2")};
+    BOOST_TEST(receivers_of_queries(1) == names({"control-1"}));
+    receive("control-1", update);
+    BOOST_TEST(receivers_of_queries(3) == names({"control-1", "control-2"}));
+    BOOST_TEST(!reads_seeds);
+    BOOST_TEST(receivers_of_queries(6) == names({"control-1", "control-2", "router-2"}));
+    BOOST_TEST(reads_seeds);
+    table_update answer;
+    answer.control_nodes = {other_node("control-3")};
+    receive("router-2", answer);
+    BOOST_TEST(known_controls() == names({"control-1", "control-2", "control-3"}));
+    BOOST_TEST(receivers_of_queries(1).contains("control-3"));
+    update.control_nodes = {other_node("control-3")};
+    receive("control-3", update);
+    BOOST_TEST(known_controls() == names({"control-1", "control-3"})); // the seed stays
+    names disconnected;
+    for (const auto& e : out) {
+        if (const auto* d = std::get_if<disconnect_peer>(&e))
+            disconnected.insert(d->peer.str());
+    }
+    BOOST_TEST(disconnected == names({"control-2", "router-2"}));
+    BOOST_TEST(receivers_of_queries(1) == names({"control-3"}));
+}
+
+// Guards against a gateway that spreads control processes that may be gone.
+BOOST_FIXTURE_TEST_CASE(a_gateway_tells_another_of_control_only_while_it_knows_the_leader,
+                        seeded_gateway)
+{
+    const auto answer = [&]() -> const table_update* {
+        apply(handle_table_query(std::move(st), context{now, 1, self, fleet},
+                                 node_id::from_trusted("router-2")));
+        const auto* sent = find_effect<send_message>();
+        return sent == nullptr ? nullptr
+                               : std::get_if<table_update>(&std::get<fleet_message>(sent->payload));
+    };
+    BOOST_TEST(answer() == nullptr);
+    (void)receivers_of_queries(1);
+    table_update update;
+    update.from_leader = true;
+    update.control_nodes = {other_node("control-1"), other_node("control-2")};
+    receive("control-1", update);
+    BOOST_REQUIRE(answer() != nullptr);
+    BOOST_TEST(answer()->control_nodes.size() == 2U);
+    BOOST_TEST(!answer()->from_leader);
+    BOOST_TEST(answer()->table_version == 0U);
+    (void)receivers_of_queries(2);
+    BOOST_TEST(answer() == nullptr); // the leader has not answered
+}
+
+// Guards against a gateway that needs a restart when the settings name other control processes.
+BOOST_FIXTURE_TEST_CASE(seeds_that_the_settings_name_later_are_queried, seeded_gateway)
+{
+    (void)receivers_of_queries(3);
+    apply(apply_seeds(std::move(st), context{now, 1, self, fleet}, {}));
+    BOOST_TEST(known_controls() == names({"control-1"}));
+    apply(apply_seeds(std::move(st), context{now, 1, self, fleet}, {other_node("control-7")}));
+    BOOST_TEST((st.table_sync.next_query_at == now));
+    BOOST_TEST(receivers_of_queries(1) == names({"control-1", "control-7"}));
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_is_split_only_between_events)
 {
     const auto s = split_at_events("id: 7\ndata: x\n\nid:8\ndata: y\n\nid: 9\n");
--- a/src/libcore/roster.cpp
+++ b/src/libcore/roster.cpp
@@ -5,6 +5,7 @@
 #include <bluebell/core/roster.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace bluebell::core {
 
@@ -17,10 +18,14 @@
 constexpr microseconds voter_silence_timeout{2'500'000};
 constexpr std::size_t max_voters = 7;
 
+bool contains(const std::vector<node_info>& nodes, const node_id& id)
+{
+    return std::any_of(nodes.begin(), nodes.end(), [&](const node_info& n) { return n.id == id; });
+}
+
 bool is_seed(const roster& r, const node_id& id)
 {
-    return std::any_of(r.seeds.begin(), r.seeds.end(),
-                       [&](const node_info& s) { return s.id == id; });
+    return contains(r.seeds, id);
 }
 
 bool is_present(const roster& r, instant now, const node_info& self, const node_id& id)
@@ -117,7 +122,8 @@
 void remove_silent_members(roster& r, instant now, effects& out)
 {
     for (auto it = r.members.begin(); it != r.members.end();) {
-        if (now - it->second.last_contact_at < member_expiry_time || is_seed(r, it->first)) {
+        if (now - it->second.last_contact_at < member_expiry_time || is_seed(r, it->first) ||
+            contains(r.later_seeds, it->first)) {
             ++it;
             continue;
         }
@@ -129,6 +135,19 @@
     }
 }
 
+/// Reads the seeds again if no other process has been in contact for some time: all that this
+/// process knows may have been replaced.
+void read_seeds_if_alone(roster& r, instant now, effects& out)
+{
+    const instant alone_since = std::accumulate(
+        r.members.begin(), r.members.end(), r.started_at,
+        [](instant at, const auto& m) { return std::max(at, m.second.last_contact_at); });
+    if (now - alone_since < seeds_interval || now < r.seeds_due_at)
+        return;
+    r.seeds_due_at = now + seeds_interval;
+    out.emplace_back(read_seeds{});
+}
+
 void choose_initial_replicas(roster& r, instant now, const node_info& self, effects& out)
 {
     if (!r.initial_replicas.empty() || now - r.started_at < min_bootstrap_wait ||
@@ -186,6 +205,7 @@
     if (now >= r.next_report_at) {
         r.next_report_at = now + presence_interval;
         remove_silent_members(r, now, out);
+        read_seeds_if_alone(r, now, out);
         if (is_bootstrap_leader(r, now, self))
             choose_initial_replicas(r, now, self, out);
         r.last_report += 1;
@@ -204,6 +224,28 @@
     return {std::move(r), std::move(out)};
 }
 
+roster_step apply_later_seeds(roster current, instant now, const node_info& self,
+                              const std::vector<node_info>& seeds)
+{
+    roster r = std::move(current);
+    effects out;
+    r.later_seeds = seeds;
+    for (const auto& seed : seeds) {
+        if (seed.id == self.id || r.members.contains(seed.id))
+            continue;
+        roster_member m;
+        m.presence.node = seed;
+        r.members.emplace(seed.id, m);
+        out.emplace_back(connect_peer{seed.id, seed.address});
+        out.emplace_back(make_log_line(log_level::info, component,
+                                       "The settings name another control process.", request_id(),
+                                       {{"peer", seed.id.str()}}));
+    }
+    r.next_report_at = now;
+    out.emplace_back(schedule_tick{now});
+    return {std::move(r), std::move(out)};
+}
+
 roster accept_initial_replicas(roster current, const node_info& self,
                                const bootstrap_replicas& choice)
 {
@@ -240,11 +282,6 @@
     return now - contact_at >= voter_silence_timeout;
 }
 
-bool contains(const std::vector<node_info>& nodes, const node_id& id)
-{
-    return std::any_of(nodes.begin(), nodes.end(), [&](const node_info& n) { return n.id == id; });
-}
-
 /// Removes a silent voter from an even number of voters. It only makes the quorum larger: without
 /// it the remaining voters tolerate one more failure. It is added again when it is back.
 void remove_redundant_voter(std::vector<node_info>& voters, const roster& r, instant now,
--- a/src/libcore/roster_test.cpp
+++ b/src/libcore/roster_test.cpp
@@ -270,6 +270,38 @@
     BOOST_TEST(desired_voters(r, now, control(0), {four, four}).empty());
 }
 
+// Guards against a process that knows only others that are gone: they were replaced while it was
+// cut off.
+BOOST_AUTO_TEST_CASE(a_process_without_contact_reads_the_seeds_again)
+{
+    roster r;
+    r.seeds = {control(0), control(1)};
+    r = start_discovery(std::move(r), instant{seconds(100)}, control(0)).next;
+    const auto reads_seeds_at = [&](int s) {
+        roster_step done = run_roster_timers(std::move(r), instant{seconds(s)}, control(0));
+        r = std::move(done.next);
+        return std::any_of(done.out.begin(), done.out.end(),
+                           [](const effect& e) { return std::holds_alternative<read_seeds>(e); });
+    };
+    BOOST_TEST(!reads_seeds_at(101));
+    BOOST_TEST(reads_seeds_at(102));
+    BOOST_TEST(!reads_seeds_at(103));
+    BOOST_TEST(reads_seeds_at(104));
+    roster_step done = apply_later_seeds(std::move(r), instant{seconds(104)}, control(0),
+                                         {control(0), control(5)});
+    r = std::move(done.next);
+    const auto* connect = std::get_if<connect_peer>(&done.out.front());
+    BOOST_REQUIRE(connect != nullptr);
+    BOOST_TEST((connect->peer == control(5).id));
+    BOOST_TEST(r.seeds.size() == 2U); // those of the fleet's first start stay as they are
+    BOOST_TEST(!reads_seeds_at(105));
+    r = handle_presence(std::move(r), instant{seconds(106)}, control(0),
+                        presence_report{{{control(5), true, false, microseconds{0}}}})
+            .next;
+    BOOST_TEST(!reads_seeds_at(107));
+    BOOST_TEST(r.members.contains(control(5).id));
+}
+
 // Guards against a process that is gone and counts as present, because reports on it were held up
 // by a cut or a freeze and are read as new ones.
 BOOST_AUTO_TEST_CASE(a_report_that_arrives_late_does_not_make_a_process_present)
--- a/src/libcore/router.cpp
+++ b/src/libcore/router.cpp
@@ -51,6 +51,18 @@
     return with_gateway_step(std::move(st), std::move(step));
 }
 
+router_step on(router_state st, const context& ctx, const node_id& from, const table_query&)
+{
+    gateway_step step = handle_table_query(std::move(st.gateway), ctx, from);
+    return with_gateway_step(std::move(st), std::move(step));
+}
+
+router_step on(router_state st, const context& ctx, const seeds_read& ev)
+{
+    gateway_step step = apply_seeds(std::move(st.gateway), ctx, ev.seeds);
+    return with_gateway_step(std::move(st), std::move(step));
+}
+
 router_step on(router_state st, const context& ctx, const table_decoded& ev)
 {
     gateway_step step = apply_table(std::move(st.gateway), ctx, ev.table);
--- a/src/libcore/table_fleet_test.cpp
+++ b/src/libcore/table_fleet_test.cpp
@@ -140,6 +140,8 @@
         schedule(warm_up, [this] { inject_faults(); });
     if (plan_.replace_interval.count() != 0)
         schedule(warm_up + plan_.replace_interval, [this] { replace_oldest(); });
+    if (plan_.cuts_off_last)
+        schedule(warm_up + plan_.replace_interval / 2, [this] { cut_off_last(); });
     schedule(warm_up, [this] { read(); });
     if (plan_.evacuates)
         schedule(warm_up, [this] { call_evacuation(); });
@@ -152,6 +154,14 @@
         record_violation("no table was acknowledged");
 }
 
+std::vector<node_info> table_fleet::seeds() const
+{
+    std::vector<node_info> nodes;
+    for (std::size_t s = 0; s < std::min<std::size_t>(max_seeds, plan_.voters); ++s)
+        nodes.push_back(machines_[operator_targets_[s]].control);
+    return nodes;
+}
+
 // Processes.
 
 void table_fleet::start(std::size_t n)
@@ -173,14 +183,11 @@
     m.decoder_free_at = now_;
     m.version_in_force = 0;
     m.evacuation_version = 0;
-    std::vector<node_info> seeds;
-    for (std::size_t s = 0; s < std::min<std::size_t>(max_seeds, plan_.voters); ++s)
-        seeds.push_back(machines_[operator_targets_[s]].control);
-    m.router.table_sync.seeds = seeds;
+    m.router.table_sync.seeds = seeds();
     if (is_control(n)) {
         m.replica = control_state();
         m.replica.replication.guards = plan_.guards;
-        m.replica.peers.seeds = seeds;
+        m.replica.peers.seeds = seeds();
         m.replica.zones = {zone_id::from_trusted("a")};
         m.replica.peers.has_disk = is_core(n);
         m.replica.peers.bootstrapping = now_ < start_time + warm_up;
@@ -346,6 +353,10 @@
                 schedule_on(n, m.decoder_free_at - now_,
                             [this, n, document = d.document] { put_in_force(n, document); });
             },
+            [&](const read_seeds&) {
+                if (plan_.settings_follow)
+                    schedule_on(n, microseconds{0}, [this, n] { take_seeds(n); });
+            },
             [&](const schedule_tick& t) {
                 if (t.due_at >= m.gateway_tick_at)
                     return;
@@ -356,6 +367,14 @@
     }
 }
 
+void table_fleet::take_seeds(std::size_t n)
+{
+    machine& m = machines_[n];
+    gateway_step done = apply_seeds(std::move(m.router), make_context(n, m.gateway), seeds());
+    m.router = std::move(done.next);
+    carry_out_gateway(n, done.out);
+}
+
 void table_fleet::put_in_force(std::size_t n, const routing_document& document)
 {
     machine& m = machines_[n];
@@ -413,16 +432,25 @@
         return;
     }
     const auto* msg = std::get_if<fleet_message>(&e.payload);
-    const auto* update = msg == nullptr ? nullptr : std::get_if<table_update>(msg);
-    if (e.to == machines_[n].gateway.id && update != nullptr)
+    if (e.to != machines_[n].gateway.id || msg == nullptr)
+        return;
+    machine& m = machines_[n];
+    if (const auto* update = std::get_if<table_update>(msg)) {
         to_gateway(n, from, *update);
+    } else if (std::holds_alternative<table_query>(*msg)) {
+        gateway_step done =
+            handle_table_query(std::move(m.router), make_context(n, m.gateway), from);
+        m.router = std::move(done.next);
+        carry_out_gateway(n, done.out);
+    }
 }
 
 // Faults.
 
 void table_fleet::kill(std::size_t n, microseconds down_time)
 {
-    if (!machines_[n].up || machines_[n].gone)
+    const bool must_run = plan_.cuts_off_last && !plan_.settings_follow && n == last_machine();
+    if (!machines_[n].up || machines_[n].gone || must_run)
         return;
     machines_[n].up = false;
     machines_[n].process += 1;
@@ -540,6 +568,15 @@
     schedule(plan_.replace_interval, [this] { replace_oldest(); });
 }
 
+void table_fleet::cut_off_last()
+{
+    const microseconds time = plan_.replace_interval * static_cast<std::int64_t>(plan_.voters);
+    for (std::size_t n = 0; n < machines_.size(); ++n) {
+        if (machines_[n].stores)
+            cut(last_machine(), n, time);
+    }
+}
+
 void table_fleet::start_replacement(std::size_t n)
 {
     machines_[n].gone = false;
--- a/src/libcore/table_fleet_test.h
+++ b/src/libcore/table_fleet_test.h
@@ -47,6 +47,11 @@
     /// one at a new address takes its place, until none of the first ones is left; 0: none is
     /// replaced.
     microseconds replace_interval{0};
+    /// The last machine is cut off from the core while its machines are replaced.
+    bool cuts_off_last = false;
+    /// The settings of running processes are rewritten when the core changes. Otherwise the machine
+    /// that is cut off isn't restarted, because it would know no process any more.
+    bool settings_follow = false;
     /// A kill of a core machine empties its disk if the last one that did is this long ago; 0: none
     /// does.
     microseconds disk_loss_interval{0};
@@ -147,6 +152,7 @@
     void inject_fault(bool core);
     void inject_faults();
     void replace_oldest();
+    void cut_off_last();
     void start_replacement(std::size_t n);
     /// Returns a control process that operators know of.
     [[nodiscard]] std::size_t random_target()
@@ -167,6 +173,7 @@
     void schedule_control_tick(std::size_t n, instant due_at);
     void schedule_gateway_tick(std::size_t n, instant due_at);
     void carry_out_gateway(std::size_t n, const effects& out);
+    void take_seeds(std::size_t n);
     void put_in_force(std::size_t n, const routing_document& document);
     void send(std::size_t n, const node_id& from, const send_message& e);
     void deliver(std::size_t n, const node_id& from, const send_message& e);
@@ -176,6 +183,13 @@
         return machines_[n].stores && !machines_[n].gone;
     }
     [[nodiscard]] std::vector<std::size_t> core() const;
+    /// Returns the last one of the first machines, which has only a gateway.
+    [[nodiscard]] std::size_t last_machine() const
+    {
+        return plan_.voters + plan_.diskless + plan_.gateways - 1;
+    }
+    /// Returns the control processes that settings name if they are written now.
+    [[nodiscard]] std::vector<node_info> seeds() const;
     [[nodiscard]] context make_context(std::size_t n, const node_info& self);
     /// Returns the time by the machine's own clock.
     [[nodiscard]] instant clock_of(std::size_t n) const
--- a/src/libcore/table_propagation_test.cpp
+++ b/src/libcore/table_propagation_test.cpp
@@ -101,6 +101,24 @@
     play(plan, 60); // reports of presence that come late keep machines alive in seeds 35 and 56
 }
 
+// Guards against a gateway that obeys an older table for good, because each control process that it
+// knows was replaced while it was cut off from the core.
+BOOST_AUTO_TEST_CASE(a_gateway_finds_the_core_though_every_machine_that_it_knew_is_gone)
+{
+    table_fleet_plan plan;
+    plan.voters = 3;
+    plan.gateways = 6;
+    plan.replace_interval = seconds(9);
+    plan.cuts_off_last = true;
+    for (const std::size_t diskless : {0U, 3U}) {
+        plan.diskless = diskless;
+        plan.settings_follow = false;
+        play(plan);
+        plan.settings_follow = true;
+        play(plan);
+    }
+}
+
 // Guards against an order that is lost with its leader, that a late copy of an earlier call undoes,
 // that a gateway learns of too late, and against a gateway that goes back to an older set or has a
 // table without one. Machines are killed, frozen and cut off, and acknowledgements are lost.
--- a/src/libruntime/node_runner.cpp
+++ b/src/libruntime/node_runner.cpp
@@ -89,6 +89,11 @@
             LOG(ERROR) << "tables: Routing table can't be decoded. version=" << e.document.version
                        << " " << to_string(table.error());
     }
+    void operator()(const read_seeds&) const
+    {
+        if (auto seeds = node.adapters_.read_seeds ? node.adapters_.read_seeds() : std::nullopt)
+            node.dispatch(table_event(seeds_read{std::move(*seeds)}));
+    }
     void operator()(const table_reply& e) const { node.adapters_.table_api->run(e); }
     void operator()(const schedule_tick& e) const { node.arm_tick(e.due_at); }
     void operator()(const log_line& e) const { node.telemetry_.record(e); }
--- a/src/libwire/damaged_messages_test.cpp
+++ b/src/libwire/damaged_messages_test.cpp
@@ -151,6 +151,7 @@
     update.from_leader = true;
     update.leader = peer;
     update.control_nodes = {make_info("control-2", node_role::control)};
+    update.fallback_nodes = {make_info("router-2", node_role::router)};
     update.table_version = 3;
     update.document = routing_document{3, bytes::from("table")};
     update.cached_prompts = {{1, 2, 3}};
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -356,6 +356,7 @@
         query.evacuation_version = from.evacuations();
         query.wants_worker_leases = from.wants_leases();
         query.sent_at = microseconds(from.sent_at_us());
+        query.wants_fallback_nodes = from.wants_fallbacks();
         for (const auto& demand : from.demands())
             query.service_demands.push_back(get(demand));
         for (const auto& condition : from.conditions())
@@ -402,6 +403,8 @@
 {
     to.set_certain(from.from_leader);
     to.set_leader(from.leader.str());
+    for (const auto& n : from.fallback_nodes)
+        wire::put(n, *to.add_fallbacks());
     for (const auto& n : from.control_nodes)
         wire::put(n, *to.add_controls());
     to.set_version(from.table_version);
@@ -455,6 +458,10 @@
     if (from.has_evacuations())
         update.evacuations = get(from.evacuations());
     update.query_sent_at = microseconds(from.query_sent_at_us());
+    auto fallback_nodes = get_nodes(from.fallbacks());
+    if (!fallback_nodes)
+        return tl::unexpected(fallback_nodes.error());
+    update.fallback_nodes = std::move(*fallback_nodes);
     if (from.has_leases())
         update.worker_leases = get(from.leases());
     for (const auto& share : from.shares())
@@ -508,6 +515,7 @@
             to.mutable_table_query()->set_evacuations(m.evacuation_version);
             to.mutable_table_query()->set_wants_leases(m.wants_worker_leases);
             to.mutable_table_query()->set_sent_at_us(m.sent_at.count());
+            to.mutable_table_query()->set_wants_fallbacks(m.wants_fallback_nodes);
             for (const auto& demand : m.service_demands)
                 put(demand, *to.mutable_table_query()->add_demands());
             for (const auto& condition : m.worker_conditions)
