Acknowledge a table only for an entry of the leader's own term

What operators would have seen: a table is acknowledged and may be lost.

Cause: operations are numbered by the process that takes them, from 1 at each start. An entry of an earlier leader, or of the same process before its restart, may have the name of a submission that waits, and answered it when it was applied, although the new entry wasn't committed yet.

Test: a_table_of_an_earlier_term_answers_no_submission failed before.

--- a/src/libcore/control_lead.cpp
+++ b/src/libcore/control_lead.cpp
@@ -59,6 +59,14 @@
         t.out.emplace_back(table_reply{a.operation, table_accepted{}});
 }
 
+/// Returns true if the entry may answer a submission of this leadership. Operations are numbered by
+/// the process that takes them, so an entry of another leader, or of this process before a restart,
+/// may have the same name as one that isn't committed yet.
+bool can_answer(const control_turn& t, const log_entry& entry)
+{
+    return !std::holds_alternative<set_table>(entry.payload) || entry.at_term == t.st.lead.at_term;
+}
+
 void on_applied(control_turn& t, const node_applied& a)
 {
     const auto it = t.st.lead.queue.registering.find(a.node);
@@ -131,8 +139,10 @@
     finish_evacuation(t, entry, previous_evacuations);
     if (!t.is_leading())
         return;
-    for (const auto& a : done.results)
-        std::visit([&](const auto& x) { on_applied(t, x); }, a);
+    if (can_answer(t, entry)) {
+        for (const auto& a : done.results)
+            std::visit([&](const auto& x) { on_applied(t, x); }, a);
+    }
     distribute_changes(t, previous_revision, entry.payload);
     answer_releases(t, entry.payload);
     if (table_changed)
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -196,6 +196,25 @@
 
 BOOST_AUTO_TEST_SUITE(control_tables)
 
+// Guards against an acknowledgement by a new leader for an entry of its predecessor that has the
+// same name of an operation: the new leader's own entry may still be lost.
+BOOST_FIXTURE_TEST_CASE(a_table_of_an_earlier_term_answers_no_submission, leading_replica)
+{
+    st.lead.pending_tables.insert("table-1");
+    control_turn t{std::move(st), make_context(), {}};
+    replication_step committed;
+    committed.next = t.st.replication;
+    const log_index next = t.st.machine.applied + 1;
+    committed.committed = {{next, t.st.lead.at_term - 1, set_table{"table-1", document(4, "old")}}};
+    apply_replication_step(t, std::move(committed));
+    st = std::move(t.st);
+    BOOST_TEST(st.machine.table.version == 4U);
+    BOOST_TEST(st.lead.pending_tables.contains("table-1"));
+    BOOST_TEST(std::none_of(t.out.begin(), t.out.end(), [](const effect& e) {
+        return std::holds_alternative<table_reply>(e);
+    }));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_offered_table_is_accepted_and_read_back, leading_replica)
 {
     submit(table_submitted{"a", document(7, "seven")});
