Limit what agents and bluebellctl keep of an answer without end

Routers' pass-through path is covered (testsuite/endless); this is an agent's calls to its engine.

Cause: evhttp limits heads and bodies, but keeps the size line of a chunk however long it is, looking through all of it again at each read, and reads `100 Continue` without end, keeping its headers. A 100 was also reported as the head of the answer. A report of load was kept as a whole, and one that drips never ended, so that the engine's state was never read again.

Change: unread bytes of an answer are limited (128 KiB where it is read in parts), so are interim answers (8); reports are read in parts and have a deadline. bluebellctl has the same limits; it had none (by reading, no test of its own).

Heads, bodies and trailers were limited already. a_report_that_drips_without_end_is_given_up is new.

--- a/src/bluebellctl/http_client.cpp
+++ b/src/bluebellctl/http_client.cpp
@@ -2,6 +2,8 @@
 
 #include "http_client.h"
 
+#include <bluebell/runtime/answer_limits.h>
+
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -49,6 +51,7 @@
         evhttp_connection_base_new(base.get(), nullptr, endpoint.host.c_str(), endpoint.port),
         &evhttp_connection_free);
     evhttp_connection_set_timeout(conn.get(), response_timeout_s);
+    runtime::limit_answers(conn.get(), runtime::answer_reading::as_a_whole);
     exchange state;
     evhttp_request* request = evhttp_request_new(&on_done, &state);
     auto* headers = evhttp_request_get_output_headers(request);
--- a/src/include/bluebell/runtime/engine_client.h
+++ b/src/include/bluebell/runtime/engine_client.h
@@ -72,6 +72,7 @@
                           std::uint32_t cached_tokens, std::uint32_t generated_tokens,
                           const std::string& reason);
     void read_report();
+    void give_up_report();
     void on_report(const core::result<http_answer>& answer);
     void emit_report(const wire::engine_load& load);
     void emit_down(const std::string& reason);
@@ -89,6 +90,7 @@
     /// Call failures that are reported once the engine's state is known.
     std::vector<core::engine_failed> held_failures_;
     std::unique_ptr<watcher> report_timer_;
+    std::unique_ptr<watcher> report_deadline_; ///< of the read in progress
     evhttp_connection* report_conn_ = nullptr;
     /// Read of the load report in progress; null: none.
     std::shared_ptr<http_exchange> report_exchange_;
--- a/src/libruntime/engine_client.cpp
+++ b/src/libruntime/engine_client.cpp
@@ -3,6 +3,7 @@
 #include "engine_session_pvt.h"
 #include "http_exchange_pvt.h"
 
+#include <bluebell/runtime/answer_limits.h>
 #include <bluebell/runtime/engine_client.h>
 #include <bluebell/wire/engine_http.h>
 
@@ -20,10 +21,9 @@
 namespace {
 
 constexpr std::size_t max_idle_connections = 256; ///< kept open for later calls
-/// Maximum size of one chunk, or of an answer without chunks.
-constexpr ev_ssize_t max_answer_bytes = ev_ssize_t{16} * 1024 * 1024;
-constexpr ev_ssize_t max_answer_header_bytes = ev_ssize_t{64} * 1024;
-constexpr int report_timeout_seconds = 2;
+constexpr int report_timeout_seconds = 2;         ///< without a byte
+/// A report that isn't whole after this time fails, also if its bytes go on coming.
+constexpr microseconds report_deadline{4'000'000};
 constexpr int order_timeout_seconds = 900; ///< loading a model's weights may take long
 constexpr int status_ok = 200;
 constexpr int status_server_error = 500;
@@ -80,8 +80,7 @@
     auto* conn =
         evhttp_connection_base_new(loop_->base(), nullptr, options_.host.c_str(), options_.port);
     evhttp_connection_set_timeout(conn, timeout_seconds);
-    evhttp_connection_set_max_body_size(conn, max_answer_bytes);
-    evhttp_connection_set_max_headers_size(conn, max_answer_header_bytes);
+    limit_answers(conn, answer_reading::in_parts);
     return conn;
 }
 
@@ -185,6 +184,7 @@
 void engine_client::start()
 {
     report_timer_ = watcher::timer(*loop_, [this] { read_report(); });
+    report_deadline_ = watcher::timer(*loop_, [this] { give_up_report(); });
     read_report();
 }
 
@@ -197,6 +197,16 @@
     report_exchange_ =
         send_request(report_conn_, {peer_, "/v1/load", ""},
                      [this](const result<http_answer>& answer) { on_report(answer); });
+    if (report_deadline_)
+        report_deadline_->arm(report_deadline);
+}
+
+void engine_client::give_up_report()
+{
+    if (!report_exchange_)
+        return;
+    evhttp_connection_free(std::exchange(report_conn_, nullptr));
+    on_report(fail(error_code::deadline_exceeded, "read engine report", peer_, "no whole report"));
 }
 
 void engine_client::on_report(const result<http_answer>& answer)
--- a/src/libruntime/engine_client_test.cpp
+++ b/src/libruntime/engine_client_test.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <csignal>
 
 using namespace bluebell;
 using runtime::byte_stream;
@@ -108,6 +109,112 @@
 
 const std::string json_head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
 
+/// A backend server that answers each request on a path with a start and then the same bytes again
+/// and again, until the client closes the connection or has taken very many.
+struct endless_server {
+    std::shared_ptr<runtime::event_loop> loop = *runtime::event_loop::make();
+    evconnlistener* listener = nullptr;
+    std::vector<std::shared_ptr<byte_stream>> accepted;
+    std::string path;
+    std::string start;
+    std::string rest;
+    std::size_t sent_bytes = 0;
+    bool closed = false; ///< by the client
+    bool drips = false;  ///< sends the rest slowly
+    std::unique_ptr<runtime::watcher> drip_timer;
+    std::shared_ptr<runtime::engine_client> client;
+    std::vector<core::engine_event> events;
+
+    /// Far more than the buffers of two sockets hold.
+    static constexpr std::size_t max_sent_bytes = std::size_t{96} * 1024 * 1024;
+    static constexpr core::microseconds drip_interval{200'000};
+
+    endless_server(std::string on_path, std::string first, std::string again)
+        : path(std::move(on_path)), start(std::move(first)), rest(std::move(again))
+    {
+        std::signal(SIGPIPE, SIG_IGN); // the client closes connections that are written to
+        sockaddr_in any{};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        listener = evconnlistener_new_bind(loop->base(), &endless_server::on_accept, this,
+                                           LEV_OPT_CLOSE_ON_FREE, 16,
+                                           reinterpret_cast<const sockaddr*>(&any), sizeof any);
+        BOOST_REQUIRE(listener != nullptr);
+        socklen_t size = sizeof any;
+        ::getsockname(evconnlistener_get_fd(listener), reinterpret_cast<sockaddr*>(&any), &size);
+        runtime::engine_client_options options;
+        options.port = ntohs(any.sin_port);
+        client = *runtime::engine_client::make(loop, options, [this](core::event_body ev) {
+            events.push_back(std::get<core::engine_event>(std::move(ev)));
+        });
+    }
+    ~endless_server()
+    {
+        evconnlistener_free(listener);
+        accepted.clear();
+        client.reset();
+        loop->settle();
+    }
+    static void on_accept(evconnlistener*, int descriptor, sockaddr*, int, void* self)
+    {
+        auto* f = static_cast<endless_server*>(self);
+        auto stream = byte_stream::adopt(f->loop, descriptor);
+        f->accepted.push_back(stream);
+        byte_stream::callbacks handlers;
+        handlers.data = [f, raw = stream.get()](std::string_view data) {
+            if (data.find(f->path) != std::string_view::npos)
+                raw->write(f->start);
+            return data.size();
+        };
+        handlers.written = [f, raw = stream.get()] { f->send_more(*raw); };
+        handlers.closed = [f](const core::error*) {
+            f->closed = true;
+            f->loop->stop();
+        };
+        stream->start(std::move(handlers));
+    }
+    void send_more(byte_stream& stream)
+    {
+        if (drips) {
+            drip_timer = runtime::watcher::timer(*loop, [this, &stream] { stream.write(rest); });
+            drip_timer->arm(drip_interval);
+            return;
+        }
+        sent_bytes += rest.size();
+        if (sent_bytes < max_sent_bytes)
+            stream.write(rest);
+        else
+            loop->stop();
+    }
+    /// Runs until the client has closed the connection, or has taken everything.
+    void run()
+    {
+        loop->run();
+        const auto stop = runtime::watcher::timer(*loop, [&] { loop->stop(); });
+        stop->arm(run_time);
+        loop->run();
+    }
+};
+
+struct endless_sample {
+    std::string start;
+    std::string rest;
+};
+
+/// Answers without end in each part of a message.
+std::vector<endless_sample> endless_samples()
+{
+    const std::string text(16'384, 'x');
+    const std::string chunked = json_head + "Transfer-Encoding: chunked\r\n\r\n";
+    return {{"HTTP/1.1 200 OK\r\n", "Some-Header: " + text + "\r\n"},
+            {"HTTP/1.1 200 " + text, text},
+            {json_head + "Some-Header: " + text, text},
+            {chunked + "4;x=" + text, text},
+            {chunked + "2\r\n{}\r\n0\r\nTrailer: " + text, text},
+            {chunked + "2\r\n{}\r\n0\r\n", "Trailer: " + text + "\r\n"},
+            {"HTTP/1.1 100 Continue\r\n", "A: " + text + "\r\n\r\nHTTP/1.1 100 Continue\r\n"}};
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(engine_clients)
@@ -172,4 +279,56 @@
     }
 }
 
+// Guards against an agent that runs out of memory: its engine sends a head, a size line of a chunk,
+// a trailer or interim answers without end.
+BOOST_AUTO_TEST_CASE(calls_whose_answer_has_a_part_without_end_fail)
+{
+    for (const auto& sample : endless_samples()) {
+        endless_server server("/v1/chat", sample.start, sample.rest);
+        core::engine_run call;
+        call.attempt = {core::request_id::from_trusted("q1"), 1};
+        call.call_spec.id = call.attempt.request;
+        call.call_spec.target = core::chat_target{};
+        server.client->run(call);
+        server.run();
+        BOOST_TEST(server.closed, sample.start.substr(0, 80));
+        const bool has_ended = std::any_of(server.events.begin(), server.events.end(),
+                                           [](const core::engine_event& e) {
+                                               return std::holds_alternative<core::engine_end>(e);
+                                           });
+        BOOST_TEST(!has_ended, sample.start.substr(0, 80));
+    }
+}
+
+// Guards against the same in the engine's reports, whose body is kept as a whole.
+BOOST_AUTO_TEST_CASE(reports_that_have_a_part_without_end_fail)
+{
+    auto samples = endless_samples();
+    const std::string text(16'384, 'x');
+    samples.push_back({json_head + "\r\n", text});
+    samples.push_back({json_head + "Content-Length: 99999999999\r\n\r\n", text});
+    samples.push_back(
+        {json_head + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + text + "\r\n"});
+    for (const auto& sample : samples) {
+        endless_server server("/v1/load", sample.start, sample.rest);
+        server.client->start();
+        server.run();
+        BOOST_TEST(server.closed, sample.start.substr(0, 80));
+    }
+}
+
+// Guards against an engine whose state is never read again: a byte now and then keeps a report
+// going.
+BOOST_AUTO_TEST_CASE(a_report_that_drips_without_end_is_given_up)
+{
+    endless_server server("/v1/load", json_head + "Transfer-Encoding: chunked\r\n\r\n",
+                          "1\r\nx\r\n");
+    server.drips = true;
+    server.client->start();
+    const auto stop = runtime::watcher::timer(*server.loop, [&] { server.loop->stop(); });
+    stop->arm(core::seconds(15));
+    server.loop->run();
+    BOOST_TEST(server.closed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libruntime/engine_session.cpp
+++ b/src/libruntime/engine_session.cpp
@@ -224,6 +224,8 @@
 int engine_session::on_head(evhttp_request* request, void* self)
 {
     const auto session = static_cast<engine_session*>(self)->shared_from_this();
+    if (session->interim_.is_interim(request))
+        return session->interim_.exceeded() ? -1 : 0;
     if (!session->ended_)
         session->handle_head(request);
     return 0;
--- a/src/libruntime/engine_session_pvt.h
+++ b/src/libruntime/engine_session_pvt.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <bluebell/core/effect.h>
+#include <bluebell/runtime/answer_limits.h>
 #include <bluebell/runtime/event_loop.h>
 #include <bluebell/wire/chat_http.h>
 #include <bluebell/wire/engine_http.h>
@@ -63,7 +64,8 @@
     core::attempt_id attempt_;
     callbacks handlers_;
     evhttp_connection* conn_ = nullptr;
-    core::request_id call_;        ///< an answer that names another call is not this one's
+    core::request_id call_; ///< an answer that names another call is not this one's
+    interim_answers interim_;
     bool is_other_answer_ = false; ///< the answer names another call
     wire::sse_parser parser_;
     wire::token_usage usage_;
--- a/src/libruntime/http_exchange_pvt.h
+++ b/src/libruntime/http_exchange_pvt.h
@@ -32,8 +32,8 @@
 struct http_exchange;
 
 /// Sends a request over the connection, which may be reused afterwards. Calls back exactly once;
-/// the result fails with unavailable at step `ask backend server`. The caller must keep the
-/// returned object until the callback has run or the connection has been freed.
+/// the result fails with unavailable or too_large at step `ask backend server`. The caller must
+/// keep the returned object until the callback has run or the connection has been freed.
 [[nodiscard]] std::shared_ptr<http_exchange>
 send_request(evhttp_connection* conn, const http_query& query,
              std::function<void(core::result<http_answer>)> on_answer);
