--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -329,6 +329,7 @@
             consider(other.node);
     }
     std::vector<node_info> nodes;
+    nodes.reserve(drawn.size());
     for (const auto& [hash, node] : drawn)
         nodes.push_back(*node);
     return nodes;
