--- a/src/include/bluebell/runtime/node_runner.h
+++ b/src/include/bluebell/runtime/node_runner.h
@@ -38,7 +38,7 @@
     std::shared_ptr<table_server> table_api;           ///< control nodes that serve the table API
     /// Decodes a routing table from the platform's text format.
     std::function<core::result<core::routing_table>(std::string_view text)> parse_table;
-    /// Reads the seeds from the settings; nothing if these can't be read or have none.
+    /// Reads the seeds from the settings; nothing if these can't be read.
     std::function<std::optional<std::vector<core::node_info>>()> read_seeds;
 };
 
