--- a/src/libruntime/message_reader.cpp
+++ b/src/libruntime/message_reader.cpp
@@ -28,6 +28,16 @@
     return {text.data(), text.size()};
 }
 
+/// Returns whether an answer may have this status. Beast takes any three digits. No request here
+/// asks for another protocol, so none may be switched to.
+bool is_valid_status(int status)
+{
+    constexpr int lowest = 100;
+    constexpr int highest = 599;
+    constexpr int switching_protocols = 101;
+    return status >= lowest && status <= highest && status != switching_protocols;
+}
+
 /// Collects one message. The member functions are the callbacks that Beast's parser requires.
 template <bool IsRequest>
 class collector final : public http::basic_parser<IsRequest> {
@@ -45,9 +55,11 @@
         if (version != 10 && version != 11)
             ec = http::error::bad_version;
     }
-    void on_response_impl(int code, beast::string_view, int, beast::error_code&) override
+    void on_response_impl(int code, beast::string_view, int, beast::error_code& ec) override
     {
         head.status = static_cast<std::uint16_t>(code);
+        if (!is_valid_status(code))
+            ec = http::error::bad_status;
     }
     void on_field_impl(http::field name, beast::string_view name_text, beast::string_view value,
                        beast::error_code& ec) override
--- a/src/libruntime/message_reader_test.cpp
+++ b/src/libruntime/message_reader_test.cpp
@@ -42,6 +42,12 @@
     return !feed(r, text, text.size()).has_value();
 }
 
+bool is_refused_answer(const std::string& text)
+{
+    message_reader r = message_reader::answers(max_head_bytes);
+    return !feed(r, text, text.size()).has_value();
+}
+
 const std::string post = "POST /a HTTP/1.1\r\nHost: h\r\n";
 
 } // namespace
@@ -115,6 +121,38 @@
     BOOST_TEST(!s.close().has_value());
 }
 
+// Guards against an answer that is none: a status outside 100 to 599 is invalid, and nothing asked
+// for another protocol.
+BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_status_line_is_refused)
+{
+    const std::string fields = "Content-Length: 2\r\n\r\n{}";
+    for (const std::string line : {"HTTP/1.1 000 OK",
+                                   "HTTP/1.1 000 ",
+                                   "HTTP/1.1 000",
+                                   "HTTP/1.1 001 OK",
+                                   "HTTP/1.1 020 OK",
+                                   "HTTP/1.1 099 OK",
+                                   "HTTP/1.1 101 Switching Protocols",
+                                   "HTTP/1.1 600 OK",
+                                   "HTTP/1.1 999 OK",
+                                   "HTTP/1.1 0200 OK",
+                                   "HTTP/1.1 2000 OK",
+                                   "HTTP/1.1 20 OK",
+                                   "HTTP/1.1 -20 OK",
+                                   "HTTP/1.1 +20 OK",
+                                   "HTTP/1.1 2e2 OK",
+                                   "HTTP/1.1  200 OK",
+                                   "HTTP/1.1 200 O\x07K",
+                                   "HTTP/9.9 200 OK",
+                                   "HTTP/2.0 200 OK",
+                                   "HTTP/0.9 200 OK"})
+        BOOST_TEST(is_refused_answer(line + "\r\n" + fields), line);
+    BOOST_TEST(is_refused_answer(std::string("HTTP/1.1 200 O\0K\r\n", 18) + fields));
+    for (const std::string line : {"HTTP/1.1 100 Continue", "HTTP/1.1 103 Early Hints",
+                                   "HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.0 599 OK"})
+        BOOST_TEST(!is_refused_answer(line + "\r\n" + fields), line);
+}
+
 BOOST_AUTO_TEST_CASE(large_response_is_read)
 {
     message_reader r = message_reader::answers(max_head_bytes);
--- a/src/libruntime/worker_client_test.cpp
+++ b/src/libruntime/worker_client_test.cpp
@@ -524,6 +524,22 @@
     BOOST_TEST(body_of(attempt).empty());
 }
 
+// Guards against a caller that waits for its whole deadline: a status below 100 counted as that of
+// an interim answer, and the connection stays open. A status above 599 was passed on.
+BOOST_FIXTURE_TEST_CASE(an_answer_with_an_invalid_status_breaks_the_attempt_at_once, fixture)
+{
+    for (const std::string status : {"000 OK", "000 ", "000", "001 OK", "020 OK", "099 OK",
+                                     "101 Switching Protocols", "600 OK", "999 OK"}) {
+        for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+            events.clear();
+            const auto attempt = ask("q1");
+            send(before + "HTTP/1.1 " + status + "\r\nId: q1\r\nContent-Length: 2\r\n\r\n{}");
+            BOOST_TEST(is_broken(attempt), status);
+            BOOST_TEST(reported<core::attempt_head>().empty(), status);
+        }
+    }
+}
+
 // A forwarder accepts connections for a process that is gone, and closes them.
 BOOST_FIXTURE_TEST_CASE(a_probe_tells_a_kept_connection_from_one_that_is_closed_at_once, fixture)
 {
