--- a/src/libruntime/message_reader_test.cpp
+++ b/src/libruntime/message_reader_test.cpp
@@ -1,6 +1,8 @@
 // The message reader accepts valid messages and rejects invalid ones, above all messages whose
 // framing another program could interpret differently (request smuggling).
 
+#include "invalid_heads_test.h"
+
 #include <bluebell/runtime/message_reader.h>
 
 #include <boost/test/unit_test.hpp>
@@ -8,6 +10,8 @@
 
 using namespace bluebell;
 using runtime::message_reader;
+using runtime::testing::invalid_fields;
+using runtime::testing::invalid_name_bytes;
 
 namespace {
 
@@ -153,6 +157,21 @@
         BOOST_TEST(!is_refused_answer(line + "\r\n" + fields), line);
 }
 
+// Guards against a field that another program reads as another one, or as the framing.
+BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_field_is_refused)
+{
+    const std::string line = "HTTP/1.1 200 OK\r\n";
+    const std::string framing = "Content-Length: 2\r\n\r\n{}";
+    for (const std::string& field : invalid_fields())
+        BOOST_TEST(is_refused_answer(line + field + framing), field);
+    for (const char c : invalid_name_bytes()) {
+        for (const std::string name : {"Content-Length", "Transfer-Encoding"})
+            BOOST_TEST(is_refused_answer(line + name + c + ": 2\r\n\r\n{}"),
+                       name << " and byte " << static_cast<int>(c));
+    }
+    BOOST_TEST(!is_refused_answer(line + "X: a b\tc\x80\r\n" + framing));
+}
+
 BOOST_AUTO_TEST_CASE(large_response_is_read)
 {
     message_reader r = message_reader::answers(max_head_bytes);
--- a/src/libruntime/worker_client_test.cpp
+++ b/src/libruntime/worker_client_test.cpp
@@ -1,6 +1,8 @@
 // Connections to a worker that misbehaves: late copies of answers, bytes that are no answer, bytes
 // without end, and answers that drip.
 
+#include "invalid_heads_test.h"
+
 #include <bluebell/runtime/worker_client.h>
 
 #include <boost/test/unit_test.hpp>
@@ -540,6 +542,23 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(an_answer_with_an_invalid_field_breaks_the_attempt_at_once, fixture)
+{
+    constexpr core::microseconds short_time{20'000};
+    const std::string interim = "HTTP/1.1 100 Continue\r\n";
+    for (const std::string& field : runtime::testing::invalid_fields()) {
+        const std::string answer = make_answer("q1", "{}", field);
+        const std::string sound = make_answer("q1", "{}");
+        for (const std::string& text : {answer, interim + field + "\r\n" + sound}) {
+            events.clear();
+            const auto attempt = ask("q1", "", short_time);
+            send(text, short_time);
+            BOOST_TEST(is_broken(attempt), text);
+            BOOST_TEST(reported<core::attempt_head>().empty(), text);
+        }
+    }
+}
+
 // A forwarder accepts connections for a process that is gone, and closes them.
 BOOST_FIXTURE_TEST_CASE(a_probe_tells_a_kept_connection_from_one_that_is_closed_at_once, fixture)
 {
