--- a/src/include/bluebell/runtime/byte_stream.h
+++ b/src/include/bluebell/runtime/byte_stream.h
@@ -46,11 +46,12 @@
     [[nodiscard]] static std::shared_ptr<byte_stream>
     adopt(std::shared_ptr<event_loop> loop, int descriptor,
           core::microseconds stall_timeout = default_stall_timeout);
-    /// Starts a connection attempt. Fails at step `open socket` with unavailable, at step `connect`
-    /// with unavailable or deadline_exceeded, or there with invalid_argument when the host is not
-    /// an IPv4 address.
+    /// Starts a connection attempt; a stall_timeout of 0 is as for adopt(). Fails at step
+    /// `open socket` with unavailable, at step `connect` with unavailable or deadline_exceeded, or
+    /// there with invalid_argument when the host is not an IPv4 address.
     [[nodiscard]] static core::result<std::shared_ptr<byte_stream>>
-    connect(std::shared_ptr<event_loop> loop, const std::string& host, std::uint16_t port);
+    connect(std::shared_ptr<event_loop> loop, const std::string& host, std::uint16_t port,
+            core::microseconds stall_timeout = default_stall_timeout);
 
     /// Returns whether a failed connection attempt was refused by the peer's machine.
     [[nodiscard]] static bool is_refusal(const core::error& e);
--- a/src/include/bluebell/runtime/engine_client.h
+++ b/src/include/bluebell/runtime/engine_client.h
@@ -1,5 +1,5 @@
 /// \file
-/// The agent's HTTP client of its backend server, over evhttp with a bounded connection pool.
+/// The agent's HTTP client of its backend server, with a bounded connection pool.
 #pragma once
 
 #include <bluebell/core/effect.h>
@@ -11,8 +11,6 @@
 #include <unordered_map>
 #include <vector>
 
-struct evhttp_connection;
-
 namespace bluebell::wire {
 struct engine_load;
 }
@@ -20,8 +18,9 @@
 namespace bluebell::runtime {
 
 class engine_session;
+class http_connection;
 struct http_answer;
-struct http_exchange;
+struct http_query;
 
 /// Address of the backend server and limits of the client.
 struct engine_client_options {
@@ -63,14 +62,17 @@
 
 private:
     engine_client(std::shared_ptr<event_loop> loop, engine_client_options options, sink on_event);
-    evhttp_connection* new_connection(int timeout_seconds);
-    evhttp_connection* take_connection();
-    void keep_connection(evhttp_connection* conn);
-    void free_later(evhttp_connection* conn);
+    [[nodiscard]] core::result<std::shared_ptr<http_connection>>
+    new_connection(core::microseconds stall_timeout) const;
+    [[nodiscard]] core::result<std::shared_ptr<http_connection>> take_connection();
+    void keep_connection(const std::shared_ptr<http_connection>& conn);
+    void ask(std::shared_ptr<http_connection>& conn, core::microseconds stall_timeout,
+             const http_query& query, std::function<void(const core::result<http_answer>&)> done);
     void emit(core::engine_event ev);
     void on_session_ended(const core::attempt_id& attempt, bool complete, bool sent,
                           std::uint32_t cached_tokens, std::uint32_t generated_tokens,
                           const std::string& reason);
+    void fail_call(const core::attempt_id& attempt, bool sent, std::string_view reason);
     void read_report();
     void give_up_report();
     void on_report(const core::result<http_answer>& answer);
@@ -84,22 +86,22 @@
     std::shared_ptr<event_loop> loop_;
     engine_client_options options_;
     sink on_event_;
-    std::string peer_;                     ///< HOST:PORT
-    std::vector<evhttp_connection*> idle_; ///< idle connections, at most max_idle_connections
+    std::string peer_; ///< HOST:PORT
+    /// Idle connections, at most max_idle_connections; the server may have closed some of them.
+    std::vector<std::shared_ptr<http_connection>> idle_;
     std::unordered_map<core::attempt_id, std::shared_ptr<engine_session>> sessions_;
     /// Call failures that are reported once the engine's state is known.
     std::vector<core::engine_failed> held_failures_;
     std::unique_ptr<watcher> report_timer_;
     std::unique_ptr<watcher> report_deadline_; ///< of the read in progress
-    evhttp_connection* report_conn_ = nullptr;
-    /// Read of the load report in progress; null: none.
-    std::shared_ptr<http_exchange> report_exchange_;
+    std::shared_ptr<http_connection> report_conn_;
+    bool is_reading_report_ = false;
     bool report_outdated_ = false;             ///< a connection failed during the read in progress
     core::incarnation_number incarnation_ = 0; ///< of the latest report
     bool engine_up_ = false;
-    evhttp_connection* order_conn_ = nullptr;
-    std::shared_ptr<http_exchange> order_exchange_; ///< order in progress; null: none
-    std::vector<core::engine_order> orders_;        ///< orders without a result yet, oldest first
+    std::shared_ptr<http_connection> order_conn_;
+    bool is_running_order_ = false;
+    std::vector<core::engine_order> orders_; ///< orders without a result yet, oldest first
 };
 
 } // namespace bluebell::runtime
--- a/src/libruntime/byte_stream.cpp
+++ b/src/libruntime/byte_stream.cpp
@@ -94,8 +94,10 @@
         new byte_stream(std::move(loop), descriptor, stall_timeout));
 }
 
-core::result<std::shared_ptr<byte_stream>>
-byte_stream::connect(std::shared_ptr<event_loop> loop, const std::string& host, std::uint16_t port)
+core::result<std::shared_ptr<byte_stream>> byte_stream::connect(std::shared_ptr<event_loop> loop,
+                                                                const std::string& host,
+                                                                std::uint16_t port,
+                                                                core::microseconds stall_timeout)
 {
     const std::string peer = host + ":" + std::to_string(port);
     sockaddr_in remote{};
@@ -106,7 +108,7 @@
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0)
         return core::fail(error_code::unavailable, "open socket", peer, std::strerror(errno));
-    auto stream = adopt(std::move(loop), fd);
+    auto stream = adopt(std::move(loop), fd, stall_timeout);
     stream->peer_ = peer;
     if (::connect(fd, reinterpret_cast<const sockaddr*>(&remote), sizeof remote) != 0 &&
         errno != EINPROGRESS)
--- a/src/libruntime/engine_client.cpp
+++ b/src/libruntime/engine_client.cpp
@@ -3,15 +3,9 @@
 #include "engine_session_pvt.h"
 #include "http_exchange_pvt.h"
 
-#include <bluebell/runtime/answer_limits.h>
 #include <bluebell/runtime/engine_client.h>
 #include <bluebell/wire/engine_http.h>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/http.h>
-
 #include <utility>
 
 namespace bluebell::runtime {
@@ -21,10 +15,10 @@
 namespace {
 
 constexpr std::size_t max_idle_connections = 256; ///< kept open for later calls
-constexpr int report_timeout_seconds = 2;         ///< without a byte
+constexpr microseconds report_timeout{2'000'000}; ///< without a byte
 /// A report that isn't whole after this time fails, also if its bytes go on coming.
 constexpr microseconds report_deadline{4'000'000};
-constexpr int order_timeout_seconds = 900; ///< loading a model's weights may take long
+constexpr microseconds order_timeout = seconds(900); ///< loading a model's weights may take long
 constexpr int status_ok = 200;
 constexpr int status_server_error = 500;
 
@@ -50,16 +44,14 @@
 
 engine_client::~engine_client()
 {
-    for (auto* conn : idle_)
-        evhttp_connection_free(conn);
-    for (const auto& [attempt, session] : sessions_) {
+    for (const auto& conn : idle_)
+        conn->close();
+    for (const auto& [attempt, session] : sessions_)
         session->cancel();
-        evhttp_connection_free(session->connection());
+    for (const auto& conn : {report_conn_, order_conn_}) {
+        if (conn != nullptr)
+            conn->close();
     }
-    if (report_conn_ != nullptr)
-        evhttp_connection_free(report_conn_);
-    if (order_conn_ != nullptr)
-        evhttp_connection_free(order_conn_);
     loop_->settle();
 }
 
@@ -75,42 +67,49 @@
 
 // Connections.
 
-evhttp_connection* engine_client::new_connection(int timeout_seconds)
+result<std::shared_ptr<http_connection>>
+engine_client::new_connection(microseconds stall_timeout) const
 {
-    auto* conn =
-        evhttp_connection_base_new(loop_->base(), nullptr, options_.host.c_str(), options_.port);
-    evhttp_connection_set_timeout(conn, timeout_seconds);
-    limit_answers(conn, answer_reading::in_parts);
-    return conn;
+    return http_connection::connect(loop_, options_.host, options_.port, stall_timeout);
 }
 
-evhttp_connection* engine_client::take_connection()
+result<std::shared_ptr<http_connection>> engine_client::take_connection()
 {
     while (!idle_.empty()) {
-        auto* conn = idle_.back();
+        const auto conn = std::move(idle_.back());
         idle_.pop_back();
-        // evhttp would take bytes that came behind the last answer for the next one.
-        bufferevent* bev = evhttp_connection_get_bufferevent(conn);
-        if (evbuffer_get_length(bufferevent_get_input(bev)) == 0)
+        if (conn->is_reusable())
             return conn;
-        free_later(conn);
     }
-    return new_connection(options_.stall_timeout_seconds);
+    return new_connection(seconds(options_.stall_timeout_seconds));
 }
 
-void engine_client::keep_connection(evhttp_connection* conn)
+void engine_client::keep_connection(const std::shared_ptr<http_connection>& conn)
 {
+    if (!conn->is_reusable())
+        return;
+    if (idle_.size() >= max_idle_connections)
+        std::erase_if(idle_, [](const auto& idle) { return !idle->is_reusable(); });
     if (idle_.size() < max_idle_connections)
         idle_.push_back(conn);
     else
-        free_later(conn);
+        conn->close();
 }
 
-/// Frees a connection after the running callbacks: evhttp does not allow freeing a connection
-/// inside one of its own callbacks.
-void engine_client::free_later(evhttp_connection* conn)
+/// Sends a short request over the connection, or over a new one if it can't be used again.
+void engine_client::ask(std::shared_ptr<http_connection>& conn, microseconds stall_timeout,
+                        const http_query& query,
+                        std::function<void(const result<http_answer>&)> done)
 {
-    loop_->defer([conn] { evhttp_connection_free(conn); });
+    if (conn == nullptr || !conn->is_reusable()) {
+        auto connected = new_connection(stall_timeout);
+        if (!connected) {
+            done(tl::unexpected(connected.error()));
+            return;
+        }
+        conn = std::move(*connected);
+    }
+    send_request(conn, query, std::move(done));
 }
 
 // Calls.
@@ -132,9 +131,14 @@
                                      outcome.usage.cached_tokens, outcome.usage.generated_tokens,
                                      outcome.reason);
     };
+    auto conn = take_connection();
+    if (!conn) {
+        fail_call(e.attempt, false, "no connection");
+        return;
+    }
     const auto session = engine_session::make(e.attempt, std::move(handlers));
     sessions_.insert_or_assign(e.attempt, session);
-    session->start(take_connection(), peer_, e);
+    session->start(std::move(*conn), peer_, e);
 }
 
 void engine_client::run(const engine_cancel& e)
@@ -145,7 +149,6 @@
     const auto session = it->second;
     sessions_.erase(it);
     session->cancel();
-    loop_->defer([session] { evhttp_connection_free(session->connection()); });
 }
 
 void engine_client::run(const engine_pause& e)
@@ -164,18 +167,20 @@
     const auto session = it->second;
     sessions_.erase(it);
     if (complete) {
-        // The connection becomes idle after evhttp's callback has returned: before that, evhttp
-        // would confuse a new request with the one that ends.
-        loop_->defer([client = shared_from_this(), session] {
-            client->keep_connection(session->connection());
-        });
+        keep_connection(session->connection());
         emit(engine_end{attempt, cached_tokens, generated_tokens});
         return;
     }
-    loop_->defer([session] { evhttp_connection_free(session->connection()); });
+    session->connection()->close();
+    fail_call(attempt, sent, reason);
+}
+
+/// Reports the failure of a call once the engine's state is known.
+void engine_client::fail_call(const attempt_id& attempt, bool sent, std::string_view reason)
+{
     held_failures_.push_back({attempt, sent, make_error("call backend server", reason)});
     // A report that is being read may be older than the failure, so it is read again.
-    report_outdated_ = report_exchange_ != nullptr;
+    report_outdated_ = is_reading_report_;
     read_report();
 }
 
@@ -190,29 +195,27 @@
 
 void engine_client::read_report()
 {
-    if (report_exchange_)
+    if (is_reading_report_)
         return;
-    if (report_conn_ == nullptr)
-        report_conn_ = new_connection(report_timeout_seconds);
-    report_exchange_ =
-        send_request(report_conn_, {peer_, "/v1/load", ""},
-                     [this](const result<http_answer>& answer) { on_report(answer); });
+    is_reading_report_ = true;
+    ask(report_conn_, report_timeout, {peer_, "/v1/load", ""},
+        [this](const result<http_answer>& answer) { on_report(answer); });
     if (report_deadline_)
         report_deadline_->arm(report_deadline);
 }
 
 void engine_client::give_up_report()
 {
-    if (!report_exchange_)
+    if (!is_reading_report_ || report_conn_ == nullptr)
         return;
-    evhttp_connection_free(std::exchange(report_conn_, nullptr));
+    report_conn_->close();
     on_report(fail(error_code::deadline_exceeded, "read engine report", peer_, "no whole report"));
 }
 
 void engine_client::on_report(const result<http_answer>& answer)
 {
     loop_->defer([client = shared_from_this(), answer] {
-        client->report_exchange_.reset();
+        client->is_reading_report_ = false;
         if (std::exchange(client->report_outdated_, false)) {
             client->read_report();
             return;
@@ -272,7 +275,7 @@
 void engine_client::run(const engine_order_run& e)
 {
     orders_.push_back(e.fenced_order);
-    if (!order_exchange_)
+    if (!is_running_order_)
         start_next_order();
 }
 
@@ -280,17 +283,15 @@
 {
     if (orders_.empty())
         return;
-    if (order_conn_ == nullptr)
-        order_conn_ = new_connection(order_timeout_seconds);
-    order_exchange_ =
-        send_request(order_conn_, {peer_, "/v1/orders", wire::order_json(orders_.front())},
-                     [this](const result<http_answer>& answer) { on_order_done(answer); });
+    is_running_order_ = true;
+    ask(order_conn_, order_timeout, {peer_, "/v1/orders", wire::order_json(orders_.front())},
+        [this](const result<http_answer>& answer) { on_order_done(answer); });
 }
 
 void engine_client::on_order_done(const result<http_answer>& answer)
 {
     loop_->defer([client = shared_from_this(), answer] {
-        client->order_exchange_.reset();
+        client->is_running_order_ = false;
         const engine_order order = std::move(client->orders_.front());
         client->orders_.erase(client->orders_.begin());
         engine_order_finished finished;
--- a/src/libruntime/engine_client_test.cpp
+++ b/src/libruntime/engine_client_test.cpp
@@ -1,5 +1,7 @@
 // Answers of a backend server that end in all the ways in which a connection can.
 
+#include "invalid_heads_test.h"
+
 #include <bluebell/core/event.h>
 #include <bluebell/runtime/byte_stream.h>
 #include <bluebell/runtime/engine_client.h>
@@ -14,6 +16,8 @@
 
 using namespace bluebell;
 using runtime::byte_stream;
+using runtime::testing::invalid_fields;
+using runtime::testing::invalid_name_bytes;
 
 namespace {
 
@@ -29,10 +33,13 @@
     std::vector<std::shared_ptr<byte_stream>> accepted;
     std::string answer;
     ending end = ending::close;
+    bool reads_bodies = true; ///< false: reads nothing after the first bytes of a call
+    std::size_t closed = 0;   ///< connections that the client closed
     std::shared_ptr<runtime::engine_client> client;
     std::vector<core::engine_event> events;
 
-    answered_call(std::string text, ending by) : answer(std::move(text)), end(by)
+    answered_call(std::string text, ending by, core::bytes unread_body = {})
+        : answer(std::move(text)), end(by), reads_bodies(unread_body.empty())
     {
         sockaddr_in any{};
         any.sin_family = AF_INET;
@@ -48,18 +55,23 @@
         client = *runtime::engine_client::make(loop, options, [this](core::event_body ev) {
             events.push_back(std::get<core::engine_event>(std::move(ev)));
         });
-        ask("q1");
+        ask("q1", std::move(unread_body));
     }
-    void ask(const std::string& id)
+    void ask(const std::string& id, core::bytes body = {})
     {
         events.clear();
         core::engine_run call;
         call.attempt = {core::request_id::from_trusted(id), 1};
         call.call_spec.id = call.attempt.request;
         call.call_spec.target = core::chat_target{};
+        call.call_spec.body = std::move(body);
         client->run(call);
+        run();
+    }
+    void run(core::microseconds duration = run_time)
+    {
         const auto stop = runtime::watcher::timer(*loop, [&] { loop->stop(); });
-        stop->arm(run_time);
+        stop->arm(duration);
         loop->run();
     }
     ~answered_call()
@@ -76,8 +88,10 @@
         f->accepted.push_back(stream);
         byte_stream::callbacks handlers;
         handlers.data = [f, stream = stream.get()](std::string_view data) {
-            if (data.find("/v1/load") == std::string_view::npos)
-                stream->write(f->answer);
+            if (data.find("/v1/load") != std::string_view::npos)
+                return data.size();
+            stream->write(f->answer);
+            stream->pause_reading(!f->reads_bodies);
             return data.size();
         };
         handlers.written = [f, stream = stream.get()] {
@@ -86,7 +100,7 @@
             else if (f->end == ending::close)
                 stream->close();
         };
-        handlers.closed = [](const core::error*) {};
+        handlers.closed = [f](const core::error*) { f->closed += 1; };
         stream->start(std::move(handlers));
     }
     [[nodiscard]] std::string body() const
@@ -109,6 +123,30 @@
 
 const std::string json_head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
 
+/// Heads of answers that no reader may accept, each behind its status line and without its end.
+std::vector<std::string> invalid_heads()
+{
+    const std::string sound_line = "HTTP/1.1 200 OK\r\n";
+    const std::string length = "Content-Length: 2\r\n";
+    std::vector<std::string> heads;
+    for (const std::string status :
+         {"000 OK", "000 ", "001 OK", "099 OK", "101 Switching Protocols", "600 OK", "999 OK",
+          "0200 OK", "200 O\x07K"})
+        heads.push_back("HTTP/1.1 " + status + "\r\n" + length);
+    for (const std::string& field : invalid_fields())
+        heads.push_back(sound_line + field + length);
+    for (const char c : invalid_name_bytes()) {
+        heads.push_back(sound_line + "Content-Length" + c + ": 2\r\n");
+        heads.push_back(sound_line + "Transfer-Encoding" + c + ": chunked\r\n");
+    }
+    for (const std::string framing :
+         {"Content-Length: +2\r\n", "Content-Length: 2\r\nContent-Length: 315\r\n",
+          "Content-Length: 0x2\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+          "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"})
+        heads.push_back(sound_line + framing);
+    return heads;
+}
+
 /// A backend server that answers each request on a path with a start and then the same bytes again
 /// and again, until the client closes the connection or has taken very many.
 struct endless_server {
@@ -279,6 +317,118 @@
     }
 }
 
+// Guards against a broken answer that counts as whole, and against a call that keeps its place for
+// as long as the connection stays open: a head that is none, and fields whose names hide the
+// framing.
+BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_head_fails_its_call_at_once)
+{
+    const std::string sound = json_head + "Content-Length: 2\r\n\r\n{}";
+    for (const std::string& head : invalid_heads()) {
+        for (const std::string type : {"application/json", "text/event-stream"}) {
+            const std::string body = type == "application/json" ? "{}" : "data: [DONE]\n\n";
+            const std::string answer = head + "Content-Type: " + type + "\r\n\r\n" + body;
+            for (const ending end : {ending::keep, ending::close}) {
+                const answered_call call(answer, end);
+                BOOST_TEST(!call.has<core::engine_head>(), answer);
+                BOOST_TEST(!call.has<core::engine_end>(), answer);
+                BOOST_TEST((call.closed == 1 || end == ending::close), answer);
+            }
+        }
+        answered_call second(sound, ending::keep);
+        BOOST_TEST(second.has<core::engine_end>());
+        second.answer = head + "\r\n{}";
+        second.ask("q2");
+        BOOST_TEST(!second.has<core::engine_head>(), "on a kept connection: " << head);
+        BOOST_TEST(!second.has<core::engine_end>(), "on a kept connection: " << head);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_interim_answer_with_an_invalid_field_fails_its_call)
+{
+    const std::string sound = json_head + "Content-Length: 2\r\n\r\n{}";
+    for (const std::string& field : invalid_fields()) {
+        const answered_call call("HTTP/1.1 100 Continue\r\n" + field + "\r\n" + sound,
+                                 ending::keep);
+        BOOST_TEST(!call.has<core::engine_end>(), field);
+    }
+}
+
+// Guards against a part of an answer that counts as the whole: the server sends it while the call
+// is still being written, and resets the connection.
+BOOST_AUTO_TEST_CASE(a_reset_during_the_sending_of_a_call_breaks_its_answer)
+{
+    constexpr std::size_t more_than_buffers_hold = std::size_t{32} * 1024 * 1024;
+    const auto body = core::bytes::from(std::string(more_than_buffers_hold, 'b'));
+    const std::string stream_head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    for (const std::string& answer :
+         {json_head + "\r\n{}", json_head + "\r\n{\"a\":", stream_head + "data: {}\n\n",
+          stream_head + "data: {}\n\ndata: [DONE]\n\n"}) {
+        for (const ending end : {ending::reset, ending::keep}) {
+            answered_call call(answer, end, body);
+            BOOST_REQUIRE(!call.accepted.empty());
+            call.accepted.front()->reset();
+            constexpr core::microseconds until_failures_are_reported{2'500'000};
+            call.run(until_failures_are_reported);
+            BOOST_TEST(!call.has<core::engine_end>(), answer);
+            BOOST_TEST(call.has<core::engine_failed>(), answer);
+        }
+    }
+}
+
+// Guards against a call that breaks out of its request line or of a header. None of it is sent.
+BOOST_AUTO_TEST_CASE(a_call_with_a_malformed_part_is_not_sent)
+{
+    const std::string sound = json_head + "Content-Length: 2\r\n\r\n{}";
+    for (const std::string path : {"/a b", "/a\r\nX: y", "a", ""}) {
+        answered_call call(sound, ending::keep);
+        call.events.clear();
+        core::engine_run run;
+        run.attempt = {core::request_id::from_trusted("q2"), 1};
+        run.call_spec.id = run.attempt.request;
+        run.call_spec.target = core::service_target{{}, "POST", path, ""};
+        call.client->run(run);
+        constexpr core::microseconds until_failures_are_reported{2'500'000};
+        call.run(until_failures_are_reported);
+        BOOST_REQUIRE(call.has<core::engine_failed>());
+        BOOST_TEST(!std::get<core::engine_failed>(call.events.front()).sent, path);
+    }
+}
+
+// Guards against a state of the engine that it never reported.
+BOOST_AUTO_TEST_CASE(a_report_with_an_invalid_head_is_no_report)
+{
+    for (const std::string& head : invalid_heads()) {
+        endless_server server("/v1/load", head + "\r\n{}", "");
+        server.client->start();
+        const auto stop = runtime::watcher::timer(*server.loop, [&] { server.loop->stop(); });
+        stop->arm(run_time);
+        server.loop->run();
+        const bool has_report =
+            std::any_of(server.events.begin(), server.events.end(), [](const auto& e) {
+                return std::holds_alternative<core::engine_report>(e);
+            });
+        BOOST_TEST(!has_report, head);
+        BOOST_TEST(server.closed, head);
+    }
+}
+
+// Guards against an order that counts as carried out and wasn't.
+BOOST_AUTO_TEST_CASE(an_order_whose_answer_has_an_invalid_head_has_failed)
+{
+    for (const std::string& head : invalid_heads()) {
+        endless_server server("/v1/orders", head + "\r\n{}", "");
+        server.client->run(core::engine_order_run{});
+        const auto stop = runtime::watcher::timer(*server.loop, [&] { server.loop->stop(); });
+        stop->arm(run_time);
+        server.loop->run();
+        server.loop->settle();
+        const auto* finished = server.events.empty()
+                                   ? nullptr
+                                   : std::get_if<core::engine_order_finished>(&server.events[0]);
+        BOOST_TEST((finished != nullptr && !finished->succeeded), head);
+    }
+}
+
 // Guards against an agent that runs out of memory: its engine sends a head, a size line of a chunk,
 // a trailer or interim answers without end.
 BOOST_AUTO_TEST_CASE(calls_whose_answer_has_a_part_without_end_fail)
--- a/src/libruntime/engine_session.cpp
+++ b/src/libruntime/engine_session.cpp
@@ -4,12 +4,8 @@
 
 #include <bluebell/core/visit.h>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/http.h>
-
 #include <algorithm>
+#include <array>
 
 namespace bluebell::runtime {
 
@@ -23,24 +19,19 @@
 
 /// Parts of the HTTP request that depend on the kind of target.
 struct request_parts {
-    evhttp_cmd_type command = EVHTTP_REQ_POST;
+    std::string method;
     std::string path;
     std::string content_type;
 };
 
-evhttp_cmd_type parse_method(std::string_view method)
+/// Returns the method if backend servers are called by it, else POST.
+std::string choose_method(std::string_view method)
 {
-    if (method == "GET")
-        return EVHTTP_REQ_GET;
-    if (method == "HEAD")
-        return EVHTTP_REQ_HEAD;
-    if (method == "PUT")
-        return EVHTTP_REQ_PUT;
-    if (method == "DELETE")
-        return EVHTTP_REQ_DELETE;
-    if (method == "PATCH")
-        return EVHTTP_REQ_PATCH;
-    return EVHTTP_REQ_POST;
+    constexpr std::array<std::string_view, 5> other_methods{"GET", "HEAD", "PUT", "DELETE",
+                                                            "PATCH"};
+    const bool is_known =
+        std::find(other_methods.begin(), other_methods.end(), method) != other_methods.end();
+    return std::string(is_known ? method : "POST");
 }
 
 request_parts make_request_parts(const call_target& target)
@@ -48,37 +39,29 @@
     return match(
         target,
         [](const chat_target&) {
-            return request_parts{EVHTTP_REQ_POST, "/v1/chat/completions", "application/json"};
+            return request_parts{"POST", "/v1/chat/completions", "application/json"};
         },
         [](const service_target& t) {
-            return request_parts{parse_method(t.method), t.path, t.content_type};
+            return request_parts{choose_method(t.method), t.path, t.content_type};
         });
 }
 
-/// Returns whether the path can be sent safely. Other paths could break out of the request line.
-bool is_safe_path(std::string_view path)
+http_request make_request(const std::string& host, const engine_run& run)
 {
-    return !path.empty() && path.front() == '/' &&
-           std::all_of(path.begin(), path.end(), [](char c) { return c > ' ' && c < '\x7f'; });
-}
-
-/// Returns whether something else than the end of the connection marks the end of the answer.
-bool marks_its_end(evhttp_request* request)
-{
-    constexpr int no_content = 204;
-    constexpr int not_modified = 304;
-    const auto* headers = evhttp_request_get_input_headers(request);
-    const int status = evhttp_request_get_response_code(request);
-    return evhttp_find_header(headers, "Content-Length") != nullptr ||
-           evhttp_find_header(headers, "Transfer-Encoding") != nullptr || status == no_content ||
-           status == not_modified || evhttp_request_get_command(request) == EVHTTP_REQ_HEAD;
-}
-
-std::string read_all(evbuffer* buf)
-{
-    std::string text(evbuffer_get_length(buf), '\0');
-    evbuffer_remove(buf, text.data(), text.size());
-    return text;
+    const call& c = run.call_spec;
+    request_parts parts = make_request_parts(c.target);
+    http_request request{std::move(parts.method),
+                         std::move(parts.path),
+                         {{"Host", host},
+                          {"X-Request-Id", c.id.str()},
+                          {"X-Bluebell-Workspace", c.workspace.str()},
+                          {"X-Priority", std::to_string(run.engine_priority)}},
+                         c.body};
+    if (!c.key.empty())
+        request.fields.push_back({"Idempotency-Key", c.key.str()});
+    if (!parts.content_type.empty())
+        request.fields.push_back({"Content-Type", std::move(parts.content_type)});
+    return request;
 }
 
 } // namespace
@@ -89,61 +72,55 @@
         new engine_session(std::move(attempt), std::move(handlers)));
 }
 
-void engine_session::start(evhttp_connection* conn, const std::string& host, const engine_run& run)
+void engine_session::start(std::shared_ptr<http_connection> conn, const std::string& host,
+                           const engine_run& run)
 {
-    conn_ = conn;
+    conn_ = std::move(conn);
     call_ = run.call_spec.id;
-    const request_parts parts = make_request_parts(run.call_spec.target);
-    if (!is_safe_path(parts.path)) {
-        finish({false, false, {}, "the path is malformed"});
-        return;
-    }
-    evhttp_request* request = evhttp_request_new(&engine_session::on_done, this);
-    evhttp_request_set_header_cb(request, &engine_session::on_head);
-    evhttp_request_set_chunked_cb(request, &engine_session::on_chunk);
-    auto* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", host.c_str());
-    evhttp_add_header(headers, "X-Request-Id", run.call_spec.id.str().c_str());
-    evhttp_add_header(headers, "X-Bluebell-Workspace", run.call_spec.workspace.str().c_str());
-    evhttp_add_header(headers, "X-Priority", std::to_string(run.engine_priority).c_str());
-    if (!run.call_spec.key.empty())
-        evhttp_add_header(headers, "Idempotency-Key", run.call_spec.key.str().c_str());
-    if (!parts.content_type.empty())
-        evhttp_add_header(headers, "Content-Type", parts.content_type.c_str());
-    const auto body = run.call_spec.body.view();
-    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
-    if (evhttp_make_request(conn_, request, parts.command, parts.path.c_str()) != 0)
-        finish({false, false, {}, "can't send"});
+    http_connection::callbacks handlers;
+    handlers.head = [weak = weak_from_this()](const message_head& head) {
+        if (const auto session = weak.lock(); session != nullptr && !session->ended_)
+            session->handle_head(head);
+    };
+    handlers.body = [weak = weak_from_this()](std::string data) {
+        if (const auto session = weak.lock(); session != nullptr && !session->ended_)
+            session->handle_body_part(std::move(data));
+    };
+    handlers.ended = [weak = weak_from_this()](const exchange_end& end) {
+        if (const auto session = weak.lock(); session != nullptr && !session->ended_)
+            session->handle_end(end);
+    };
+    conn_->send(make_request(host, run), std::move(handlers));
 }
 
 void engine_session::pause(bool paused)
 {
-    if (ended_)
-        return;
-    bufferevent* bev = evhttp_connection_get_bufferevent(conn_);
-    if (paused)
-        bufferevent_disable(bev, EV_READ);
-    else
-        bufferevent_enable(bev, EV_READ);
+    if (!ended_)
+        conn_->pause(paused);
+}
+
+void engine_session::cancel()
+{
+    ended_ = true;
+    if (conn_ != nullptr)
+        conn_->close();
 }
 
-void engine_session::handle_head(evhttp_request* request)
+void engine_session::handle_head(const message_head& head)
 {
-    const auto* headers = evhttp_request_get_input_headers(request);
-    const char* named_call = evhttp_find_header(headers, "X-Request-Id");
-    is_other_answer_ = named_call != nullptr && named_call != call_.str();
+    is_other_answer_ =
+        std::any_of(head.headers.begin(), head.headers.end(), [this](const core::header_field& f) {
+            return header_names_equal(f.name, "X-Request-Id") && f.value != call_.str();
+        });
     if (is_other_answer_)
         return;
-    const char* type = evhttp_find_header(headers, "Content-Type");
-    const std::string content_type = type == nullptr ? "" : type;
+    const std::string content_type(find_header(head.headers, "Content-Type"));
     streamed_ = content_type.starts_with("text/event-stream");
-    const auto status = static_cast<std::uint16_t>(evhttp_request_get_response_code(request));
-    handlers_.event(engine_head{attempt_, status, content_type, streamed_});
+    handlers_.event(engine_head{attempt_, head.status, content_type, streamed_});
 }
 
-void engine_session::handle_body_part(evhttp_request* request)
+void engine_session::handle_body_part(std::string data)
 {
-    std::string data = read_all(evhttp_request_get_input_buffer(request));
     if (is_other_answer_)
         return;
     if (streamed_) {
@@ -175,18 +152,18 @@
     }
 }
 
-/// Handles the end of the HTTP request. evhttp passes null when the connection failed, and a
-/// request without a status when no connection could be established.
-void engine_session::handle_completion(evhttp_request* request)
+void engine_session::handle_end(const exchange_end& end)
+{
+    match(
+        end, [this](const exchange_completed& completed) { handle_completion(completed.end); },
+        [this](const exchange_broken& broken) {
+            finish({false, broken.sent, {}, describe(broken)});
+        });
+}
+
+/// Handles an answer that was received up to its end.
+void engine_session::handle_completion(answer_ending end)
 {
-    if (request == nullptr) {
-        finish({false, true, {}, "the connection broke"});
-        return;
-    }
-    if (evhttp_request_get_response_code(request) == 0) {
-        finish({false, false, {}, "no connection"});
-        return;
-    }
     if (is_other_answer_) {
         finish({false, true, {}, "the answer names another call"});
         return;
@@ -199,7 +176,8 @@
         return;
     }
     // A backend server that crashes ends its connections as it ends a whole answer.
-    if (!streamed_ && !marks_its_end(request) && !wire::is_whole_document(unstreamed_body_)) {
+    if (!streamed_ && end == answer_ending::connection &&
+        !wire::is_whole_document(unstreamed_body_)) {
         finish({false, true, {}, "only the end of the connection marks the answer's"});
         return;
     }
@@ -214,28 +192,4 @@
     handlers_.ended(attempt_, outcome);
 }
 
-void engine_session::on_done(evhttp_request* request, void* self)
-{
-    const auto session = static_cast<engine_session*>(self)->shared_from_this();
-    if (!session->ended_)
-        session->handle_completion(request);
-}
-
-int engine_session::on_head(evhttp_request* request, void* self)
-{
-    const auto session = static_cast<engine_session*>(self)->shared_from_this();
-    if (session->interim_.is_interim(request))
-        return session->interim_.exceeded() ? -1 : 0;
-    if (!session->ended_)
-        session->handle_head(request);
-    return 0;
-}
-
-void engine_session::on_chunk(evhttp_request* request, void* self)
-{
-    const auto session = static_cast<engine_session*>(self)->shared_from_this();
-    if (!session->ended_)
-        session->handle_body_part(request);
-}
-
 } // namespace bluebell::runtime
--- a/src/libruntime/engine_session_pvt.h
+++ b/src/libruntime/engine_session_pvt.h
@@ -1,20 +1,16 @@
 /// \file
-/// One call that runs in the backend server. evhttp may report a failed connection inside a send,
-/// so the client's table and each deferred callback own the session.
+/// One call that runs in the backend server. The client's table owns the session; the connection's
+/// callbacks hold weak references.
 #pragma once
 
 #include <bluebell/core/effect.h>
-#include <bluebell/runtime/answer_limits.h>
-#include <bluebell/runtime/event_loop.h>
+#include <bluebell/runtime/http_connection.h>
 #include <bluebell/wire/chat_http.h>
 #include <bluebell/wire/engine_http.h>
 
 #include <functional>
 #include <memory>
 
-struct evhttp_connection;
-struct evhttp_request;
-
 namespace bluebell::runtime {
 
 /// Sends one call to the backend server and reports its answer as events.
@@ -38,34 +34,32 @@
     engine_session(const engine_session&) = delete;
     engine_session& operator=(const engine_session&) = delete;
 
-    /// Sends the call over the connection. The session uses but does not own the connection.
-    void start(evhttp_connection* conn, const std::string& host, const core::engine_run& run);
+    /// Sends the call over the connection, which the session uses alone until its end.
+    void start(std::shared_ptr<http_connection> conn, const std::string& host,
+               const core::engine_run& run);
     /// Stops or resumes reading, which applies back pressure to the engine for a slow caller.
     void pause(bool paused);
-    /// Ends the session. No event follows. The connection must be freed and not reused.
-    void cancel() { ended_ = true; }
+    /// Ends the session and closes its connection. No event follows.
+    void cancel();
 
-    [[nodiscard]] evhttp_connection* connection() const { return conn_; }
+    [[nodiscard]] const std::shared_ptr<http_connection>& connection() const { return conn_; }
 
 private:
     engine_session(core::attempt_id attempt, callbacks handlers)
         : attempt_(std::move(attempt)), handlers_(std::move(handlers))
     {
     }
-    void handle_head(evhttp_request* request);
-    void handle_body_part(evhttp_request* request);
+    void handle_head(const message_head& head);
+    void handle_body_part(std::string data);
     void handle_stream(std::string_view data);
-    void handle_completion(evhttp_request* request);
+    void handle_end(const exchange_end& end);
+    void handle_completion(core::answer_ending end);
     void finish(const session_outcome& outcome);
-    static void on_done(evhttp_request* request, void* self);
-    static int on_head(evhttp_request* request, void* self);
-    static void on_chunk(evhttp_request* request, void* self);
 
     core::attempt_id attempt_;
     callbacks handlers_;
-    evhttp_connection* conn_ = nullptr;
-    core::request_id call_; ///< an answer that names another call is not this one's
-    interim_answers interim_;
+    std::shared_ptr<http_connection> conn_;
+    core::request_id call_;        ///< an answer that names another call is not this one's
     bool is_other_answer_ = false; ///< the answer names another call
     wire::sse_parser parser_;
     wire::token_usage usage_;
--- a/src/libruntime/http_exchange.cpp
+++ b/src/libruntime/http_exchange.cpp
@@ -1,12 +1,8 @@
-// Short HTTP requests to the backend server over evhttp.
+// Short HTTP requests to the backend server.
 
 #include "http_exchange_pvt.h"
 
-#include <bluebell/runtime/answer_limits.h>
-
-#include <event2/buffer.h>
-#include <event2/event.h>
-#include <event2/http.h>
+#include <bluebell/core/visit.h>
 
 #include <utility>
 
@@ -14,79 +10,53 @@
 
 using core::error_code;
 
+namespace {
+
 /// A request in progress and its callback.
-struct http_exchange {
+struct pending_exchange {
     std::string peer;
-    std::function<void(core::result<http_answer>)> on_answer; ///< empty once called
-    std::string body;                                         ///< as far as it has arrived
-    bool is_too_large = false;
-    interim_answers interim;
+    std::function<void(const core::result<http_answer>&)> on_answer;
+    http_answer answer; ///< as far as it has arrived
 };
 
-namespace {
-
-void on_request_done(evhttp_request* request, void* self)
-{
-    auto* exchange = static_cast<http_exchange*>(self);
-    const auto on_answer = std::exchange(exchange->on_answer, nullptr);
-    if (!on_answer)
-        return;
-    if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
-        on_answer(
-            core::fail(error_code::unavailable, "ask backend server", exchange->peer, "no answer"));
-        return;
-    }
-    if (exchange->is_too_large) {
-        on_answer(core::fail(error_code::too_large, "ask backend server", exchange->peer,
-                             "the answer is too large"));
-        return;
-    }
-    on_answer(http_answer{evhttp_request_get_response_code(request), std::move(exchange->body)});
-}
-
-int on_head(evhttp_request* request, void* self)
-{
-    auto* exchange = static_cast<http_exchange*>(self);
-    return exchange->interim.is_interim(request) && exchange->interim.exceeded() ? -1 : 0;
-}
-
-void on_body_part(evhttp_request* request, void* self)
+http_request make_request(const http_query& query)
 {
-    auto* exchange = static_cast<http_exchange*>(self);
-    evbuffer* buf = evhttp_request_get_input_buffer(request);
-    const std::size_t size = evbuffer_get_length(buf);
-    const std::size_t before = exchange->body.size();
-    exchange->is_too_large = exchange->is_too_large || before + size > max_answer_bytes;
-    if (exchange->is_too_large) {
-        exchange->body.clear();
-        return;
+    http_request request{"GET", query.path, {{"Host", query.host}}, {}};
+    if (!query.body.empty()) {
+        request.method = "POST";
+        request.fields.push_back({"Content-Type", "application/json"});
+        request.body = core::bytes::from(query.body);
     }
-    exchange->body.resize(before + size);
-    evbuffer_remove(buf, exchange->body.data() + before, size);
+    return request;
 }
 
 } // namespace
 
-std::shared_ptr<http_exchange>
-send_request(evhttp_connection* conn, const http_query& query,
-             std::function<void(core::result<http_answer>)> on_answer)
+void send_request(const std::shared_ptr<http_connection>& conn, const http_query& query,
+                  std::function<void(const core::result<http_answer>&)> on_answer)
 {
-    auto exchange = std::make_shared<http_exchange>(
-        http_exchange{query.host, std::move(on_answer), {}, false, {}});
-    evhttp_request* request = evhttp_request_new(&on_request_done, exchange.get());
-    evhttp_request_set_header_cb(request, &on_head);
-    evhttp_request_set_chunked_cb(request, &on_body_part);
-    auto* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", query.host.c_str());
-    if (!query.body.empty()) {
-        evhttp_add_header(headers, "Content-Type", "application/json");
-        evbuffer_add(evhttp_request_get_output_buffer(request), query.body.data(),
-                     query.body.size());
-    }
-    const auto command = query.body.empty() ? EVHTTP_REQ_GET : EVHTTP_REQ_POST;
-    if (evhttp_make_request(conn, request, command, query.path.c_str()) != 0)
-        on_request_done(nullptr, exchange.get());
-    return exchange;
+    const auto exchange =
+        std::make_shared<pending_exchange>(pending_exchange{query.host, std::move(on_answer), {}});
+    http_connection::callbacks handlers;
+    handlers.head = [exchange](const message_head& head) { exchange->answer.status = head.status; };
+    handlers.body = [exchange, weak = std::weak_ptr(conn)](const std::string& part) {
+        exchange->answer.body += part;
+        if (exchange->answer.body.size() <= max_answer_bytes)
+            return;
+        if (const auto connection = weak.lock())
+            connection->close();
+        exchange->on_answer(core::fail(error_code::too_large, "ask backend server", exchange->peer,
+                                       "the answer is too large"));
+    };
+    handlers.ended = [exchange](const exchange_end& end) {
+        core::match(
+            end, [&](const exchange_completed&) { exchange->on_answer(exchange->answer); },
+            [&](const exchange_broken& broken) {
+                exchange->on_answer(core::fail(error_code::unavailable, "ask backend server",
+                                               exchange->peer, describe(broken)));
+            });
+    };
+    conn->send(make_request(query), std::move(handlers));
 }
 
 } // namespace bluebell::runtime
--- a/src/libruntime/http_exchange_pvt.h
+++ b/src/libruntime/http_exchange_pvt.h
@@ -3,13 +3,11 @@
 #pragma once
 
 #include <bluebell/core/error.h>
+#include <bluebell/runtime/http_connection.h>
 
 #include <functional>
-#include <memory>
 #include <string>
 
-struct evhttp_connection;
-
 namespace bluebell::runtime {
 
 /// A complete HTTP response.
@@ -29,13 +27,10 @@
     friend bool operator==(const http_query&, const http_query&) = default;
 };
 
-struct http_exchange;
-
-/// Sends a request over the connection, which may be reused afterwards. Calls back exactly once;
-/// the result fails with unavailable or too_large at step `ask backend server`. The caller must
-/// keep the returned object until the callback has run or the connection has been freed.
-[[nodiscard]] std::shared_ptr<http_exchange>
-send_request(evhttp_connection* conn, const http_query& query,
-             std::function<void(core::result<http_answer>)> on_answer);
+/// Sends a request over the connection, which may be reused afterwards if it says so. Calls back
+/// once, after the call has returned, unless the connection is closed before; the result fails with
+/// unavailable or too_large at step `ask backend server`.
+void send_request(const std::shared_ptr<http_connection>& conn, const http_query& query,
+                  std::function<void(const core::result<http_answer>&)> on_answer);
 
 } // namespace bluebell::runtime
