--- a/src/include/bluebell/runtime/http_connection.h
+++ b/src/include/bluebell/runtime/http_connection.h
@@ -53,7 +53,9 @@
 class http_connection : public std::enable_shared_from_this<http_connection> {
 public:
     struct callbacks {
-        std::function<void(const message_head&)> head;  ///< once; interim answers are skipped
+        /// Once; interim answers are skipped. Until the request has arrived, only a complete
+        /// answer or a long one is reported.
+        std::function<void(const message_head&)> head;
         std::function<void(std::string)> body;          ///< the next part of the body
         std::function<void(const exchange_end&)> ended; ///< once, and the last one
     };
@@ -86,6 +88,9 @@
     std::size_t on_data(std::string_view data);
     void on_closed(const core::error* failure);
     void on_stall_timer();
+    void on_hold_timer();
+    [[nodiscard]] bool must_hold_answer() const;
+    void report_progress();
     void handle_head();
     void report_body();
     void complete(core::answer_ending end, bool reusable);
@@ -96,6 +101,7 @@
     std::shared_ptr<byte_stream> stream_;
     core::microseconds stall_timeout_;
     std::unique_ptr<watcher> stall_timer_;
+    std::unique_ptr<watcher> hold_timer_; ///< armed while an answer is held
     core::instant progressed_at_{}; ///< when bytes were last sent or received, or a pause ended
     message_reader reader_;
     callbacks handlers_;
@@ -107,6 +113,7 @@
     bool head_handled_ = false;  ///< the head of the current answer was handled
     bool head_reported_ = false; ///< the head of the final answer was reported
     int interim_answers_ = 0;    ///< before the final answer
+    std::size_t held_bytes_ = 0; ///< of the current answer, read before its head was handled
     std::size_t body_bytes_ = 0; ///< of the final answer, received so far
 };
 
--- a/src/libruntime/engine_client_test.cpp
+++ b/src/libruntime/engine_client_test.cpp
@@ -368,6 +368,7 @@
         for (const ending end : {ending::reset, ending::keep}) {
             answered_call call(answer, end, body);
             BOOST_REQUIRE(!call.accepted.empty());
+            BOOST_TEST(!call.has<core::engine_head>(), answer);
             call.accepted.front()->reset();
             constexpr core::microseconds until_failures_are_reported{2'500'000};
             call.run(until_failures_are_reported);
@@ -377,6 +378,15 @@
     }
 }
 
+// An answer that is complete has nothing to wait for, though the server reads no more of the call.
+BOOST_AUTO_TEST_CASE(an_early_answer_to_a_call_with_a_length_is_whole)
+{
+    const auto body = core::bytes::from(std::string(std::size_t{32} * 1024 * 1024, 'b'));
+    const answered_call call(json_head + "Content-Length: 2\r\n\r\n{}", ending::keep, body);
+    BOOST_TEST(call.body() == "{}");
+    BOOST_TEST(call.has<core::engine_end>());
+}
+
 // Guards against the same where the system sends an ordinary end before the reset.
 BOOST_AUTO_TEST_CASE(an_end_during_the_sending_of_a_call_breaks_its_answer)
 {
--- a/src/libruntime/http_connection.cpp
+++ b/src/libruntime/http_connection.cpp
@@ -16,6 +16,11 @@
 /// Maximum number of interim answers (1xx) before an answer.
 constexpr int max_interim_answers = 8;
 
+/// Maximum size of an incomplete answer that waits until its request has arrived, in bytes.
+constexpr std::size_t max_held_bytes = std::size_t{1024} * 1024;
+/// How often such an answer is looked at again: the system doesn't report acknowledgements.
+constexpr microseconds hold_interval{10'000};
+
 /// Returns whether the text stays within its line of the head.
 bool is_one_line(std::string_view text)
 {
@@ -80,6 +85,7 @@
 void http_connection::start()
 {
     stall_timer_ = watcher::timer(*loop_, [this] { on_stall_timer(); });
+    hold_timer_ = watcher::timer(*loop_, [this] { on_hold_timer(); });
     byte_stream::callbacks handlers;
     handlers.data = [self = weak_from_this()](std::string_view data) -> std::size_t {
         const auto connection = self.lock();
@@ -110,6 +116,7 @@
     head_reported_ = false;
     interim_answers_ = 0;
     body_bytes_ = 0;
+    held_bytes_ = 0;
     if (!is_valid(request)) {
         loop_->defer([self = shared_from_this()] {
             if (self->busy_)
@@ -164,10 +171,9 @@
             return data.size();
         }
         consumed += *n;
-        if (reader_.head_done() && !head_handled_)
-            handle_head();
-        if (busy_)
-            report_body();
+        if (!head_handled_)
+            held_bytes_ += *n;
+        report_progress();
         if (!busy_)
             return data.size();
         if (reader_.done() && head_reported_) {
@@ -177,6 +183,7 @@
         }
         if (reader_.done()) {
             head_handled_ = false;
+            held_bytes_ = 0;
             reader_.next(body_expected_);
         } else if (*n == 0) {
             break;
@@ -185,6 +192,35 @@
     return consumed;
 }
 
+/// Returns whether the answer waits. Until the request has arrived, a reset may still show that
+/// what has come is only a part, and then its caller gets an error in place of a cut answer.
+bool http_connection::must_hold_answer() const
+{
+    return !reader_.done() && held_bytes_ <= max_held_bytes && !stream_->is_all_acknowledged();
+}
+
+/// Reports what has been read of the answer, unless it has to wait.
+void http_connection::report_progress()
+{
+    if (reader_.head_done() && !head_handled_) {
+        if (must_hold_answer()) {
+            hold_timer_->arm(hold_interval);
+            return;
+        }
+        handle_head();
+    }
+    if (busy_ && head_handled_)
+        report_body();
+}
+
+void http_connection::on_hold_timer()
+{
+    // The timer, which this object owns, is the caller of this function.
+    loop_->defer([self = shared_from_this()] {});
+    if (busy_)
+        report_progress();
+}
+
 /// Reports the head of a final answer, and counts interim ones.
 void http_connection::handle_head()
 {
