--- a/src/libruntime/engine_client_test.cpp
+++ b/src/libruntime/engine_client_test.cpp
@@ -90,10 +90,10 @@
         f->descriptors.push_back(descriptor);
         byte_stream::callbacks handlers;
         handlers.data = [f, stream = stream.get()](std::string_view data) {
-            if (data.find("/v1/load") != std::string_view::npos)
-                return data.size();
-            stream->write(f->answer);
-            stream->pause_reading(!f->reads_bodies);
+            if (data.starts_with("POST")) {
+                stream->write(f->answer);
+                stream->pause_reading(!f->reads_bodies);
+            }
             return data.size();
         };
         handlers.written = [f, stream = stream.get()] {
@@ -387,6 +387,20 @@
     BOOST_TEST(call.has<core::engine_end>());
 }
 
+BOOST_AUTO_TEST_CASE(an_early_answer_is_whole_if_its_call_is_read_to_its_end)
+{
+    const auto body = core::bytes::from(std::string(std::size_t{32} * 1024 * 1024, 'b'));
+    answered_call call(json_head + "\r\n{}", ending::keep, body);
+    BOOST_TEST(!call.has<core::engine_head>());
+    call.accepted.front()->pause_reading(false);
+    constexpr core::microseconds until_all_is_read{500'000};
+    call.run(until_all_is_read);
+    BOOST_TEST(call.body() == "{}");
+    ::shutdown(call.descriptors.front(), SHUT_WR);
+    call.run();
+    BOOST_TEST(call.has<core::engine_end>());
+}
+
 // Guards against the same where the system sends an ordinary end before the reset.
 BOOST_AUTO_TEST_CASE(an_end_during_the_sending_of_a_call_breaks_its_answer)
 {
--- a/src/libruntime/http_connection.cpp
+++ b/src/libruntime/http_connection.cpp
@@ -15,7 +15,6 @@
 constexpr std::uint32_t max_head_bytes = 64 * 1024;
 /// Maximum number of interim answers (1xx) before an answer.
 constexpr int max_interim_answers = 8;
-
 /// Maximum size of an incomplete answer that waits until its request has arrived, in bytes.
 constexpr std::size_t max_held_bytes = std::size_t{1024} * 1024;
 /// How often such an answer is looked at again: the system doesn't report acknowledgements.
@@ -260,6 +259,10 @@
         return;
     const auto self = shared_from_this();
     const bool is_orderly = failure == nullptr && !stream_->peer_closed_early();
+    if (is_orderly)
+        report_progress(); // an answer that was held
+    if (!busy_)
+        return;
     if (is_orderly && head_reported_ && reader_.close()) {
         complete(core::answer_ending::connection, false);
         return;
