--- a/src/include/bluebell/runtime/message_reader.h
+++ b/src/include/bluebell/runtime/message_reader.h
@@ -1,7 +1,8 @@
 /// \file
 /// A strict incremental parser of HTTP/1 requests and responses. Messages with ambiguous framing
 /// are rejected: two lengths, a length together with a transfer coding, unknown codings, folded
-/// headers, bare line feeds, white space before a colon. So are answers with an invalid status.
+/// headers, bare line feeds outside bodies, white space before a colon. So are answers with an
+/// invalid status.
 #pragma once
 
 #include <bluebell/core/exchange.h>
--- a/src/libruntime/message_reader.cpp
+++ b/src/libruntime/message_reader.cpp
@@ -92,15 +92,15 @@
 
 /// Rejects bare line feeds and folded headers. The complete head is checked before it is parsed,
 /// because the parser unfolds folded headers.
-core::result<void> check_line_endings(std::string_view head)
+core::result<void> check_line_endings(std::string_view lines, std::string_view step)
 {
-    for (std::size_t newline = head.find('\n'); newline != std::string_view::npos;
-         newline = head.find('\n', newline + 1)) {
-        const bool is_bare = newline == 0 || head[newline - 1] != '\r';
+    for (std::size_t newline = lines.find('\n'); newline != std::string_view::npos;
+         newline = lines.find('\n', newline + 1)) {
+        const bool is_bare = newline == 0 || lines[newline - 1] != '\r';
         const bool is_folded =
-            newline + 1 < head.size() && (head[newline + 1] == ' ' || head[newline + 1] == '\t');
+            newline + 1 < lines.size() && (lines[newline + 1] == ' ' || lines[newline + 1] == '\t');
         if (is_bare || is_folded)
-            return core::fail(error_code::invalid_argument, "read head", "",
+            return core::fail(error_code::invalid_argument, step, "",
                               is_bare ? "bare line feed" : "folded header");
     }
     return {};
@@ -155,7 +155,7 @@
         if (!p.is_header_done() && !line_endings_checked) {
             const auto end = data.find("\r\n\r\n");
             const auto head = data.substr(0, end);
-            if (auto checked = check_line_endings(head); !checked)
+            if (auto checked = check_line_endings(head, "read head"); !checked)
                 return tl::unexpected(checked.error());
             if (head.size() > max_head_bytes)
                 return core::fail(error_code::too_large, "read head", "", "head too long");
@@ -179,11 +179,21 @@
             if (n == 0)
                 break;
         }
-        // What the parser leaves is the beginning of a chunk's header or of the trailers.
-        if (!p.is_done() && data.size() - consumed > max_head_bytes)
+        if (!p.is_done()) {
+            if (auto checked = check_unfinished_line(data.substr(consumed)); !checked)
+                return tl::unexpected(checked.error());
+        }
+        return consumed;
+    }
+
+    /// Checks what the parser leaves, the beginning of a chunk's header or of the trailers. The
+    /// parser would wait for the end of a line that a bare line feed ends.
+    [[nodiscard]] core::result<void> check_unfinished_line(std::string_view rest) const
+    {
+        if (rest.size() > max_head_bytes)
             return core::fail(error_code::too_large, "read body", "",
                               "chunk header or trailers too long");
-        return consumed;
+        return check_line_endings(rest, "read body");
     }
 
     template <class Parser>
--- a/src/libruntime/message_reader_test.cpp
+++ b/src/libruntime/message_reader_test.cpp
@@ -172,6 +172,32 @@
     BOOST_TEST(!is_refused_answer(line + "X: a b\tc\x80\r\n" + framing));
 }
 
+// Guards against a message that never ends: a line of the chunks' framing ends with a bare line
+// feed, and its reader waits for the end of the line.
+BOOST_AUTO_TEST_CASE(a_bare_line_feed_in_the_framing_of_chunks_is_refused)
+{
+    const std::string fields = "Transfer-Encoding: chunked\r\n\r\n";
+    for (const std::string chunks :
+         {"2\n{}\n0\n\n", "2\n", "2;a=b\n{}", "2\r\n{}\n0\r\n\r\n", "2\r\n{}\r\n0\n\n",
+          "2\r\n{}\r\n0\r\nX: a\n\r\n", "2\r\n{}\r\n0\r\n\n"}) {
+        for (const std::size_t part_size : {std::size_t{1}, chunks.size() + 1'000}) {
+            message_reader answer = message_reader::answers(max_head_bytes);
+            BOOST_TEST(!feed(answer, "HTTP/1.1 200 OK\r\n" + fields + chunks, part_size), chunks);
+            message_reader request = reader();
+            BOOST_TEST(!feed(request, post + fields + chunks, part_size), chunks);
+        }
+    }
+    const std::string sound =
+        "HTTP/1.1 200 OK\r\n" + fields + "4\r\na\nb\n\r\n1;x=y\r\n\n\r\n0\r\nX: a\r\n\r\n";
+    for (std::size_t part_size = 1; part_size <= sound.size(); ++part_size) {
+        message_reader answer = message_reader::answers(max_head_bytes);
+        const auto body = feed(answer, sound, part_size);
+        BOOST_REQUIRE(body.has_value());
+        BOOST_TEST(*body == "a\nb\n\n");
+        BOOST_TEST(answer.done());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(large_response_is_read)
 {
     message_reader r = message_reader::answers(max_head_bytes);
