--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,56 @@
+#!/usr/bin/env bash
+# A request ends each engine that runs it, 1.8 s after its answer has begun, and comes again with the same path, caller
+# and body, at either router. In how many retries does it reach engines after it has ended the third one?
+case=$(cd "$(dirname "$0")" && pwd)
+. "$case/../lib-3.sh"
+
+table='{"version":1,"routes":[{"name":"drafts","host":"h","path-prefix":"/drafts/","kind":"streaming","timeout-ms":15000,
+ "target-latency-ms":2000,"priority":0,"service":"engine","attempts":1,"sticky-sessions":true,"stream-resume":false,
+ "target-gap-ms":300}],"services":[{"name":"engine","health-check-path":"/health","max-connections":650,"protocol":"h1",
+ "tls":false,"engine":{"slots":16,"kv-capacity-tokens":321196,"kv-token-bytes":18432,"link-mbps":370000.0,
+ "moves":true,"backups":true,"stride":4,"most":2,"pin-ms":4000.0,"hold-ms":2000.0,"handle-s":5.0,"models":[{"name":"m"}]}}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+ "tenants":[{"name":"lenas","api-keys":["key1"],"priority":0}]}'
+ask() { # ROUTER ID PATH BODY
+    curl -sS -N -m 6 -o /dev/null -w '%{http_code}' -H 'Host: h' -H "Bluebellproxy-Request-Id: $2" \
+        -H 'Bluebellproxy-Credential: key1' -H 'Bluebellproxy-Request-Timeout-Ms: 5000' -H 'Expect:' \
+        -d "$4" "http://$net.$1:8227$3" 2>/dev/null
+}
+ask_sound() { # ROUTER ID
+    local code=0 status
+    status=$(ask "$1" "$2" /drafts/sound "$2") || code=$?
+    note "answer $2: $status, $([ "$code" = 0 ] && echo whole || echo "not whole")"
+}
+
+crash_after=0
+[ "$trouble" = 1 ] && crash_after=1800
+start engines "$standin" engines --ip "$platform_ip" --port "$list_port" --workers 6 \
+    --crash-after-ms "$crash_after" --record "$record"
+for n in 1 2 3; do start_control "$n" true; done
+for n in 1 2; do start_router "$n"; done
+wait_for 20 put "$table" || cannot_run "the first desired state is not acknowledged"
+wait_for 20 ready 1 || cannot_run "router 1 is not ready"
+wait_for 20 ready 2 || cannot_run "router 2 is not ready"
+sleep 1
+
+end_at=$((SECONDS + 45))
+n=0
+while [ "$SECONDS" -lt "$end_at" ]; do
+    n=$((n + 1))
+    for k in 1 2 3 4 5 6; do
+        ask_sound $((k % 2 + 1)) "sound-$n-$k" &
+        pids+=($!)
+    done
+    status=$(ask $((n % 2 + 1)) "bad-$n" /drafts/bad/draft "the same body") || true
+    note "answer bad-$n: $status"
+    sleep 0.5
+done
+sleep 3
+third=$(awk '$2 == "crash" { if (++n == 3) print $1 }' "$record")
+crashes=$(grep -c ' crash of ' "$record" || true)
+later=$(awk -v third="${third:-0}" 'third > 0 && $2 == "run" && $3 ~ /^bad-/ && $1 > third + 3000' "$record" | wc -l)
+lost=$(grep -c 'answer sound-.*not whole' "$record" || true)
+echo "engines ended: $crashes; later than 3 s after the third, the request reached engines in $later retries;" \
+    "other streams that were cut: $lost"
+[ "$(grep -c ' run bad-' "$record")" -gt 3 ] || cannot_run "the request ran too seldom"
+[ "$later" -le 3 ]
