--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -18,7 +18,7 @@
 # read_back N: reads the desired state from machine N, following redirections; sets $found to its version or to "none".
 read_back() {
     local text
-    text=$(curl -sSL -m 1 --max-redirs 2 -w ' status %{http_code}' "http://$net.$1:8229/Config.Get" 2>/dev/null) || true
+    text=$(call "$net.$1" 8229 GET /Config.Get 1000 "Host: $net.$1") || true
     found=$(printf '%s' "$text" | sed -n 's/.*"version":\([0-9]*\),"routes".*/\1/p')
     [ -n "$found" ] || found=none
     note "machine $1 answers a read: $([ "$found" = none ] && printf '%s' "$text" || echo "version $found")"
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -11,10 +11,14 @@
  "moves":true,"backups":true,"stride":4,"most":2,"pin-ms":4000.0,"hold-ms":2000.0,"handle-s":5.0,"models":[{"name":"m"}]}}],
  "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
  "tenants":[{"name":"lenas","api-keys":["key1"],"priority":0}]}'
-ask() { # ROUTER ID PATH BODY
-    curl -sS -N -m 6 -o /dev/null -w '%{http_code}' -H 'Host: h' -H "Bluebellproxy-Request-Id: $2" \
-        -H 'Bluebellproxy-Credential: key1' -H 'Bluebellproxy-Request-Timeout-Ms: 5000' -H 'Expect:' \
-        -d "$4" "http://$net.$1:8227$3" 2>/dev/null
+ask() { # ROUTER ID PATH BODY; prints the status
+    local answer code=0
+    answer=$(call "$net.$1" 8227 POST "$3" 5000 "Host: h
+Bluebellproxy-Request-Id: $2
+Bluebellproxy-Credential: key1
+Bluebellproxy-Request-Timeout-Ms: 5000" "$4") || code=$?
+    printf '%s' "${answer%% *}"
+    return "$code"
 }
 ask_sound() { # ROUTER ID
     local code=0 status
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -27,7 +27,6 @@
 }
 [ -x "$bluebell" ] || cannot_run "the build of the deploy file is missing"
 [ -x "$standin" ] || cannot_run "review/build-3.sh has not been run"
-command -v curl >/dev/null || cannot_run "curl is missing"
 
 # The third number of all addresses, which no other script uses meanwhile.
 net=127.77.$((RANDOM % 250 + 1))
@@ -96,15 +95,23 @@
     BLUEBELLPROXY_SETTINGS="$work/$net.$1/router.conf" start "router-$1" "$bluebell" --platform
 }
 
+# call IP PORT METHOD PATH TIMEOUT_MS HEADERS [BODY]: makes one call and prints the status and the body. Returns 1 unless
+# the answer is whole.
+call() {
+    "$standin" call --ip "$1" --port "$2" --method "$3" --path "$4" --timeout-ms "$5" --headers "$6" --body "${7:-}"
+}
 # put DOCUMENT: offers a desired state to one control process after the other, as the operator does.
 put() {
-    local n
+    local n answer
     for n in 1 2 3; do
-        [ "$(curl -sSL -m 2 --max-redirs 2 --post301 --post302 -o /dev/null -w '%{http_code}' \
-            -H 'Content-Type: application/json' -d "$1" "http://$net.$n:8229/Config.Put")" = 200 ] && return 0
+        answer=$(call "$net.$n" 8229 POST /Config.Put 1000 "Host: $net.$n
+Content-Type: application/json" "$1") || true
+        [ "${answer%% *}" != 200 ] || return 0
     done
     return 1
 }
 ready() { # N
-    curl -sSf -m 1 "http://$net.$1:8220/readiness"
+    local answer
+    answer=$(call "$net.$1" 8220 GET /readiness 1000 "Host: $net.$1") || return 1
+    [ "${answer%% *}" = 200 ]
 }
--- a/review/standin-3.cpp
+++ b/review/standin-3.cpp
@@ -14,7 +14,10 @@
 // "clients": sends COUNT unsafe requests at once, each on a new channel, and waits for their
 // answers. Nothing is sent twice.
 //
-// Both add lines to the record: what was sent, run, and answered.
+// These add lines to the record: what was sent, run, and answered.
+//
+// "call": makes one call of METHOD to IP:PORT with HEADERS (lines) and BODY, follows up to two
+// redirections, and prints the status (000: none) and the body. Fails unless the answer is whole.
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -39,6 +42,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -46,6 +50,12 @@
 
 using arguments = std::map<std::string, std::string>;
 
+std::string find_or_empty(const arguments& args, const std::string& name)
+{
+    const auto it = args.find(name);
+    return it == args.end() ? std::string() : it->second;
+}
+
 /// Writes lines of the record, each with the time in milliseconds since the epoch.
 class record_file {
 public:
@@ -151,6 +161,29 @@
         return true;
     }
 
+    /// Reads up to the end of a line.
+    bool read_line(std::string& line)
+    {
+        std::size_t end = 0;
+        while ((end = unread_.find("\r\n")) == std::string::npos) {
+            if (!receive())
+                return false;
+        }
+        line = unread_.substr(0, end);
+        unread_.erase(0, end + 2);
+        return true;
+    }
+    bool read_bytes(std::size_t size, std::string& bytes)
+    {
+        while (unread_.size() < size) {
+            if (!receive())
+                return false;
+        }
+        bytes = unread_.substr(0, size);
+        unread_.erase(0, size);
+        return true;
+    }
+
 private:
     bool receive()
     {
@@ -179,7 +212,7 @@
            record_file& record)
         : ip_(std::move(ip)), port_(port), instance_(std::move(instance)),
           slots_(std::stoi(args.at("slots"))), work_ms_(std::stoi(args.at("work-ms"))),
-          record_(record)
+          signs_(find_or_empty(args, "signs")), record_(record)
     {
     }
 
@@ -196,18 +229,26 @@
 
     [[nodiscard]] std::string listed() const
     {
+        const std::string state = has_sign("draining") ? "draining" : "ready";
         return R"({"id":")" + instance_ + R"(","service":"plain","address":")" + ip_ + ":" +
                std::to_string(port_) + R"(","zone":"a","version":"v1","slots":)" +
-               std::to_string(slots_) + R"(,"state":"ready","cold-remaining-ms":0})";
+               std::to_string(slots_) + R"(,"state":")" + state + R"(","cold-remaining-ms":0})";
     }
 
 private:
+    /// Returns whether the file NAME-N is in the folder of signs.
+    [[nodiscard]] bool has_sign(const std::string& name) const
+    {
+        const std::string number = instance_.substr(instance_.rfind('-'));
+        return !signs_.empty() && ::access((signs_ + "/" + name + number).c_str(), F_OK) == 0;
+    }
+
     void serve(int fd)
     {
         const int on = 1;
         ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         message_source source(fd);
-        for (message m; source.read(m);)
+        for (message m; !has_sign("ended") && source.read(m) && !has_sign("ended");)
             handle(fd, m);
         ::close(fd);
     }
@@ -245,7 +286,9 @@
         lock.unlock();
         changed_.notify_all();
         record_.add((is_whole ? "end " : "dropped ") + id + " at " + instance_);
-        if (is_whole)
+        if (!is_whole)
+            ::shutdown(fd, SHUT_RDWR);
+        else
             send_all(fd, "HTTP/1.1 200 OK\r\nBluebellproxy-Request-Id: " + id +
                              "\r\nBluebellproxy-Server-Stamp: stamp-" + instance_ + load +
                              "\r\nContent-Length: 3\r\n\r\nok\n");
@@ -257,7 +300,7 @@
         constexpr int step_ms = 20;
         for (int ms = 0; ms < work_ms_; ms += step_ms) {
             std::this_thread::sleep_for(std::chrono::milliseconds(step_ms));
-            if (has_closed(fd))
+            if (has_closed(fd) || has_sign("ended"))
                 return false;
         }
         return true;
@@ -286,6 +329,7 @@
     std::string instance_;
     int slots_;
     int work_ms_;
+    std::string signs_;
     record_file& record_;
     std::mutex mutex_;
     std::condition_variable changed_;
@@ -433,10 +477,17 @@
             std::make_unique<Worker>(ip, port + n, name + std::to_string(n), own, record));
         std::thread([w = workers.back().get()] { w->run(); }).detach();
     }
-    const auto list = [&workers] {
+    const std::string torn_sign = find_or_empty(args, "signs") + "/torn";
+    const auto list = [&workers, torn_sign] {
+        constexpr std::size_t torn_at = 2;
         std::string entries;
-        for (const auto& w : workers)
-            entries += (entries.empty() ? "" : ",") + w->listed();
+        for (std::size_t n = 0; n < workers.size(); ++n) {
+            if (n == torn_at && ::access(torn_sign.c_str(), F_OK) == 0)
+                entries += R"(,{"service":"other","address":"10.128.0.9:8080","zone":"a",)"
+                           R"("version":"v1","slots":64,"state":"ready","cold-remaining-ms":0,)"
+                           R"("stage":"both","models":[{"name":"m","version":1,"adapters":[]})";
+            entries += (entries.empty() ? "" : ",") + workers[n]->listed();
+        }
         return R"({"instances":[)" + entries + R"(],"next":null})";
     };
     const int listener = listen_at(ip, port);
@@ -482,6 +533,86 @@
         c.join();
 }
 
+/// The answer to one call.
+struct call_answer {
+    message head;
+    bool is_whole = false;
+};
+
+/// Reads chunks up to the last one. Returns whether it came.
+bool read_chunks(message_source& source, std::string& body)
+{
+    for (;;) {
+        std::string line;
+        if (!source.read_line(line))
+            return false;
+        const std::size_t size = std::strtoul(line.c_str(), nullptr, 16);
+        std::string chunk;
+        if (!source.read_bytes(size + 2, chunk))
+            return false;
+        if (size == 0)
+            return true;
+        body += chunk.substr(0, size);
+    }
+}
+
+call_answer call(const arguments& args, const std::string& ip, int port, const std::string& path)
+{
+    call_answer answer;
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int timeout_ms = std::stoi(args.at("timeout-ms"));
+    const timeval timeout{timeout_ms / 1000, (timeout_ms % 1000) * 1000};
+    ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+    ::setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
+    const sockaddr_in address = make_address(ip, port);
+    if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
+        const std::string& body = args.at("body");
+        std::string request = args.at("method") + " " + path + " HTTP/1.1\r\n";
+        std::istringstream headers(args.at("headers"));
+        for (std::string line; std::getline(headers, line);)
+            request += line + "\r\n";
+        if (!body.empty())
+            request += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        send_all(fd, request + "\r\n" + body);
+        message_source source(fd);
+        answer.is_whole = source.read(answer.head);
+        const auto coding = answer.head.headers.find("transfer-encoding");
+        if (answer.is_whole && coding != answer.head.headers.end())
+            answer.is_whole = read_chunks(source, answer.head.body);
+    }
+    ::close(fd);
+    return answer;
+}
+
+/// Prints the answer. Returns whether it is whole.
+bool run_call(const arguments& args)
+{
+    constexpr int max_redirections = 2;
+    std::string ip = args.at("ip");
+    int port = std::stoi(args.at("port"));
+    std::string path = args.at("path");
+    call_answer answer = call(args, ip, port, path);
+    for (int n = 0; n < max_redirections; ++n) {
+        const std::string location = answer.head.headers["location"];
+        constexpr std::string_view scheme = "http://";
+        const auto colon = location.find(':', scheme.size());
+        const auto slash = location.find('/', scheme.size());
+        if (!location.starts_with(scheme) || colon == std::string::npos ||
+            slash == std::string::npos)
+            break;
+        ip = location.substr(scheme.size(), colon - scheme.size());
+        port = std::atoi(location.c_str() + colon + 1);
+        path = location.substr(slash);
+        answer = call(args, ip, port, path);
+    }
+    constexpr std::size_t status_at = 9;
+    constexpr std::size_t status_length = 3;
+    const std::string& line = answer.head.first_line;
+    std::cout << (line.size() > status_at ? line.substr(status_at, status_length) : "000") << " "
+              << answer.head.body << std::endl;
+    return answer.is_whole;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -494,6 +625,8 @@
     for (int n = 2; n + 1 < argc; n += 2)
         args[std::string(argv[n]).substr(2)] = argv[n + 1];
     const std::string mode = argv[1];
+    if (mode == "call")
+        return run_call(args) ? 0 : 1;
     record_file record(args.at("record"));
     if (mode == "platform")
         run_platform<worker>(args, "plain-", record);
