--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,77 +1,68 @@
 #!/usr/bin/env bash
-# At the first start, one of three machines that serve control stands still for some seconds and wakes again.
-# Meanwhile the others come into service and acknowledge a desired state. Is it still read back afterwards?
-# Which of two messages comes first decides, so up to four fleets are started, one after the other.
+# A burst waits at a router for places at a plain service. Meanwhile a desired state declares an engine for
+# that service. Does each request that may run once run once at most?
 case=$(cd "$(dirname "$0")" && pwd)
 . "$case/../lib-3.sh"
 
-table() { # VERSION
+table() { # VERSION SERVICE
     cat <<JSON
-{"version":$1,"routes":[{"name":"claims","host":"h","path-prefix":"/claims/","kind":"unsafe","timeout-ms":4000,
- "target-latency-ms":1000,"priority":0,"service":"plain","attempts":1}],
- "services":[{"name":"plain","health-check-path":"/health","max-connections":130,"protocol":"h1","tls":false}],
+{"version":$1,"routes":[{"name":"claims","host":"h","path-prefix":"/claims/","kind":"unsafe","timeout-ms":12000,
+ "target-latency-ms":10000,"priority":0,"service":"plain","attempts":1}],"services":[$2],
  "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
  "tenants":[{"name":"lenas","api-keys":["key1"],"priority":0}]}
 JSON
 }
-now_ms() { date +%s%3N; }
-# read_back N: reads the desired state from machine N, following redirections; sets $found to its version or to "none".
-read_back() {
-    local text
-    text=$(call "$net.$1" 8229 GET /Config.Get 1000 "Host: $net.$1") || true
-    found=$(printf '%s' "$text" | sed -n 's/.*"version":\([0-9]*\),"routes".*/\1/p')
-    [ -n "$found" ] || found=none
-    note "machine $1 answers a read: $([ "$found" = none ] && printf '%s' "$text" || echo "version $found")"
-}
+plain='{"name":"plain","health-check-path":"/health","max-connections":130,"protocol":"h1","tls":false}'
+engine='{"name":"plain","health-check-path":"/health","max-connections":130,"protocol":"h1","tls":false,
+ "engine":{"slots":4,"kv-capacity-tokens":321196,"kv-token-bytes":18432,"link-mbps":370000.0,"moves":true,
+ "backups":true,"stride":4,"most":2,"pin-ms":4000.0,"hold-ms":2000.0,"handle-s":5.0,"models":[{"name":"m"}]}}'
 
-# first_start N: starts the fleet for the first time, with empty disks, and sets $answered to the number of reads that
-# got the acknowledged desired state back, of 12.
-first_start() {
-    local frozen_at acked_at n
-    for n in 1 2 3; do rm -rf "$work/$net.$n/data"; done
-    for n in 1 2 3; do start_control "$n" true; done
-    for n in 1 2 3; do start_router "$n"; done
-    note "first start $1: three machines, each with a router and a control process"
-    sleep 0.3
-    frozen_at=$(now_ms)
-    if [ "$trouble" = 1 ]; then
-        kill -STOP "$pid_control_1" "$pid_router_1"
-        note "frozen: machine 1"
-    fi
-    # The operator offers the first desired state until it is acknowledged.
-    wait_for 20 put "$(table 1)" || cannot_run "the first desired state is not acknowledged"
-    acked_at=$(now_ms)
-    note "acknowledged: version 1, $((acked_at - frozen_at)) ms after the freeze began"
-    while [ "$(now_ms)" -lt $((frozen_at + 6900)) ]; do sleep 0.05; done
+start platform "$standin" platform --ip "$platform_ip" --port "$list_port" --workers 3 --slots 4 \
+    --work-ms 1500 --slower-ms 300 --record "$record"
+for n in 1 2 3; do start_control "$n" true; done
+start_router 1
+wait_for 20 put "$(table 1 "$plain")" || cannot_run "the first desired state is not acknowledged"
+wait_for 20 ready 1 || cannot_run "the router is not ready"
+sleep 1
+
+burst() { # NAME COUNT
+    start "clients-$1" "$standin" clients --ip "$net.1" --port 8227 --path /claims/x --timeout-ms 12000 \
+        --name "$1" --count "$2" --record "$record"
+}
+# round N: a burst, a second one 0.8 s later, and 0.5 s after that a desired state that declares an engine.
+round() {
+    put "$(table $((2 * $1)) "$plain")" || cannot_run "a desired state is not acknowledged"
+    note "acknowledged: version $((2 * $1)), without an engine"
+    sleep 2
+    burst "first-$1" 16
+    sleep 0.8
+    burst "second-$1" 24
+    sleep 0.5
     if [ "$trouble" = 1 ]; then
-        kill -CONT "$pid_control_1" "$pid_router_1"
-        note "machine 1 goes on"
+        put "$(table $((2 * $1 + 1)) "$engine")" || cannot_run "a desired state is not acknowledged"
+        note "acknowledged: version $((2 * $1 + 1)) declares an engine for the service"
+    else
+        put "$(table $((2 * $1 + 1)) "$plain")" || cannot_run "a desired state is not acknowledged"
+        note "acknowledged: version $((2 * $1 + 1)) changes nothing"
     fi
-    # After 12 s (recover-s), longer than any bound for a single loss, the operator reads for 3 s (contact-window-ms).
-    sleep 12
-    answered=0
-    for _ in 1 2 3 4; do
-        for n in 1 2 3; do
-            read_back "$n"
-            [ "$found" != 1 ] || answered=$((answered + 1))
-        done
-        sleep 0.8
-    done
-    for n in 1 2 3; do
-        { grep -hE 'Chose the initial replicas|Became leader|Stopped leading' "$work/control-$n.log" || true; } |
-            head -n 8 | sed "s/^/log of machine $n: /; s/$net/NET/g" >>"$record"
-    done
-    for n in 1 2 3; do
-        stop_process "control-$n"
-        stop_process "router-$n"
-        rm -f "$work/control-$n.log"
-    done
+    wait "$(eval echo "\$pid_clients_first_$1")" "$(eval echo "\$pid_clients_second_$1")" ||
+        cannot_run "the clients failed"
+    sleep 2
+    twice=$(awk '$2 == "run" { n[$3]++ } END { for (id in n) if (n[id] > 1) print id, n[id] }' "$record")
+    kill -0 "$pid_router_1" 2>/dev/null || ended=yes
 }
-
-start platform "$standin" platform --ip "$platform_ip" --port "$list_port" --workers 2 --slots 4 \
-    --work-ms 50 --record "$record"
-for try in 1 2 3 4; do
-    first_start "$try"
-    echo "first start $try: reads that got the acknowledged version back: $answered of 12"
-    [ "$answered" -gt 0 ] || exit 1
+ended=no
+twice=
+for n in 1 2 3; do
+    [ -n "$twice$(echo "$ended" | grep yes || true)" ] || round "$n"
 done
+
+ran=$(grep -c ' run ' "$record" || true)
+echo "runs: $ran; requests that ran more than once: $(printf '%s' "$twice" | grep -c . || true)"
+if [ "$ended" = yes ]; then
+    echo "the router has ended by itself: $(grep -ahE 'terminate|what\(\)' "$work/router-1.log" | tr '\n' ' ')"
+    note "the router has ended by itself"
+fi
+[ "$ran" -gt 0 ] || cannot_run "no request ran"
+printf '%s\n' "$twice"
+[ -z "$twice" ] && [ "$ended" = no ]
