--- a/review/standin-3.cpp
+++ b/review/standin-3.cpp
@@ -3,13 +3,15 @@
 // "platform": serves the platform's list of workers at IP:PORT, and runs plain workers at
 // IP:PORT+1, IP:PORT+2 and so on. A worker runs up to SLOTS requests at once, queues as many more,
 // and refuses others with 503 and Bluebellproxy-Not-Executed. A request runs for WORK-MS, and at
-// each further worker for SLOWER-MS more.
+// each further worker for SLOWER-MS more. With SIGNS, a folder: while the file torn is there, the
+// list has its content as an entry of another writer, behind the second worker's. With UNFRAMED 1,
+// the list has no length and ends with its connection.
 //
 // "engines": as "platform", but the workers are engines of streams. A stream has an event each 50
 // ms, 40 of them. CRASH-AFTER-MS after the head of its answer, a request whose path contains /bad/
 // ends the worker that runs it: the worker's channels close, its address refuses new ones, and
-// after 3 s it is back there as another instance. Until then it stays on the list. 0: no request
-// does that.
+// after 3 s it is back there as another instance, or with SAME-ID 1 under the id that it had. Until
+// then it stays on the list. 0: no request does that.
 //
 // "clients": sends COUNT unsafe requests at once, each on a new channel, and waits for their
 // answers. Nothing is sent twice.
@@ -56,6 +58,13 @@
     return it == args.end() ? std::string() : it->second;
 }
 
+std::string read_file(const std::string& path)
+{
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+}
+
 /// Writes lines of the record, each with the time in milliseconds since the epoch.
 class record_file {
 public:
@@ -212,7 +221,7 @@
            record_file& record)
         : ip_(std::move(ip)), port_(port), instance_(std::move(instance)),
           slots_(std::stoi(args.at("slots"))), work_ms_(std::stoi(args.at("work-ms"))),
-          signs_(find_or_empty(args, "signs")), record_(record)
+          record_(record)
     {
     }
 
@@ -229,26 +238,18 @@
 
     [[nodiscard]] std::string listed() const
     {
-        const std::string state = has_sign("draining") ? "draining" : "ready";
         return R"({"id":")" + instance_ + R"(","service":"plain","address":")" + ip_ + ":" +
                std::to_string(port_) + R"(","zone":"a","version":"v1","slots":)" +
-               std::to_string(slots_) + R"(,"state":")" + state + R"(","cold-remaining-ms":0})";
+               std::to_string(slots_) + R"(,"state":"ready","cold-remaining-ms":0})";
     }
 
 private:
-    /// Returns whether the file NAME-N is in the folder of signs.
-    [[nodiscard]] bool has_sign(const std::string& name) const
-    {
-        const std::string number = instance_.substr(instance_.rfind('-'));
-        return !signs_.empty() && ::access((signs_ + "/" + name + number).c_str(), F_OK) == 0;
-    }
-
     void serve(int fd)
     {
         const int on = 1;
         ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         message_source source(fd);
-        for (message m; !has_sign("ended") && source.read(m) && !has_sign("ended");)
+        for (message m; source.read(m);)
             handle(fd, m);
         ::close(fd);
     }
@@ -300,7 +301,7 @@
         constexpr int step_ms = 20;
         for (int ms = 0; ms < work_ms_; ms += step_ms) {
             std::this_thread::sleep_for(std::chrono::milliseconds(step_ms));
-            if (has_closed(fd) || has_sign("ended"))
+            if (has_closed(fd))
                 return false;
         }
         return true;
@@ -329,7 +330,6 @@
     std::string instance_;
     int slots_;
     int work_ms_;
-    std::string signs_;
     record_file& record_;
     std::mutex mutex_;
     std::condition_variable changed_;
@@ -342,7 +342,8 @@
 public:
     engine(std::string ip, int port, std::string name, const arguments& args, record_file& record)
         : ip_(std::move(ip)), port_(port), name_(std::move(name)), instance_(name_ + ".1"),
-          crash_after_ms_(std::stoi(args.at("crash-after-ms"))), record_(record)
+          crash_after_ms_(std::stoi(args.at("crash-after-ms"))),
+          keeps_id_(find_or_empty(args, "same-id") == "1"), record_(record)
     {
     }
 
@@ -355,7 +356,8 @@
             {
                 const std::lock_guard guard(mutex_);
                 listener_ = listener;
-                instance_ = name_ + "." + std::to_string(life);
+                if (!keeps_id_)
+                    instance_ = name_ + "." + std::to_string(life);
             }
             for (int fd = 0; (fd = ::accept(listener, nullptr, nullptr)) >= 0;)
                 std::thread([this, fd] { serve(fd); }).detach();
@@ -445,20 +447,26 @@
     std::string name_;
     std::string instance_;
     int crash_after_ms_;
+    bool keeps_id_;
     record_file& record_;
     std::mutex mutex_;
     int listener_ = -1;
     std::set<int> channels_;
 };
 
-void serve_list(int fd, const std::function<std::string()>& list)
+void serve_list(int fd, bool is_unframed, const std::function<std::string()>& list)
 {
     message_source source(fd);
     for (message m; source.read(m);) {
         const std::string text = list();
-        send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
-                         std::to_string(text.size()) + "\r\n\r\n" + text);
+        const std::string length =
+            is_unframed ? "Connection: close" : "Content-Length: " + std::to_string(text.size());
+        send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + length + "\r\n\r\n" +
+                         text);
+        if (is_unframed)
+            break;
     }
+    ::shutdown(fd, SHUT_WR);
     ::close(fd);
 }
 
@@ -483,18 +491,17 @@
         std::string entries;
         for (std::size_t n = 0; n < workers.size(); ++n) {
             if (n == torn_at && ::access(torn_sign.c_str(), F_OK) == 0)
-                entries += R"(,{"service":"other","address":"10.128.0.9:8080","zone":"a",)"
-                           R"("version":"v1","slots":64,"state":"ready","cold-remaining-ms":0,)"
-                           R"("stage":"both","models":[{"name":"m","version":1,"adapters":[]})";
+                entries += "," + read_file(torn_sign);
             entries += (entries.empty() ? "" : ",") + workers[n]->listed();
         }
         return R"({"instances":[)" + entries + R"(],"next":null})";
     };
+    const bool is_unframed = find_or_empty(args, "unframed") == "1";
     const int listener = listen_at(ip, port);
     for (;;) {
         const int fd = ::accept(listener, nullptr, nullptr);
         if (fd >= 0)
-            std::thread([fd, list] { serve_list(fd, list); }).detach();
+            std::thread([fd, is_unframed, list] { serve_list(fd, is_unframed, list); }).detach();
     }
 }
 
@@ -566,7 +573,9 @@
     ::setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
     const sockaddr_in address = make_address(ip, port);
     if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
-        const std::string& body = args.at("body");
+        std::string body = find_or_empty(args, "body");
+        if (const std::string file = find_or_empty(args, "body-file"); !file.empty())
+            body = read_file(file);
         std::string request = args.at("method") + " " + path + " HTTP/1.1\r\n";
         std::istringstream headers(args.at("headers"));
         for (std::string line; std::getline(headers, line);)
