--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -14,6 +14,7 @@
         [ -n "$pid" ] && { kill -CONT "$pid" && kill -9 "$pid" && wait "$pid"; } 2>/dev/null || true
     done
     rm -rf "$work"
+    [ -z "${net_lock:-}" ] || rmdir "$net_lock"
 }
 trap stop_all EXIT
 
@@ -29,7 +30,15 @@
 [ -x "$standin" ] || cannot_run "review/build-3.sh has not been run"
 
 # The third number of all addresses, which no other script uses meanwhile.
-net=127.77.$((RANDOM % 250 + 1))
+net_lock=
+for number in $(shuf -i 1-250); do
+    if mkdir "${TMPDIR:-/tmp}/review-3-net-$number" 2>/dev/null; then
+        net_lock=${TMPDIR:-/tmp}/review-3-net-$number
+        net=127.77.$number
+        break
+    fi
+done
+[ -n "$net_lock" ] || cannot_run "no free addresses"
 platform_ip=$net.10
 list_port=8223
 
