Admit a request as its service was declared when it arrived

Callers saw: while 40 unsafe requests wait and run at a plain service, a routing table declares engines for it.

Cause: whether a request is admitted as one for a plain service or for engines was looked up in the table in force each time. A request in the queue of the plain service was reviewed as one for engines, sent, and left in the queue, which sent it again. The count of running requests was raised under one table and lowered under another.

Change: exchange_policy holds the way of admission as of the arrival. place_request takes a request that doesn't wait any more out of the queue, and remove_exchange ends the attempt in progress, so that no attempt is left without its request.

--- a/src/include/bluebell/core/gateway.h
+++ b/src/include/bluebell/core/gateway.h
@@ -18,14 +18,35 @@
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace bluebell::core {
 
+/// The service runs no models: its workers have few slots, and a request holds one for its whole
+/// time.
+struct plain_service_policy {
+    friend bool operator==(const plain_service_policy&, const plain_service_policy&) = default;
+};
+/// The service's workers are engines, which run many requests at once.
+struct engine_service_policy {
+    friend bool operator==(const engine_service_policy&, const engine_service_policy&) = default;
+};
+/// How requests to a service are admitted.
+using admission_policy = std::variant<plain_service_policy, engine_service_policy>;
+
+/// Returns the policy for a request to the service that arrives now.
+[[nodiscard]] admission_policy admission_policy_of(const routing_table& table,
+                                                   const service_id& service);
+
 /// The parts of its route that an exchange needs until its end; a newer table may have changed the
 /// route by then.
 struct exchange_policy {
     service_id service;
+    /// As of the request's arrival, whatever newer tables declare: each policy keeps its own
+    /// records of the requests that it holds and runs, and a request must not be in the records of
+    /// both.
+    admission_policy admission;
     bool streamed = false;         ///< the answer is an event stream
     bool repeatable = false;       ///< it may run more than once, or its stream may be resumed
     bool resumable = false;        ///< it may be resumed even after events were sent to the caller
@@ -69,7 +90,8 @@
     std::string worker_address;               ///< IP:PORT of the last of them
     attempt_number attempt = 0;               ///< attempt in progress; 0: none
     instant attempt_started_at{};
-    bool is_held = false;              ///< it waits for a place; no attempt is in progress
+    /// It waits for a place: it is in its service's queue, and no attempt is in progress.
+    bool is_held = false;
     instant held_since{};              ///< when it began to wait
     instant review_at{};               ///< a held one is decided on anew then
     bool suspected = false;            ///< workers may have ended under it, see crash_watch
@@ -141,8 +163,9 @@
     worker_table workers;
     crash_watch crashes;
     std::unordered_map<exchange_id, exchange> exchanges;
-    std::unordered_map<attempt_number, exchange_id> attempts; ///< attempts in progress
-    std::set<std::pair<instant, exchange_id>> timers;         ///< next timeout of each request
+    /// Attempts in progress. Each is `exchange::attempt` of its exchange, which exists.
+    std::unordered_map<attempt_number, exchange_id> attempts;
+    std::set<std::pair<instant, exchange_id>> timers; ///< next timeout of each request
     /// Requests that arrived before the first table or list of workers, in order of arrival. Each
     /// has a timer.
     std::vector<waiting_request> waiting_requests;
--- a/src/libcore/gateway.cpp
+++ b/src/libcore/gateway.cpp
@@ -65,6 +65,7 @@
     exchange ex;
     ex.workspace = holder.workspace;
     ex.policy.service = choose_service(r, t.ctx.random);
+    ex.policy.admission = admission_policy_of(t.st.table, ex.policy.service);
     ex.policy.streamed = r.streamed;
     ex.policy.resumable = r.streamed && r.resumable;
     ex.policy.repeatable = r.streamed ? r.resumable : r.idempotent;
--- a/src/libcore/gateway_admission.cpp
+++ b/src/libcore/gateway_admission.cpp
@@ -6,30 +6,23 @@
 
 #include <algorithm>
 
-namespace bluebell::core::gateway {
-
-namespace {
-
-/// The service runs no models: its workers have few slots, and a request holds one for its whole
-/// time.
-struct plain_service_policy {
-    friend bool operator==(const plain_service_policy&, const plain_service_policy&) = default;
-};
-/// The service's workers are engines, which run many requests at once.
-struct engine_service_policy {
-    friend bool operator==(const engine_service_policy&, const engine_service_policy&) = default;
-};
-using admission_policy = std::variant<plain_service_policy, engine_service_policy>;
+namespace bluebell::core {
 
-admission_policy policy_of(const turn& t, const exchange& ex)
+admission_policy admission_policy_of(const routing_table& table, const service_id& service)
 {
-    const auto it = t.st.table.services.find(ex.policy.service);
-    const bool has_engines = it != t.st.table.services.end() && it->second.engine.has_value();
+    const auto it = table.services.find(service);
+    const bool has_engines = it != table.services.end() && it->second.engine.has_value();
     if (has_engines)
         return engine_service_policy{};
     return plain_service_policy{};
 }
 
+} // namespace bluebell::core
+
+namespace bluebell::core::gateway {
+
+namespace {
+
 /// A service is under pressure when the requests that this gateway knows of take over
 /// pressed_slots_numerator / pressed_slots_denominator of its slots.
 constexpr std::uint64_t pressed_slots_numerator = 4;
@@ -170,7 +163,8 @@
     exchange& ex = t.st.exchanges.at(id);
     if (std::holds_alternative<crash_quarantined>(standing_of(t, ex)))
         return request_admitted{};
-    return std::visit([&](const auto& policy) { return decide(t, id, policy); }, policy_of(t, ex));
+    return std::visit([&](const auto& policy) { return decide(t, id, policy); },
+                      ex.policy.admission);
 }
 
 void hold(turn& t, exchange_id id, const request_held& held)
@@ -183,6 +177,14 @@
     reschedule_timer(t, id, ex);
 }
 
+/// The request doesn't wait any more.
+void release(turn& t, exchange_id id)
+{
+    exchange& ex = t.st.exchanges.at(id);
+    ex.is_held = false;
+    forget_held(t, id, ex);
+}
+
 } // namespace
 
 void place_request(turn& t, exchange_id id)
@@ -190,19 +192,19 @@
     match(
         decide_admission(t, id),
         [&](const request_admitted&) {
-            t.st.exchanges.at(id).is_held = false;
+            release(t, id);
             assign_worker(t, id);
         },
         [&](const request_held& held) { hold(t, id, held); },
         [&](const request_rejected& rejected) {
-            t.st.exchanges.at(id).is_held = false;
+            release(t, id);
             reject(t, id, rejected);
         });
 }
 
 service_queue* find_queue(turn& t, const exchange& ex)
 {
-    const bool is_plain = std::holds_alternative<plain_service_policy>(policy_of(t, ex));
+    const bool is_plain = std::holds_alternative<plain_service_policy>(ex.policy.admission);
     return t.st.queues.enabled && is_plain ? &t.st.queues.by_service[ex.policy.service] : nullptr;
 }
 
--- a/src/libcore/gateway_calls.cpp
+++ b/src/libcore/gateway_calls.cpp
@@ -382,6 +382,7 @@
     const auto it = t.st.exchanges.find(id);
     if (it == t.st.exchanges.end())
         return;
+    end_attempt(t, it->second, true);
     t.st.timers.erase({it->second.due_at, id});
     forget_held(t, id, it->second);
     observe_request_ended(t, it->second);
--- a/src/libcore/gateway_pvt.h
+++ b/src/libcore/gateway_pvt.h
@@ -68,7 +68,8 @@
 void refuse(turn& t, exchange_id id, std::uint16_t status, std::string_view text);
 /// As refuse, without a time at which the caller should come back.
 void refuse_without_retry(turn& t, exchange_id id, std::uint16_t status, std::string_view text);
-/// Removes an exchange whose answer is complete or can't be completed.
+/// Removes an exchange whose answer is complete or can't be completed, and cancels its attempt, if
+/// one is in progress.
 void remove_exchange(turn& t, exchange_id id);
 /// Computes the exchange's next timeout and updates its timer.
 void reschedule_timer(turn& t, exchange_id id, exchange& ex);
@@ -88,7 +89,7 @@
 
 // gateway_admission.cpp
 
-/// Returns the queue of the exchange's service, or null if that has engines.
+/// Returns the queue of the exchange's service, or null if the exchange is admitted to engines.
 [[nodiscard]] service_queue* find_queue(turn& t, const exchange& ex);
 /// Records a sign that the plain service has too few places.
 void record_pressure(turn& t, const service_id& service, std::string_view sign);
--- a/src/libcore/gateway_shedding.cpp
+++ b/src/libcore/gateway_shedding.cpp
@@ -105,14 +105,12 @@
                                      request_id(), std::move(fields)));
 }
 
-/// Returns the state of the exchange's service as of now, or null if the service has no engines or
-/// load shedding is disabled.
+/// Returns the state of the exchange's service as of now, or null if the exchange isn't admitted to
+/// engines or load shedding is disabled.
 rank_admission* find_admission(turn& t, const exchange& ex)
 {
-    if (!t.st.admissions.is_enabled)
-        return nullptr;
-    const auto it = t.st.table.services.find(ex.policy.service);
-    if (it == t.st.table.services.end() || !it->second.engine)
+    if (!t.st.admissions.is_enabled ||
+        !std::holds_alternative<engine_service_policy>(ex.policy.admission))
         return nullptr;
     rank_admission& a = t.st.admissions.services[ex.policy.service];
     rank_admission_step step = with_time(std::move(a), t.ctx.now);
@@ -204,7 +202,8 @@
 bool engines_lack_capacity(const turn& t, const exchange& ex)
 {
     const auto it = t.st.admissions.services.find(ex.policy.service);
-    return it != t.st.admissions.services.end() &&
+    return std::holds_alternative<engine_service_policy>(ex.policy.admission) &&
+           it != t.st.admissions.services.end() &&
            misses_most_targets(it->second, ex.policy.priority);
 }
 
