--- a/src/bluebellctl/actions.cpp
+++ b/src/bluebellctl/actions.cpp
@@ -8,8 +8,7 @@
 #include "table.h"
 
 #include <bluebell/core/visit.h>
-
-#include <nlohmann/json.hpp>
+#include <bluebell/wire/bounded_json.h>
 
 #include <algorithm>
 #include <iostream>
@@ -29,21 +28,21 @@
 /// Prints a JSON body as text, or as it is with --json or if it can't be parsed.
 void print(const fleet_access& fleet, const std::string& body)
 {
-    const auto doc = ordered_json::parse(body, nullptr, false);
-    if (fleet.json || doc.is_discarded())
+    const auto doc = wire::parse_ordered_json(body);
+    if (fleet.json || !doc)
         std::cout << body << "\n";
     else
-        std::cout << format_text(doc);
+        std::cout << format_text(*doc);
 }
 
 /// Returns the error in a server's response, or an error with the HTTP status if the body has none.
 error error_of(const admin_response& response, const std::string& peer)
 {
-    const auto doc = ordered_json::parse(response.body, nullptr, false);
-    if (!doc.is_object() || !doc.contains("error"))
+    const auto doc = wire::parse_ordered_json(response.body);
+    if (!doc || !doc->is_object() || !doc->contains("error"))
         return {error_code::unavailable, "read answer", peer,
                 "status " + std::to_string(response.status)};
-    const auto& fields = doc["error"];
+    const auto& fields = (*doc)["error"];
     return {parse_error_code(fields.value("code", "")), fields.value("step", ""),
             fields.value("peer", ""), fields.value("message", "")};
 }
@@ -132,11 +131,11 @@
     const auto response = send_to_leader(fleet, {"/v1/config", "", fleet.token});
     if (!response)
         return tl::unexpected(response.error());
-    auto doc = ordered_json::parse(response->body, nullptr, false);
-    if (!doc.is_object() || !doc.contains("revision"))
+    auto doc = wire::parse_ordered_json(response->body);
+    if (!doc || !doc->is_object() || !doc->contains("revision"))
         return fail(error_code::corrupt, "read configuration", "", "not a configuration");
     if (fleet.made_from >= 0)
-        doc["revision"] = fleet.made_from;
+        (*doc)["revision"] = fleet.made_from;
     return doc;
 }
 
@@ -172,10 +171,15 @@
             print_error(response ? error_of(*response, endpoint.host) : response.error());
             continue;
         }
+        const auto doc = wire::parse_ordered_json(response->body);
+        if (!doc || !doc->is_object()) {
+            print_error({error_code::corrupt, "read answer", endpoint.host,
+                         doc ? "not a JSON object" : doc.error().text});
+            continue;
+        }
         reached_count += 1;
-        const auto doc = ordered_json::parse(response->body, nullptr, false);
-        for (auto line : doc.value("lines", ordered_json::array())) {
-            line["node"] = doc["node"];
+        for (auto line : doc->value("lines", ordered_json::array())) {
+            line["node"] = doc->value("node", "");
             lines.push_back(std::move(line));
         }
     }
--- a/src/libadmin/operator_api.cpp
+++ b/src/libadmin/operator_api.cpp
@@ -1,8 +1,7 @@
 // Parses operators' HTTP requests.
 
 #include <bluebell/admin/operator_api.h>
-
-#include <nlohmann/json.hpp>
+#include <bluebell/wire/bounded_json.h>
 
 #include <charconv>
 
@@ -14,6 +13,8 @@
 namespace {
 
 constexpr std::string_view step = "read operator request";
+/// Limits on the body of a change: of nested arrays and objects, and of values.
+constexpr wire::json_limits change_limits{32, 100'000};
 
 /// Returns the error for a request that is malformed or lacks something.
 tl::unexpected<error> invalid_request(const std::string& text)
@@ -84,14 +85,15 @@
             return invalid_request("defaults." + key + ": a string is required");
         c.document.defaults[key] = value.get<std::string>();
     }
-    const json exceptions = doc.value("exceptions", json::array());
-    if (!exceptions.is_array())
-        return invalid_request("exceptions: an array is required");
-    for (const auto& item : exceptions) {
-        auto e = parse_exception(item);
-        if (!e)
-            return tl::unexpected(e.error());
-        c.document.exceptions.insert_or_assign(e->name, *e);
+    if (const auto exceptions = doc.find("exceptions"); exceptions != doc.end()) {
+        if (!exceptions->is_array())
+            return invalid_request("exceptions: an array is required");
+        for (const auto& item : *exceptions) {
+            auto e = parse_exception(item);
+            if (!e)
+                return tl::unexpected(e.error());
+            c.document.exceptions.insert_or_assign(e->name, *e);
+        }
     }
     return submit_change{header.operation, operator_event(std::move(c))};
 }
@@ -191,9 +193,12 @@
 result<operator_request> parse_change(const wire::http_request& request, const operator_id& issuer,
                                       wall_time now)
 {
-    const json doc = json::parse(request.body, nullptr, false);
-    if (!doc.is_object())
+    const auto body = wire::parse_json(request.body, change_limits);
+    if (!body && body.error().code == error_code::too_large)
+        return invalid_request("the body has " + body.error().text);
+    if (!body || !body->is_object())
         return invalid_request("the body must be a JSON object");
+    const json& doc = *body;
     const auto header = parse_change_header(doc, issuer, now);
     if (!header)
         return tl::unexpected(header.error());
--- a/src/libadmin/operator_api_test.cpp
+++ b/src/libadmin/operator_api_test.cpp
@@ -92,6 +92,21 @@
     }
 }
 
+// Guards against a process that ends because a copy of a change takes a level of the stack for each
+// of its levels.
+BOOST_AUTO_TEST_CASE(a_deeply_nested_change_is_refused)
+{
+    constexpr std::size_t depth = 500'000;
+    const std::string lists = std::string(depth, '[') + std::string(depth, ']');
+    const auto r = admin::parse(
+        post("/v1/config",
+             R"({"operation":"o","made_from":1,"defaults":{},"exceptions":)" + lists + "}"),
+        tokens(), wall_time{0});
+    BOOST_REQUIRE(!r.has_value());
+    BOOST_TEST((r.error().code == error_code::invalid_argument));
+    BOOST_TEST(r.error().text.find("nested") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_release_from_quarantine_names_a_digest_and_a_reason)
 {
     const std::string digest = to_string(body_digest{0x12, 0xabcdef});
--- a/src/libwire/chat_http.cpp
+++ b/src/libwire/chat_http.cpp
@@ -1,9 +1,8 @@
 // Parses requests of the callers' HTTP API and formats its replies.
 
+#include <bluebell/wire/bounded_json.h>
 #include <bluebell/wire/chat_http.h>
 
-#include <nlohmann/json.hpp>
-
 #include <charconv>
 
 namespace bluebell::wire {
@@ -18,6 +17,9 @@
 /// Tokens that an answer is assumed to have if the request sets no `max_tokens`.
 constexpr std::uint32_t default_max_tokens = 256;
 
+/// Limits on the body of a chat. Tools are described by nested schemas.
+constexpr json_limits chat_limits{512, 1'000'000};
+
 constexpr std::string_view chat_path = "/v1/chat/completions";
 constexpr std::string_view requests_root = "/v1/requests/";
 constexpr std::string_view services_root = "/v1/services/";
@@ -163,9 +165,11 @@
     auto c = parse_common_headers(request, fallback);
     if (!c)
         return tl::unexpected(c.error());
-    const json doc = json::parse(request.body, nullptr, false);
-    if (!doc.is_object())
-        return fail(error_code::invalid_argument, "parse chat request", "", "not a JSON object");
+    const auto body = parse_json(request.body, chat_limits);
+    if (!body || !body->is_object())
+        return fail(error_code::invalid_argument, "parse chat request", "",
+                    body ? "not a JSON object" : body.error().text);
+    const json& doc = *body;
     auto target = parse_chat_target(doc);
     if (!target)
         return tl::unexpected(target.error());
--- a/src/libwire/engine_http.cpp
+++ b/src/libwire/engine_http.cpp
@@ -1,10 +1,9 @@
 // Parses replies of the engines' HTTP API and formats requests to it.
 
 #include <bluebell/core/visit.h>
+#include <bluebell/wire/bounded_json.h>
 #include <bluebell/wire/engine_http.h>
 
-#include <nlohmann/json.hpp>
-
 #include <charconv>
 
 namespace bluebell::wire {
@@ -63,9 +62,11 @@
 
 result<engine_load> parse_engine_load(std::string_view body)
 {
-    const json doc = json::parse(body, nullptr, false);
-    if (!doc.is_object())
-        return fail(error_code::corrupt, step, "", "not a JSON object");
+    const auto parsed = parse_json(body);
+    if (!parsed || !parsed->is_object())
+        return fail(error_code::corrupt, step, "",
+                    parsed ? "not a JSON object" : parsed.error().text);
+    const json& doc = *parsed;
     engine_load load;
     load.incarnation = number_or<incarnation_number>(doc, "life", 0);
     load.running_calls = number_or<std::uint32_t>(doc, "running", 0);
@@ -133,10 +134,10 @@
 {
     if (payload.find("\"usage\"") == std::string_view::npos)
         return std::nullopt;
-    const json doc = json::parse(payload, nullptr, false);
-    if (!doc.is_object() || !doc.contains("usage") || !doc["usage"].is_object())
+    const auto doc = parse_json(payload);
+    if (!doc || !doc->is_object() || !doc->contains("usage") || !(*doc)["usage"].is_object())
         return std::nullopt;
-    const json& usage = doc["usage"];
+    const json& usage = (*doc)["usage"];
     token_usage counts;
     counts.generated_tokens = number_or<std::uint32_t>(usage, "completion_tokens", 0);
     const auto details = usage.find("prompt_tokens_details");
