Count ends of workers by the times in which they lie

Callers saw: a request that ends the worker which runs it comes again at six routers in turn, and the worker comes back under its id.

Cause: each gateway numbered the ends of one instance that it had seen for itself, and the leader took the union of these names. The first ends that six gateways saw, at six different times, counted as one.

Change: an end is known by its worker and by the time between two moments: the worker lived, as the request was sent to it, and its connection had broken. Gateways report both as ages. Two sightings of one worker are two ends if it lived between them; gateways, the leader and a new leader count by one function, the smallest number of ends that explains all sightings. Sightings have ids of their gateways, so one that is reported again, to the same leader or the next one, counts once, by its earliest date.

Unit tests of the count, of one end that several gateways see, of delayed and repeated reports and of a new leader (new functions; they can't be built before). The report's message between processes changes; all processes of a fleet are replaced together, as before.

--- a/src/include/bluebell/core/crash_watch.h
+++ b/src/include/bluebell/core/crash_watch.h
@@ -20,13 +20,16 @@
 
 namespace bluebell::core {
 
-/// Number of workers that may end under a request before the fleet refuses it.
+/// Number of times that workers may end under a request before the fleet refuses it.
 inline constexpr std::size_t max_ended_workers = 3;
 /// Time for which an end counts against a request that gets no complete answer.
 inline constexpr microseconds crash_memory{120'000'000};
 /// Maximum number of suspects that a gateway or the leader keeps; beyond it the one that expires
 /// first is dropped.
 inline constexpr std::size_t max_crash_suspects = 1'024;
+/// Maximum number of ends that are kept of one suspect. Further ones replace those that several
+/// gateways saw or that were reported twice.
+inline constexpr std::size_t max_ended_runs = 32;
 
 /// Digests by which a request is recognised when it comes again, whatever its id: of its method,
 /// host, target, body and caller. Operators exchange the API keys of a workspace and rename
@@ -34,26 +37,50 @@
 /// one. What counts against one of them counts against the request.
 using request_fingerprints = std::vector<body_digest>;
 
-/// The workers that broke off one request since its last complete answer, by the hashes of their
-/// instances. A worker is in one of the containers. One that comes back under its old id and ends
-/// once more is in `ended` again, under a hash of its instance and the number of the end.
+/// The end of a worker while it ran a request. Workers come back under their old ids, and several
+/// gateways see one end at slightly different times, so an end is known by its worker and the time
+/// in which it lies.
+struct ended_run {
+    hash64 id = 0;      ///< of what this process saw
+    hash64 worker = 0;  ///< hash of its instance
+    instant alive_at{}; ///< the worker lived then
+    instant broke_at{}; ///< its connection broke then; not before alive_at
+
+    friend bool operator==(const ended_run&, const ended_run&) = default;
+};
+
+/// Returns the smallest number of ends that explains what was seen.
+[[nodiscard]] std::size_t count_ends(const std::vector<ended_run>& runs);
+
+/// The workers that broke off one request since its last complete answer. A worker that may have
+/// ended is in one of the sets, by the hash of its instance.
 struct crash_suspect_record {
-    std::set<hash64> unproven;  ///< their connections broke; they may have ended
-    std::set<hash64> accepting; ///< as `unproven`, but they accept connections: most likely alive
-    std::map<hash64, instant> ended; ///< with the time at which their connections broke
+    std::set<hash64> unproven;    ///< their connections broke; they may have ended
+    std::set<hash64> accepting;   ///< as `unproven`, but they accept connections: most likely alive
+    std::vector<ended_run> ended; ///< at most max_ended_runs
 
     friend bool operator==(const crash_suspect_record&, const crash_suspect_record&) = default;
 };
 
+/// A request that a worker broke off.
+struct broken_run {
+    request_fingerprints fingerprints;
+    instant sent_at{};
+    instant broke_at{};
+    bool had_answer = false; ///< the head of an answer had arrived
+
+    friend bool operator==(const broken_run&, const broken_run&) = default;
+};
+
 /// A worker whose connection broke, until it is known whether its process has ended.
 struct watched_worker {
-    std::string address; ///< IP:PORT
-    instant broke_at{};
-    std::uint32_t probes = 0;        ///< sent so far
-    bool accepts = false;            ///< it has accepted a connection of a probe and kept it open
-    std::uint32_t failed_probes = 0; ///< without a kept connection
-    std::vector<request_fingerprints> requests; ///< that it broke off
-    std::vector<broken_request> features;       ///< of these requests
+    std::string address;              ///< IP:PORT
+    instant broke_at{};               ///< the first of its connections
+    std::uint32_t probes = 0;         ///< sent so far
+    bool accepts = false;             ///< it has accepted a connection of a probe and kept it open
+    std::uint32_t failed_probes = 0;  ///< without a kept connection
+    std::vector<broken_run> requests; ///< that it broke off
+    std::vector<broken_request> features; ///< of these requests
 
     friend bool operator==(const watched_worker&, const watched_worker&) = default;
 };
@@ -74,9 +101,9 @@
 struct crash_unsuspected {
     friend bool operator==(const crash_unsuspected&, const crash_unsuspected&) = default;
 };
-/// Fewer than max_ended_workers have ended, or may have ended, under the request.
+/// Workers have ended, or may have ended, under the request fewer than max_ended_workers times.
 struct crash_suspected {
-    std::size_t workers = 0;
+    std::size_t ends = 0;
     bool is_last_trial = false; ///< one more end makes it refused
     bool awaits_proof = false;  ///< whether the last worker has ended will be known soon
     friend bool operator==(const crash_suspected&, const crash_suspected&) = default;
@@ -103,13 +130,14 @@
 
 /// Records that the worker's connection broke while the request ran there.
 [[nodiscard]] crash_watch with_broken_run(crash_watch w, instant now, const std::string& instance,
-                                          const std::string& address,
-                                          const request_fingerprints& fingerprints,
+                                          const std::string& address, const broken_run& run,
                                           const broken_request& features);
 
-/// Records that the worker's process has ended. Does nothing unless the worker is watched.
-[[nodiscard]] crash_watch with_ended_worker(crash_watch w, instant now,
-                                            const std::string& instance);
+/// Records that the worker's process has ended. `refuses_connections`: its address does so since,
+/// so that a request which was sent there had reached a living worker. Does nothing unless the
+/// worker is watched.
+[[nodiscard]] crash_watch with_ended_worker(crash_watch w, instant now, const std::string& instance,
+                                            bool refuses_connections);
 
 /// Records that the worker accepts and keeps connections. It may still have ended and been started
 /// again.
@@ -166,7 +194,10 @@
 
 /// What the leader knows of one request from the gateways' reports.
 struct crash_evidence {
-    std::set<hash64> workers; ///< that ended under it, by the hash of their instances
+    /// The ends of workers under it, at most max_ended_runs. An id is a hash of the gateway and of
+    /// its own id of the end.
+    std::vector<ended_run> ends;
+    std::size_t count = 0; ///< count_ends(ends)
     instant reported_at{};
 
     friend bool operator==(const crash_evidence&, const crash_evidence&) = default;
@@ -175,6 +206,7 @@
 
 /// Adds a gateway's report. Drops evidence older than crash_memory.
 [[nodiscard]] crash_evidence_table with_report(crash_evidence_table current, instant now,
+                                               const node_id& gateway,
                                                const request_crash_report& report);
 
 /// Returns a hash by which a gateway tells the leader which list it has; 0 for an empty list.
--- a/src/include/bluebell/core/fleet_message.h
+++ b/src/include/bluebell/core/fleet_message.h
@@ -83,11 +83,21 @@
     friend bool operator==(const worker_list_change&, const worker_list_change&) = default;
 };
 
+/// The end of a worker while it ran a request. Clocks of processes differ, so reports state ages.
+struct ended_run_report {
+    hash64 id = 0;             ///< the sender's, the same each time that it reports this end
+    hash64 worker = 0;         ///< hash of its instance
+    microseconds alive_age{0}; ///< since the worker was last known to live
+    microseconds age{0};       ///< since its connection broke
+
+    friend bool operator==(const ended_run_report&, const ended_run_report&) = default;
+};
+
 /// What a gateway has seen of a pass-through request that may end the workers that run it.
 struct request_crash_report {
-    body_digest fingerprint;     ///< identifies the request when it comes again
-    std::vector<hash64> workers; ///< that ended while they ran it, by the hash of their instances
-    bool cleared = false;        ///< it got a complete answer: earlier ends don't count
+    body_digest fingerprint;            ///< identifies the request when it comes again
+    std::vector<ended_run_report> ends; ///< all that the sender knows of
+    bool cleared = false;               ///< it got a complete answer: earlier ends don't count
     friend bool operator==(const request_crash_report&, const request_crash_report&) = default;
 };
 
--- a/src/libcore/control_tables.cpp
+++ b/src/libcore/control_tables.cpp
@@ -405,7 +405,7 @@
 void record_crash_report(control_turn& t, const node_id& from, const request_crash_report& report)
 {
     auto& lead = t.st.lead;
-    lead.crash_evidence = with_report(std::move(lead.crash_evidence), t.ctx.now, report);
+    lead.crash_evidence = with_report(std::move(lead.crash_evidence), t.ctx.now, from, report);
     if (report.cleared) {
         if (is_quarantined(t, report.fingerprint)) {
             lead.queue.commands.emplace_back(
@@ -416,7 +416,7 @@
         return;
     }
     const auto it = lead.crash_evidence.find(report.fingerprint);
-    if (it == lead.crash_evidence.end() || it->second.workers.size() < max_ended_workers)
+    if (it == lead.crash_evidence.end() || it->second.count < max_ended_workers)
         return;
     if (is_quarantined(t, report.fingerprint))
         return;
@@ -473,9 +473,9 @@
             quarantined.insert(fingerprint);
     }
     for (const auto& [fingerprint, evidence] : t.st.lead.crash_evidence) {
-        if (evidence.workers.size() >= max_ended_workers)
+        if (evidence.count >= max_ended_workers)
             quarantined.insert(fingerprint);
-        else if (evidence.workers.size() + 1 >= max_ended_workers)
+        else if (evidence.count + 1 >= max_ended_workers)
             list.suspects.push_back(fingerprint);
     }
     list.quarantined.assign(quarantined.begin(), quarantined.end());
--- a/src/libcore/control_tables_test.cpp
+++ b/src/libcore/control_tables_test.cpp
@@ -298,10 +298,12 @@
 
 namespace {
 
-table_query crash_query(std::vector<hash64> workers, bool cleared = false)
+table_query crash_query(const std::vector<hash64>& workers, bool cleared = false)
 {
     table_query q = query(0);
-    q.crash_reports = {{{1, 2}, std::move(workers), cleared}};
+    q.crash_reports = {{{1, 2}, {}, cleared}};
+    for (const auto worker : workers)
+        q.crash_reports[0].ends.push_back({worker, worker, milliseconds(300), milliseconds(10)});
     return q;
 }
 
--- a/src/libcore/crash_watch.cpp
+++ b/src/libcore/crash_watch.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace bluebell::core {
@@ -24,16 +25,55 @@
 /// was broken by the same end.
 constexpr microseconds min_restart_time{1'000'000};
 
-/// Adds the end of a worker to those that are known.
-void add_end(std::map<hash64, instant>& ended, hash64 worker, instant broke_at)
+/// Returns whether the second run was broken off by a later end than the first one: its worker
+/// lived in between.
+bool is_later_end(const ended_run& first, const ended_run& second)
 {
-    hash64 end = worker;
-    for (int n = 2; ended.contains(end); ++n) {
-        if (broke_at - ended.at(end) < min_restart_time)
-            return;
-        end = hash_of(std::to_string(n), worker);
+    return second.worker != first.worker || (second.alive_at > first.broke_at &&
+                                             second.broke_at - first.broke_at >= min_restart_time);
+}
+
+/// Returns one run for each end.
+std::vector<ended_run> distinct_ends(std::vector<ended_run> runs)
+{
+    std::sort(runs.begin(), runs.end(), [](const ended_run& a, const ended_run& b) {
+        return std::tie(a.worker, a.broke_at, a.id) < std::tie(b.worker, b.broke_at, b.id);
+    });
+    std::vector<ended_run> ends;
+    for (const auto& run : runs) {
+        if (ends.empty() || is_later_end(ends.back(), run))
+            ends.push_back(run);
+    }
+    return ends;
+}
+
+/// Adds a run, or what is known better of one: a report that was delayed states an end too late.
+void add_run(std::vector<ended_run>& runs, const ended_run& run)
+{
+    const auto it = std::find_if(runs.begin(), runs.end(), [&](const ended_run& known) {
+        return known.id == run.id && known.worker == run.worker;
+    });
+    if (it != runs.end()) {
+        if (run.broke_at < it->broke_at)
+            *it = run;
+        return;
     }
-    ended.emplace(end, broke_at);
+    if (runs.size() >= max_ended_runs)
+        runs = distinct_ends(std::move(runs));
+    if (runs.size() < max_ended_runs)
+        runs.push_back(run);
+}
+
+/// Returns what is known of the time of the end that broke off a request. An address that refuses
+/// no connections may belong to a forwarder, which takes requests while the worker is gone: then
+/// nothing shows that the worker lived in the time of one watch before.
+ended_run end_of(const broken_run& run, hash64 worker, bool refuses_connections)
+{
+    const bool was_alive = run.had_answer || refuses_connections;
+    const instant alive_at =
+        was_alive ? run.sent_at : std::min(run.sent_at, run.broke_at - watch_time);
+    const hash64 id = hash_of(std::to_string(run.broke_at.time_since_epoch().count()), worker);
+    return {id, worker, alive_at, run.broke_at};
 }
 
 /// Changes the record of a suspect by a function, keeping its expiry; removes an empty record.
@@ -55,8 +95,9 @@
 
 bool broke_off(const watched_worker& watched, const body_digest& fingerprint)
 {
-    return std::any_of(watched.requests.begin(), watched.requests.end(), [&](const auto& request) {
-        return std::find(request.begin(), request.end(), fingerprint) != request.end();
+    return std::any_of(watched.requests.begin(), watched.requests.end(), [&](const auto& run) {
+        const request_fingerprints& own = run.fingerprints;
+        return std::find(own.begin(), own.end(), fingerprint) != own.end();
     });
 }
 
@@ -66,8 +107,8 @@
 void for_each_suspect(const crash_watch& w, instant now, const watched_worker& watched,
                       Function function)
 {
-    for (const auto& request : watched.requests) {
-        for (const auto& fingerprint : request) {
+    for (const auto& run : watched.requests) {
+        for (const auto& fingerprint : run.fingerprints) {
             if (find(w.suspects, fingerprint, now) != nullptr)
                 function(fingerprint);
         }
@@ -95,6 +136,11 @@
 
 } // namespace
 
+std::size_t count_ends(const std::vector<ended_run>& runs)
+{
+    return distinct_ends(runs).size();
+}
+
 bool has_no_suspects(const crash_watch& w)
 {
     return w.suspects.entries.empty() && w.fleet == request_crash_list{} &&
@@ -108,17 +154,18 @@
     if (contains(w.fleet.quarantined, fingerprint))
         return crash_quarantined{};
     const auto* record = find(w.suspects, fingerprint, now);
-    std::size_t workers = record == nullptr ? 0 : record->unproven.size() + record->ended.size();
-    if (record != nullptr && record->ended.size() >= max_ended_workers)
+    const std::size_t proven = record == nullptr ? 0 : count_ends(record->ended);
+    if (proven >= max_ended_workers)
         return crash_quarantined{};
+    std::size_t ends = record == nullptr ? 0 : record->unproven.size() + proven;
     if (contains(w.fleet.suspects, fingerprint))
-        workers = std::max(workers, max_ended_workers - 1);
-    if (workers == 0)
+        ends = std::max(ends, max_ended_workers - 1);
+    if (ends == 0)
         return crash_unsuspected{};
     const bool has_unproven = record != nullptr && !record->unproven.empty();
     const bool awaits_proof =
-        has_unproven && (is_being_probed(w, fingerprint) || workers >= max_ended_workers);
-    return crash_suspected{workers, workers + 1 >= max_ended_workers, awaits_proof};
+        has_unproven && (is_being_probed(w, fingerprint) || ends >= max_ended_workers);
+    return crash_suspected{ends, ends + 1 >= max_ended_workers, awaits_proof};
 }
 
 } // namespace
@@ -138,7 +185,7 @@
             continue;
         const auto* known = std::get_if<crash_suspected>(&worst);
         const crash_suspected before = known == nullptr ? crash_suspected{} : *known;
-        worst = crash_suspected{std::max(before.workers, suspected->workers),
+        worst = crash_suspected{std::max(before.ends, suspected->ends),
                                 before.is_last_trial || suspected->is_last_trial,
                                 before.awaits_proof || suspected->awaits_proof};
     }
@@ -150,16 +197,17 @@
 }
 
 crash_watch with_broken_run(crash_watch w, instant now, const std::string& instance,
-                            const std::string& address, const request_fingerprints& fingerprints,
+                            const std::string& address, const broken_run& run,
                             const broken_request& features)
 {
     const hash64 worker = hash_of(instance);
-    for (const auto& fingerprint : fingerprints) {
+    for (const auto& fingerprint : run.fingerprints) {
         const auto* known = find(w.suspects, fingerprint, now);
         crash_suspect_record record = known == nullptr ? crash_suspect_record{} : *known;
-        const auto known_end = record.ended.find(worker);
         const bool is_known_end =
-            known_end != record.ended.end() && now - known_end->second < min_restart_time;
+            std::any_of(record.ended.begin(), record.ended.end(), [&](const ended_run& end) {
+                return end.worker == worker && now - end.broke_at < min_restart_time;
+            });
         if (!is_known_end && !record.accepting.contains(worker))
             record.unproven.insert(worker);
         w.suspects = with_entry(std::move(w.suspects), fingerprint, std::move(record),
@@ -173,24 +221,31 @@
         watched.broke_at = now;
     }
     if (watched.requests.size() < max_requests_per_worker)
-        watched.requests.push_back(fingerprints);
+        watched.requests.push_back(run);
     if (!features.features.empty() && watched.features.size() < max_requests_per_worker)
         watched.features.push_back(features);
     return w;
 }
 
-crash_watch with_ended_worker(crash_watch w, instant now, const std::string& instance)
+crash_watch with_ended_worker(crash_watch w, instant now, const std::string& instance,
+                              bool refuses_connections)
 {
     const auto it = w.watched.find(instance);
     if (it == w.watched.end())
         return w;
     const hash64 worker = hash_of(instance);
     const instant broke_at = it->second.broke_at;
+    // The worker has ended once in the time of its watch, most likely under the last of its runs.
+    std::map<body_digest, ended_run> ends;
+    for (const auto& run : it->second.requests) {
+        for (const auto& fingerprint : run.fingerprints)
+            ends.insert_or_assign(fingerprint, end_of(run, worker, refuses_connections));
+    }
     for_each_suspect(w, now, it->second, [&](const body_digest& fingerprint) {
         change_record(w, fingerprint, [&](crash_suspect_record& record) {
             record.unproven.erase(worker);
             record.accepting.erase(worker);
-            add_end(record.ended, worker, broke_at);
+            add_run(record.ended, ends.at(fingerprint));
         });
         w.cleared.erase(fingerprint);
         w.unreported.insert(fingerprint);
@@ -271,7 +326,7 @@
     w.causes = with_fleet_causes(std::move(w.causes), list.causes);
     std::vector<body_digest> cleared;
     for (const auto& [fingerprint, entry] : w.suspects.entries) {
-        const bool is_known_to_leader = entry.value.ended.size() + 1 >= max_ended_workers &&
+        const bool is_known_to_leader = count_ends(entry.value.ended) + 1 >= max_ended_workers &&
                                         !w.unreported.contains(fingerprint);
         const bool is_listed =
             contains(w.fleet.suspects, fingerprint) || contains(w.fleet.quarantined, fingerprint);
@@ -319,10 +374,10 @@
     for (const auto& fingerprint : w.unreported) {
         const auto* record = find(w.suspects, fingerprint, now);
         if (record != nullptr && !record->ended.empty()) {
-            std::vector<hash64> workers;
-            for (const auto& [worker, broke_at] : record->ended)
-                workers.push_back(worker);
-            reports.push_back({fingerprint, std::move(workers), false});
+            std::vector<ended_run_report> ends;
+            for (const auto& run : record->ended)
+                ends.push_back({run.id, run.worker, now - run.alive_at, now - run.broke_at});
+            reports.push_back({fingerprint, std::move(ends), false});
         }
     }
     w.cleared.clear();
@@ -340,7 +395,7 @@
     return w;
 }
 
-crash_evidence_table with_report(crash_evidence_table current, instant now,
+crash_evidence_table with_report(crash_evidence_table current, instant now, const node_id& gateway,
                                  const request_crash_report& report)
 {
     std::erase_if(current,
@@ -351,10 +406,10 @@
     }
     crash_evidence& evidence = current[report.fingerprint];
     evidence.reported_at = now;
-    for (const auto worker : report.workers) {
-        if (evidence.workers.size() < max_ended_workers)
-            evidence.workers.insert(worker);
-    }
+    for (const auto& end : report.ends)
+        add_run(evidence.ends,
+                {hash_of(gateway.str(), end.id), end.worker, now - end.alive_age, now - end.age});
+    evidence.count = count_ends(evidence.ends);
     if (current.size() <= max_crash_suspects)
         return current;
     current.erase(
--- a/src/libcore/gateway_crash_test.cpp
+++ b/src/libcore/gateway_crash_test.cpp
@@ -6,7 +6,9 @@
 #include <bluebell/core/effect.h>
 
 #include <algorithm>
+#include <array>
 #include <set>
+#include <utility>
 
 using namespace bluebell::core;
 using namespace bluebell::core::test;
@@ -67,6 +69,14 @@
     }
 };
 
+/// Returns how many ends the leader counts that gets only this report.
+std::size_t count_reported_ends(const request_crash_report& report)
+{
+    const auto evidence =
+        with_report({}, instant(seconds(1'000)), node_id::from_trusted("router-1"), report);
+    return evidence.empty() ? 0 : evidence.begin()->second.count;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(crashing_requests, crashing_gateway)
@@ -281,7 +291,7 @@
     advance_time(milliseconds(500));
     end_worker(third);
     for (const auto& report : take_crash_reports())
-        BOOST_TEST(report.workers.size() == 1U);
+        BOOST_TEST(count_reported_ends(report) == 1U);
 }
 
 // Guards against sound requests that are refused because they were sent to a worker after another
@@ -345,14 +355,15 @@
     const request_fingerprints fingerprints{{1, 2}};
     crash_watch w;
     for (const char* instance : {"w0", "w1", "w2"}) {
-        w = with_broken_run(std::move(w), now, instance, "10.0.0.1:80", fingerprints, {});
+        w = with_broken_run(std::move(w), now, instance, "10.0.0.1:80", {fingerprints, now, now},
+                            {});
         w.watched.at(instance).probes = 3; // none was answered
     }
     const crash_standing standing = standing_of(w, now, false, fingerprints, {});
     BOOST_REQUIRE(std::holds_alternative<crash_suspected>(standing));
     BOOST_TEST(std::get<crash_suspected>(standing).awaits_proof);
     for (const char* instance : {"w0", "w1", "w2"})
-        w = with_ended_worker(std::move(w), now, instance);
+        w = with_ended_worker(std::move(w), now, instance, false);
     BOOST_TEST(
         std::holds_alternative<crash_quarantined>(standing_of(w, now, false, fingerprints, {})));
 }
@@ -420,16 +431,150 @@
     crash_watch w;
     for (std::uint64_t n = 0; n < 3 * max_crash_suspects; ++n)
         w = with_broken_run(std::move(w), now, "w" + std::to_string(n), "10.0.0.1:80",
-                            {body_digest{n, n}}, {});
+                            {{body_digest{n, n}}, now, now}, {});
     BOOST_TEST(w.suspects.entries.size() <= max_crash_suspects);
     BOOST_TEST(w.watched.size() <= 256U);
     crash_evidence_table evidence;
+    std::vector<ended_run_report> many;
+    for (std::uint64_t n = 0; n < 3 * max_ended_runs; ++n)
+        many.push_back({n, 1 + n % 5, seconds(200), seconds(100)});
+    const node_id gateway = node_id::from_trusted("router-1");
     for (std::uint64_t n = 0; n < 3 * max_crash_suspects; ++n)
-        evidence = with_report(std::move(evidence), now, {{n, n}, {1, 2, 3, 4, 5}, false});
+        evidence = with_report(std::move(evidence), now, gateway, {{n, n}, many, false});
     BOOST_TEST(evidence.size() <= max_crash_suspects);
-    BOOST_TEST(evidence.begin()->second.workers.size() <= max_ended_workers);
-    evidence = with_report(std::move(evidence), now + crash_memory, {{0, 0}, {1}, false});
+    BOOST_TEST(evidence.begin()->second.ends.size() <= max_ended_runs);
+    evidence = with_report(std::move(evidence), now + crash_memory, gateway,
+                           {{0, 0}, {many.front()}, false});
     BOOST_TEST(evidence.size() == 1U);
 }
 
+namespace {
+
+/// What six gateways tell a leader of one request, which ends one worker again and again.
+struct reporting_fleet {
+    crash_evidence_table evidence;
+    instant now{seconds(1'000)};
+
+    static ended_run_report see_end(hash64 id, microseconds alive_age, microseconds age)
+    {
+        return {id, 7, alive_age, age};
+    }
+    void report(int gateway, std::vector<ended_run_report> ends)
+    {
+        evidence = with_report(std::move(evidence), now,
+                               node_id::from_trusted("router-" + std::to_string(gateway)),
+                               {{1, 2}, std::move(ends), false});
+    }
+    [[nodiscard]] std::size_t count() const
+    {
+        return evidence.empty() ? 0 : evidence.begin()->second.count;
+    }
+};
+
+} // namespace
+
+// Guards against a request that ends a worker twice at each gateway, because each of them takes the
+// first end that it sees for the first one.
+BOOST_FIXTURE_TEST_CASE(ends_of_one_worker_that_gateways_see_at_different_times_are_added_up,
+                        reporting_fleet)
+{
+    for (int n = 1; n <= 3; ++n) {
+        report(n, {see_end(1, milliseconds(310), milliseconds(10))});
+        BOOST_TEST(count() == static_cast<std::size_t>(n));
+        now += seconds(4);
+    }
+}
+
+// Guards against a sound request that is refused because several gateways saw one end.
+BOOST_FIXTURE_TEST_CASE(one_end_that_several_gateways_see_counts_once, reporting_fleet)
+{
+    report(1, {see_end(1, milliseconds(900), milliseconds(10))});
+    now += milliseconds(40);
+    report(2, {see_end(2, milliseconds(60), milliseconds(20))});
+    now += seconds(3);
+    // It noticed the end late, as it was suspended. The worker had been sent the request before.
+    report(3, {see_end(3, milliseconds(5'000), milliseconds(0))});
+    BOOST_TEST(count() == 1U);
+}
+
+// Guards against one end that counts twice because a new leader is told of it again, or because its
+// first report was delayed.
+BOOST_FIXTURE_TEST_CASE(an_end_that_is_reported_again_counts_once, reporting_fleet)
+{
+    report(1, {see_end(1, milliseconds(300), milliseconds(10))}); // arrives 5 s late
+    report(1, {see_end(1, milliseconds(5'300), milliseconds(5'010))});
+    BOOST_TEST(count() == 1U);
+    report(2, {see_end(9, milliseconds(5'100), milliseconds(5'000))});
+    BOOST_TEST(count() == 1U);
+    const instant broke_at = evidence.begin()->second.ends.front().broke_at;
+    BOOST_TEST((now - broke_at == milliseconds(5'010)));
+}
+
+// Guards against later ends that are forgotten because many gateways have reported the first one.
+BOOST_FIXTURE_TEST_CASE(many_reports_of_one_end_leave_room_for_others, reporting_fleet)
+{
+    for (int n = 1; n <= 200; ++n)
+        report(n, {see_end(1, milliseconds(300), milliseconds(10))});
+    for (int n = 1; n <= 2; ++n) {
+        now += seconds(4);
+        report(n, {see_end(2, milliseconds(300), milliseconds(10))});
+    }
+    BOOST_TEST(count() == 3U);
+}
+
+// Guards against ends that gateways, the leader and the next leader count differently.
+BOOST_AUTO_TEST_CASE(a_new_leader_counts_the_ends_of_one_worker_as_the_one_before)
+{
+    std::array<crashing_gateway, 3> gateways;
+    crash_evidence_table evidence;
+    const auto report_all = [&] {
+        for (std::size_t n = 0; n < gateways.size(); ++n) {
+            for (const auto& report : gateways.at(n).take_crash_reports())
+                evidence =
+                    with_report(std::move(evidence), gateways.at(n).now,
+                                node_id::from_trusted("router-" + std::to_string(n)), report);
+        }
+    };
+    for (std::size_t round = 0; round < gateways.size(); ++round) {
+        crashing_gateway& g = gateways.at(round);
+        std::erase_if(g.st.workers.workers,
+                      [&](const auto& entry) { return entry.first != worker_name(0) + "plain"; });
+        const auto attempt = g.ask("poison", "/unsafe/x");
+        BOOST_REQUIRE(attempt != 0U);
+        for (auto& each : gateways)
+            each.now += milliseconds(300);
+        g.end_worker(attempt);
+        report_all();
+        for (const auto& [fingerprint, known] : evidence)
+            BOOST_TEST(known.count == round + 1);
+        for (auto& each : gateways)
+            each.now += seconds(4);
+    }
+    const crash_evidence_table before = std::exchange(evidence, {});
+    for (auto& g : gateways)
+        g.st.crashes = with_new_leader(std::move(g.st.crashes), g.now);
+    report_all();
+    BOOST_REQUIRE(evidence.size() == before.size());
+    for (const auto& [fingerprint, known] : evidence)
+        BOOST_TEST(known.ends == before.at(fingerprint).ends);
+}
+
+// Guards against a sound request that several gateways send to the address of a worker that is
+// gone, where a forwarder accepts and closes connections: each would count as one more end.
+BOOST_FIXTURE_TEST_CASE(breaks_at_an_address_that_refuses_nothing_count_once, reporting_fleet)
+{
+    const request_fingerprints fingerprints{{1, 2}};
+    for (int n = 1; n <= 3; ++n) {
+        crash_watch other;
+        other = with_broken_run(std::move(other), now, "w0", "10.0.0.1:80",
+                                {fingerprints, now - milliseconds(5), now}, {});
+        now += seconds(2);
+        other = with_ended_worker(std::move(other), now, "w0", false);
+        const auto taken = take_reports(std::move(other), now);
+        BOOST_REQUIRE(taken.reports.size() == 1U);
+        report(n, taken.reports[0].ends);
+    }
+    BOOST_TEST(count() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libcore/gateway_crashes.cpp
+++ b/src/libcore/gateway_crashes.cpp
@@ -143,8 +143,10 @@
             availability(t.st.workers.standings, worker, t.ctx.now)) ||
         had_most_likely_ended(t.st.crashes, worker, ex.attempt_started_at))
         return;
+    const broken_run run{fingerprints_of(ex), ex.attempt_started_at, t.ctx.now,
+                         ev.stage == attempt_stage::answer_started};
     t.st.crashes = with_broken_run(std::move(t.st.crashes), t.ctx.now, worker,
-                                   it->second.entry.address, fingerprints_of(ex), features_of(ex));
+                                   it->second.entry.address, run, features_of(ex));
     ex.suspected = true;
     t.out.emplace_back(make_log_line(log_level::info, component,
                                      "Worker broke off a request; it is watched.", ex.request.id,
@@ -189,7 +191,8 @@
           std::to_string(std::chrono::duration_cast<milliseconds>(t.ctx.now - it->second.broke_at)
                              .count())}}));
     t.out.emplace_back(record_metric{"workers_ended_under_requests", 1, rank::normal, {}});
-    t.st.crashes = with_ended_worker(std::move(t.st.crashes), t.ctx.now, worker);
+    t.st.crashes = with_ended_worker(std::move(t.st.crashes), t.ctx.now, worker,
+                                     proof == crash_proof::connection_refused);
     t.st.table_sync.next_query_at = std::min(t.st.table_sync.next_query_at, t.ctx.now);
 }
 
--- a/src/libwire/damaged_messages_test.cpp
+++ b/src/libwire/damaged_messages_test.cpp
@@ -138,7 +138,7 @@
                       {{7, 3}},
                       1,
                       false,
-                      {{{1, 2}, {7, 8}, true}},
+                      {{{1, 2}, {{7, 8, milliseconds(3), milliseconds(2)}}, true}},
                       5,
                       {{{7, milliseconds(3), {{1, parts}, {2, parts}}}},
                        {{parts.front(), milliseconds(5)}},
--- a/src/libwire/fleet_codec.cpp
+++ b/src/libwire/fleet_codec.cpp
@@ -112,18 +112,32 @@
     });
 }
 
+microseconds get_age(std::int64_t age_us)
+{
+    return std::clamp(microseconds(age_us), microseconds{0}, max_age);
+}
+
 void put(const request_crash_report& from, pb::RequestCrashes& to)
 {
     wire::put(from.fingerprint, *to.mutable_request());
-    for (const auto worker : from.workers)
-        to.add_workers(worker);
+    for (const auto& end : from.ends) {
+        auto& b = *to.add_ends();
+        b.set_id(end.id);
+        b.set_worker(end.worker);
+        b.set_alive_age_us(end.alive_age.count());
+        b.set_age_us(end.age.count());
+    }
     to.set_cleared(from.cleared);
 }
 
 request_crash_report get(const pb::RequestCrashes& from)
 {
-    return {
-        wire::get(from.request()), {from.workers().begin(), from.workers().end()}, from.cleared()};
+    request_crash_report report{wire::get(from.request()), {}, from.cleared()};
+    for (const auto& b : from.ends()) {
+        const microseconds age = get_age(b.age_us());
+        report.ends.push_back({b.id(), b.worker(), std::max(age, get_age(b.alive_age_us())), age});
+    }
+    return report;
 }
 
 void put(const feature_set& from, pb::FeatureSet& to)
@@ -196,11 +210,6 @@
         put(set, *to.add_refused());
 }
 
-microseconds get_age(std::int64_t age_us)
-{
-    return std::clamp(microseconds(age_us), microseconds{0}, max_age);
-}
-
 crash_cause_report get(const pb::CrashCauses& from)
 {
     crash_cause_report report;
--- a/testsuite/standins/platform.cpp
+++ b/testsuite/standins/platform.cpp
@@ -31,6 +31,16 @@
 /// A worker that a request has ended comes back after this time.
 constexpr core::microseconds crash_down_time{3'000'000};
 
+/// How the stand-in is started.
+struct standin_options {
+    std::uint16_t port = 0;        ///< of the list; the workers have the next ones
+    std::uint16_t listed_port = 0; ///< the list shows this in place of port: a proxy's first port
+    int engines = 0;
+    int zones = 0;          ///< number of availability zones
+    int plain_cold_ms = 0;  ///< for which the list always says that plain workers stay cold
+    bool keeps_ids = false; ///< a worker that a request has ended comes back under its id
+};
+
 /// Milliseconds since the epoch, which the other programs of a test read, too.
 std::int64_t wall_ms()
 {
@@ -45,6 +55,7 @@
     std::string service;
     std::uint16_t port = 0;
     bool draining = false;
+    bool keeps_id = false; ///< it comes back as the instance that it was
     std::shared_ptr<runtime::http_server> server;
     int restarts = 0;
     core::instant leaving_since = core::instant::max();
@@ -64,25 +75,24 @@
 
 class platform_standin {
 public:
-    platform_standin(std::shared_ptr<runtime::event_loop> loop, std::uint16_t port,
-                     std::uint16_t listed_port, int engines, int zones, int plain_cold_ms)
-        : loop_(std::move(loop)), port_(port), listed_port_(listed_port), engines_(engines),
-          zones_(zones), plain_cold_ms_(plain_cold_ms)
+    platform_standin(std::shared_ptr<runtime::event_loop> loop, standin_options options)
+        : loop_(std::move(loop)), options_(options)
     {
     }
 
     /// Listens on all ports; false if one can't be opened.
     bool open()
     {
-        list_server_ = listen(port_, [this](const auto& s, const auto& head, const std::string&) {
-            handle_list_request(s, head);
-        });
+        list_server_ =
+            listen(options_.port, [this](const auto& s, const auto& head, const std::string&) {
+                handle_list_request(s, head);
+            });
         constexpr int plain_workers = 2;
-        for (int n = 0; n < engines_ + plain_workers; ++n) {
+        for (int n = 0; n < options_.engines + plain_workers; ++n) {
             worker w;
-            w.service = n < engines_ ? "engine" : "plain";
+            w.service = n < options_.engines ? "engine" : "plain";
             w.instance = w.service + "-" + std::to_string(n);
-            w.port = static_cast<std::uint16_t>(port_ + 1 + n);
+            w.port = static_cast<std::uint16_t>(options_.port + 1 + n);
             workers_.push_back(std::move(w));
             if (!start_worker(static_cast<std::size_t>(n)))
                 return false;
@@ -101,7 +111,7 @@
         return w.server != nullptr;
     }
 
-    /// Ends the worker's process. It comes back as a new instance.
+    /// Ends the worker's process, which comes back later.
     void end_worker(std::size_t n)
     {
         worker& w = workers_[n];
@@ -116,6 +126,7 @@
         }
         w.server->close_idle();
         w.server.reset();
+        w.keeps_id = options_.keeps_ids;
         w.restart_timer = runtime::watcher::timer(*loop_, [this, n] { restart_worker(n); });
         w.restart_timer->arm(crash_down_time);
     }
@@ -127,7 +138,8 @@
             w.restart_timer->arm(notice_interval);
             return;
         }
-        set_next_instance(w);
+        if (!std::exchange(w.keeps_id, false))
+            set_next_instance(w);
         w.draining = false;
         w.leaving_since = core::instant::max();
         w.paused_until = {};
@@ -136,8 +148,8 @@
     void set_next_instance(worker& w) const
     {
         w.restarts += 1;
-        w.instance =
-            w.service + "-" + std::to_string(w.port - port_ - 1) + "." + std::to_string(w.restarts);
+        w.instance = w.service + "-" + std::to_string(w.port - options_.port - 1) + "." +
+                     std::to_string(w.restarts);
     }
 
     /// Returns null if the port can't be opened.
@@ -186,10 +198,10 @@
             for (const auto& w : workers_)
                 text += (text.empty() ? "" : ",") + ("{\"id\":\"" + w.instance) +
                         "\",\"service\":\"" + w.service + "\",\"address\":\"127.0.0.1:" +
-                        std::to_string(listed_port_ + w.port - port_) + "\",\"zone\":\"" +
-                        zone_of(w) + "\",\"slots\":4,\"state\":\"" +
+                        std::to_string(options_.listed_port + w.port - options_.port) +
+                        "\",\"zone\":\"" + zone_of(w) + "\",\"slots\":4,\"state\":\"" +
                         (w.draining ? "draining" : "ready") + "\",\"cold-remaining-ms\":" +
-                        std::to_string(w.service == "plain" ? plain_cold_ms_ : 0) + "}";
+                        std::to_string(w.service == "plain" ? options_.plain_cold_ms : 0) + "}";
             text = "{\"instances\":[" + text + "],\"next\":null}";
         }
         s->reply(200, {}, text);
@@ -198,7 +210,8 @@
     /// Zones are named a, b and so on; workers are in them in turn.
     [[nodiscard]] std::string zone_of(const worker& w) const
     {
-        return std::string(1, static_cast<char>('a' + (w.port - port_ - 1) % zones_));
+        return std::string(1,
+                           static_cast<char>('a' + (w.port - options_.port - 1) % options_.zones));
     }
 
     void start_notices(const std::string& seed_text)
@@ -289,7 +302,7 @@
             return;
         }
         runs_[std::string(find_header(head.headers, "Bluebellproxy-Request-Id"))] += 1;
-        const auto n = static_cast<std::size_t>(w.port - port_ - 1);
+        const auto n = static_cast<std::size_t>(w.port - options_.port - 1);
         if (head.target.find("/crash/") != std::string::npos) {
             loop_->defer([this, s, n] {
                 s->abort();
@@ -363,11 +376,7 @@
     }
 
     std::shared_ptr<runtime::event_loop> loop_;
-    std::uint16_t port_;        ///< of the list; the workers have the next ones
-    std::uint16_t listed_port_; ///< the list shows this in place of port_: a proxy's first port
-    int engines_;
-    int zones_;         ///< number of availability zones
-    int plain_cold_ms_; ///< for which the list always says that plain workers stay cold
+    standin_options options_;
     std::shared_ptr<runtime::http_server> list_server_;
     std::vector<worker> workers_;
     std::vector<std::shared_ptr<stream>> streams_;
@@ -388,14 +397,19 @@
         "engines", "number of engines", cxxopts::value<int>()->default_value("2"))(
         "zones", "number of availability zones", cxxopts::value<int>()->default_value("1"))(
         "cold-ms", "plain workers are always cold for this time",
-        cxxopts::value<int>()->default_value("0"))("seconds", "stops by itself",
-                                                   cxxopts::value<int>()->default_value("60"));
+        cxxopts::value<int>()->default_value("0"))(
+        "same-id", "workers that a request has ended come back under their ids")(
+        "seconds", "stops by itself", cxxopts::value<int>()->default_value("60"));
     const auto args = options.parse(argc, argv);
     const auto loop = *runtime::event_loop::make();
-    const auto port = args["port"].as<std::uint16_t>();
-    platform_standin platform(
-        loop, port, args.count("shown") != 0 ? args["shown"].as<std::uint16_t>() : port,
-        args["engines"].as<int>(), args["zones"].as<int>(), args["cold-ms"].as<int>());
+    standin_options o;
+    o.port = args["port"].as<std::uint16_t>();
+    o.listed_port = args.count("shown") != 0 ? args["shown"].as<std::uint16_t>() : o.port;
+    o.engines = args["engines"].as<int>();
+    o.zones = args["zones"].as<int>();
+    o.plain_cold_ms = args["cold-ms"].as<int>();
+    o.keeps_ids = args.count("same-id") != 0;
+    platform_standin platform(loop, o);
     if (!platform.open()) {
         std::cerr << "standin_platform: can't listen on its ports\n";
         return 1;
