Read what has arrived before a connection to a peer counts as silent

Cause: the check of the probes went by the last message that was handled. An answer that had arrived could wait unread: a send takes the wake-up of the ZeroMQ socket, and the timer of the check, due since longer, ran before the timer that reads what a send has left. A process that was busy for longer than a probe's time-out replaced the connection to a sound peer.

Change: the check reads the socket first; a connection has been heard when a message is read from the socket, not when it is handled.

--- a/src/libruntime/peer_bus.cpp
+++ b/src/libruntime/peer_bus.cpp
@@ -211,6 +211,8 @@
 
     void store(unread_message m)
     {
+        if (m.dialled)
+            note_heard(m.connection);
         std::size_t& unread = unread_bytes[m.connection];
         const bool fits = unread == 0 || (unread + m.data.size() <= options.max_unread_bytes &&
                                           unread_total + m.data.size() <=
@@ -254,8 +256,6 @@
 
     void handle_message(const unread_message& m)
     {
-        if (m.dialled)
-            note_heard(m.connection);
         constexpr std::size_t id_and_envelope = 2;
         if (m.frames == id_and_envelope && m.data.empty()) {
             if (!m.dialled)
@@ -416,6 +416,8 @@
     /// Probes the outgoing connections that have been silent, and replaces those that don't answer.
     void check_connections()
     {
+        // A send may have taken the wake-up of an answer that waits unread.
+        take_all(dialled);
         const core::instant now = loop->now();
         const core::probe_config config{options.probe_interval, options.probe_timeout};
         core::instant next_check_at = core::instant::max();
--- a/src/libruntime/peer_connection_test.cpp
+++ b/src/libruntime/peer_connection_test.cpp
@@ -94,6 +94,8 @@
 
 struct fixture {
     std::shared_ptr<runtime::event_loop> loop = *runtime::event_loop::make();
+    /// For a peer that goes on while the other one's loop does nothing.
+    std::shared_ptr<runtime::event_loop> other_loop = *runtime::event_loop::make();
     std::uint16_t port_a = test::free_port();
     std::uint16_t port_b = test::free_port();
     test::hung_proxy proxy{port_a};
@@ -101,17 +103,18 @@
     recording_peer b;
 
     /// Runs the loop and the proxy.
-    void run_for(milliseconds duration)
+    void run_for(milliseconds duration) { run_loop_for(*loop, duration); }
+    void run_loop_for(runtime::event_loop& running, milliseconds duration)
     {
-        const auto stop = runtime::watcher::timer(*loop, [&] { loop->stop(); });
+        const auto stop = runtime::watcher::timer(running, [&] { running.stop(); });
         std::unique_ptr<runtime::watcher> pump;
-        pump = runtime::watcher::timer(*loop, [&] {
+        pump = runtime::watcher::timer(running, [&] {
             proxy.pump();
             pump->arm(microseconds{1'000});
         });
         pump->arm(microseconds{0});
         stop->arm(duration);
-        loop->run();
+        running.run();
     }
     /// Runs until the condition holds, or wait_limit has passed.
     template <class Condition>
@@ -238,6 +241,29 @@
     BOOST_TEST(b.senders.size() == 1U);
 }
 
+// Guards against the loss of a connection whose peer has answered the probe in time, while this
+// process was busy: a send takes the socket's wake-up, and the check came before the answer was
+// read.
+BOOST_AUTO_TEST_CASE(an_unread_answer_to_a_probe_keeps_its_connection)
+{
+    constexpr milliseconds timeout{1'000}; // b's loop has to run in less
+    a.open(other_loop, "a", port_a, milliseconds(5'000));
+    b.open(loop, "b", port_b, timeout);
+    b.bus->connect(make_node_id("a"), address(proxy.port()));
+    send_to_a();
+    run_until([&] {
+        run_loop_for(*other_loop, milliseconds(10));
+        return !a.senders.empty();
+    });
+    const std::size_t before = proxy.connections();
+    run_for(probe_interval + milliseconds(20));            // b sends a probe
+    run_loop_for(*other_loop, timeout + milliseconds(50)); // a answers while b is busy
+    send_to_a();
+    run_for(milliseconds(50));
+    BOOST_TEST(b.unreachable_peers.empty());
+    BOOST_TEST(proxy.connections() == before);
+}
+
 // The library's queue can't stop a sender, so this process limits what it stores.
 BOOST_AUTO_TEST_CASE(messages_beyond_the_limit_of_unread_bytes_are_dropped_and_counted)
 {
