Give probes time in the test of signals

Cause: the test's one thread carries both ends of the connection and the proxy between them, and a second thread interrupts it all the time. A probe and its answer pass this thread four times. Traced in six runs beside a build, each of which replaced the connection: in three no answer had come. The far end had read the probe 332, 88 and 406 ms after it was sent, and its answer was not forwarded when the time-out of 200 ms, which the test had set, was over. A peer that is silent for so long is replaced, and the refused send is what the product owes then.

Change: probes have wait_limit (20 s), as the test's other conditions have; they are sent as often as before. The checks are the same, and one more: no connection was lost. What a probe's time-out does is the subject of a_silent_connection_*, which is unchanged.

--- a/src/libruntime/peer_connection_test.cpp
+++ b/src/libruntime/peer_connection_test.cpp
@@ -331,8 +331,10 @@
     quiet.sa_handler = [](int) {};
     struct sigaction previous {};
     ::sigaction(SIGUSR2, &quiet, &previous);
-    a.open(loop, "a", port_a);
-    b.open(loop, "b", port_b);
+    // This thread carries both ends and the proxy, and the signals slow it down: a probe's answer
+    // can take longer than probe_timeout.
+    a.open(loop, "a", port_a, wait_limit);
+    b.open(loop, "b", port_b, wait_limit);
     connect_b_to_a();
     a.senders.clear();
     const pthread_t target = ::pthread_self();
@@ -353,6 +355,7 @@
     ::sigaction(SIGUSR2, &previous, nullptr);
     BOOST_TEST(a.senders.size() == messages);
     BOOST_TEST(a.rejection_count == 0U);
+    BOOST_TEST(b.unreachable_peers.empty());
 }
 
 // Guards against the end of a process by a connection that can't be opened or accepted for want of
